Add checked YAML settings

Cause: every process learns its addresses and data centre from settings, and a wrong key must be refused before anything starts. Conclusion: settings are ready for the entry and control processes.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// maxViewLease keeps a change in force everywhere within 3 s at a clock drift of 5%.
+const maxViewLease = 2850 * time.Millisecond
+
+func keyError(key, problem, remedy string) *serving.Error {
+	e := serving.NewError(serving.KindInvalid, key+" "+problem)
+	e.Remedy = remedy
+	e.Detail = key
+	return e
+}
+
+// Check refuses settings that could not work; the error names the key and the remedy.
+func (s *Settings) Check() error {
+	required := []struct{ key, value string }{
+		{"host", string(s.Host)},
+		{"data_centre", string(s.DataCentre)},
+		{"region", string(s.Region)},
+		{"listen", string(s.Listen)},
+		{"cluster_key", s.ClusterKey},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return keyError(r.key, "is missing", "add the key "+r.key)
+		}
+	}
+	if (s.Entry == nil) == (s.Control == nil) {
+		return keyError("entry", "and control are both present or both missing", "keep the one section that this process needs")
+	}
+	if s.Entry != nil {
+		return s.Entry.check()
+	}
+	return s.Control.check(s.Host)
+}
+
+func (e *Entry) check() error {
+	if len(e.Control) == 0 {
+		return keyError("entry.control", "is empty", "list the addresses of the control replicas")
+	}
+	if err := checkTwice("entry.control", e.Control); err != nil {
+		return err
+	}
+	if err := checkTwice("entry.peers", e.Peers); err != nil {
+		return err
+	}
+	if e.ViewLease.Duration > maxViewLease && e.OnExpiredView == RefuseOnExpiredView {
+		return keyError("entry.view_lease", fmt.Sprintf("is over %v", maxViewLease), "lower it, so that a data centre taken out receives no new work after 3 s")
+	}
+	if e.ViewPoll.Duration*2 > e.ViewLease.Duration {
+		return keyError("entry.view_poll", "is over half of view_lease", "lower it, so that one lost poll does not expire the view")
+	}
+	if err := checkOneOf("entry.on_expired_view", e.OnExpiredView, RefuseOnExpiredView, ServeOnExpiredView); err != nil {
+		return err
+	}
+	return checkOneOf("entry.placement", e.Placement, PlaceByCost, PlaceLeastInFlight, PlaceRoundRobin)
+}
+
+func (c *Control) check(self serving.HostID) error {
+	if c.Data == "" {
+		return keyError("control.data", "is missing", "name the data folder")
+	}
+	if len(c.Replicas)%2 == 0 {
+		return keyError("control.replicas", "has an even number of replicas", "list one, three or five, this one included")
+	}
+	var hosts []serving.HostID
+	var addresses []Address
+	found := false
+	for _, r := range c.Replicas {
+		hosts = append(hosts, r.Host)
+		addresses = append(addresses, r.Address)
+		found = found || r.Host == self
+	}
+	if err := checkTwice("control.replicas.host", hosts); err != nil {
+		return err
+	}
+	if err := checkTwice("control.replicas.address", addresses); err != nil {
+		return err
+	}
+	if !found {
+		return keyError("control.replicas", "lacks this host "+string(self), "add the host with its address")
+	}
+	if hash, err := hex.DecodeString(c.OperatorKeyHash); err != nil || len(hash) != 32 {
+		return keyError("control.operator_key_hash", "is not a SHA-256 hash", "write 64 hexadecimal digits, as sha256sum prints them")
+	}
+	if c.Heartbeat.Duration*3 > c.ElectionMin.Duration {
+		return keyError("control.heartbeat", "is over a third of election_min", "lower heartbeat or raise election_min")
+	}
+	if c.ElectionMin.Duration >= c.ElectionMax.Duration {
+		return keyError("control.election_max", "is not over election_min", "raise election_max")
+	}
+	return checkTwice("control.naming_schemes", c.NamingSchemes)
+}
+
+func checkTwice[T ~string](key string, values []T) error {
+	seen := map[T]bool{}
+	for _, v := range values {
+		if seen[v] {
+			return keyError(key, "has "+string(v)+" twice", "remove one of them")
+		}
+		seen[v] = true
+	}
+	return nil
+}
+
+func checkOneOf(key, value string, allowed ...string) error {
+	for _, a := range allowed {
+		if value == a {
+			return nil
+		}
+	}
+	return keyError(key, "has the unknown value "+value, fmt.Sprintf("use one of %v", allowed))
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,142 @@
+package settings
+
+import (
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	// Host is the id of the host; it is unique among all hosts.
+	Host       serving.HostID       `yaml:"host"`
+	DataCentre serving.DataCentreID `yaml:"data_centre"`
+	Region     serving.RegionID     `yaml:"region"`
+	// Listen is the address that the process serves on.
+	Listen Address `yaml:"listen"`
+	// Advertise is the address that others use; it defaults to Listen.
+	Advertise Address `yaml:"advertise,omitempty"`
+	// ClusterKey authenticates the processes of the system and the engines to each other.
+	ClusterKey string   `yaml:"cluster_key"`
+	EventLog   EventLog `yaml:"event_log,omitempty"`
+	Entry      *Entry   `yaml:"entry,omitempty"`
+	Control    *Control `yaml:"control,omitempty"`
+}
+
+// EventLog says where the events of the time line go; an empty path turns them off.
+type EventLog struct {
+	Path     string `yaml:"path,omitempty"`
+	MaxBytes Size   `yaml:"max_bytes,omitempty"`
+}
+
+// Entry are the settings of an entry process.
+type Entry struct {
+	// Control lists the addresses of the control replicas.
+	Control []Address `yaml:"control"`
+	// Peers lists the addresses of other entries to start membership from.
+	Peers []Address `yaml:"peers,omitempty"`
+	// ViewLease is the age at which a configuration view expires.
+	ViewLease Duration `yaml:"view_lease,omitempty"`
+	ViewPoll  Duration `yaml:"view_poll,omitempty"`
+	// OnExpiredView is refuse or serve.
+	OnExpiredView string `yaml:"on_expired_view,omitempty"`
+	// DrainNotice is the time between turning not ready and taking no new work.
+	DrainNotice Duration `yaml:"drain_notice,omitempty"`
+	MaxBody     Size     `yaml:"max_body,omitempty"`
+	// SlotTTL is the time after which a slot expires unless renewed.
+	SlotTTL Duration `yaml:"slot_ttl,omitempty"`
+	// QueueTimeout bounds the wait of a request for an engine.
+	QueueTimeout Duration `yaml:"queue_timeout,omitempty"`
+	// WriteTimeout bounds one write to a slow reader.
+	WriteTimeout Duration `yaml:"write_timeout,omitempty"`
+	// Placement is cost, least_in_flight or round_robin.
+	Placement string `yaml:"placement,omitempty"`
+	// ResumeKey signs resume tokens; all entries share it. It defaults to the cluster key.
+	ResumeKey string `yaml:"resume_key,omitempty"`
+}
+
+// Control are the settings of a control process.
+type Control struct {
+	// Data is the data folder.
+	Data string `yaml:"data"`
+	// Replicas lists all initial replicas, this one included.
+	Replicas []Replica `yaml:"replicas"`
+	// OperatorKeyHash is the SHA-256 hash, in hexadecimal, of the first operator's key.
+	OperatorKeyHash string   `yaml:"operator_key_hash"`
+	Heartbeat       Duration `yaml:"heartbeat,omitempty"`
+	ElectionMin     Duration `yaml:"election_min,omitempty"`
+	ElectionMax     Duration `yaml:"election_max,omitempty"`
+	// NamingSchemes are the names of the naming schemes.
+	NamingSchemes []string `yaml:"naming_schemes,omitempty"`
+	// ResultRetention is how long results of changes are kept for resent commands.
+	ResultRetention Duration `yaml:"result_retention,omitempty"`
+	ClaimTimeout    Duration `yaml:"claim_timeout,omitempty"`
+	// ClaimRetention is how long settled order claims are kept.
+	ClaimRetention Duration `yaml:"claim_retention,omitempty"`
+	// SnapshotEntries is the number of log entries after which a snapshot is made.
+	SnapshotEntries int `yaml:"snapshot_entries,omitempty"`
+}
+
+// Replica is one control replica.
+type Replica struct {
+	Host    serving.HostID `yaml:"host"`
+	Address Address        `yaml:"address"`
+}
+
+// Values of OnExpiredView.
+const (
+	RefuseOnExpiredView = "refuse"
+	ServeOnExpiredView  = "serve"
+)
+
+// Names of placement policies.
+const (
+	PlaceByCost        = "cost"
+	PlaceLeastInFlight = "least_in_flight"
+	PlaceRoundRobin    = "round_robin"
+)
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// applyDefaults fills the keys that were left out.
+func (s *Settings) applyDefaults() {
+	setDefault(&s.Advertise, s.Listen)
+	setDefault(&s.EventLog.MaxBytes.Bytes, 16<<20)
+	if s.Entry != nil {
+		s.Entry.applyDefaults(s.ClusterKey)
+	}
+	if s.Control != nil {
+		s.Control.applyDefaults()
+	}
+}
+
+func (e *Entry) applyDefaults(clusterKey string) {
+	setDefault(&e.ViewLease.Duration, 2500*time.Millisecond)
+	setDefault(&e.ViewPoll.Duration, 500*time.Millisecond)
+	setDefault(&e.OnExpiredView, RefuseOnExpiredView)
+	setDefault(&e.DrainNotice.Duration, 2*time.Second)
+	setDefault(&e.MaxBody.Bytes, 1<<20)
+	setDefault(&e.SlotTTL.Duration, 2*time.Second)
+	setDefault(&e.QueueTimeout.Duration, 10*time.Second)
+	setDefault(&e.WriteTimeout.Duration, 10*time.Second)
+	setDefault(&e.Placement, PlaceByCost)
+	setDefault(&e.ResumeKey, clusterKey)
+}
+
+func (c *Control) applyDefaults() {
+	setDefault(&c.Heartbeat.Duration, 100*time.Millisecond)
+	setDefault(&c.ElectionMin.Duration, 500*time.Millisecond)
+	setDefault(&c.ElectionMax.Duration, time.Second)
+	if len(c.NamingSchemes) == 0 {
+		c.NamingSchemes = []string{"catalogue", "legacy", "site"}
+	}
+	setDefault(&c.ResultRetention.Duration, 7*24*time.Hour)
+	setDefault(&c.ClaimTimeout.Duration, 30*time.Second)
+	setDefault(&c.ClaimRetention.Duration, 7*24*time.Hour)
+	setDefault(&c.SnapshotEntries, 10000)
+}
