--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,283 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/generation"
+)
+
+const (
+	clusterKey  = "cluster-key"
+	operatorKey = "operator-key"
+	callerKey   = "caller-key"
+)
+
+// buildPrograms builds the programs once for all tests.
+var buildPrograms = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "turmericdrum-e2e")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "../../cmd/...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	status := m.Run()
+	if dir, err := buildPrograms(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(status)
+}
+
+// process is one started program.
+type process struct {
+	name    string
+	cmd     *exec.Cmd
+	address string
+	exited  chan struct{}
+	log     string
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// fleet is a set of processes of one test.
+type fleet struct {
+	t        *testing.T
+	programs string
+	dir      string
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	programs, err := buildPrograms()
+	assert.NilError(t, err)
+	return &fleet{t: t, programs: programs, dir: t.TempDir()}
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a program until the test ends; its log is printed if the test fails.
+func (f *fleet) start(name, address, program string, args ...string) *process {
+	f.t.Helper()
+	logPath := filepath.Join(f.dir, name+".log")
+	logFile, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(f.t, err)
+	cmd := exec.Command(filepath.Join(f.programs, program), args...)
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	assert.NilError(f.t, cmd.Start())
+	p := &process{name: name, cmd: cmd, address: address, exited: make(chan struct{}), log: logPath}
+	go func() {
+		_ = cmd.Wait()
+		_ = logFile.Close()
+		close(p.exited)
+	}()
+	f.t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if f.t.Failed() {
+			b, _ := os.ReadFile(logPath)
+			f.t.Logf("log of %s:\n%s", name, tail(b, 4000))
+		}
+	})
+	return p
+}
+
+func tail(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
+
+func (f *fleet) writeSettings(name string, s *settings.Settings) string {
+	f.t.Helper()
+	b, err := yaml.Marshal(s)
+	assert.NilError(f.t, err)
+	path := filepath.Join(f.dir, name+".yaml")
+	assert.NilError(f.t, os.WriteFile(path, b, 0o600))
+	return path
+}
+
+func (f *fleet) entrySettings(name, address string, control []string, peers ...string) *settings.Settings {
+	s := &settings.Settings{
+		Host: serving.HostID(name), DataCentre: "dc-a", Region: "region-a",
+		Listen: settings.Address(address), ClusterKey: clusterKey,
+		Entry: &settings.Entry{},
+	}
+	for _, c := range control {
+		s.Entry.Control = append(s.Entry.Control, settings.Address(c))
+	}
+	for _, p := range peers {
+		s.Entry.Peers = append(s.Entry.Peers, settings.Address(p))
+	}
+	s.Entry.DrainNotice.Duration = 200 * time.Millisecond
+	return s
+}
+
+func hexHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// eventually waits until check succeeds.
+func eventually(t *testing.T, what string, limit time.Duration, check func() error) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v: %v", what, limit, err)
+		}
+		time.Sleep(20 * time.Millisecond) // Real processes: there is no virtual clock to wait on.
+	}
+}
+
+// isReady asks a process whether it takes new work.
+func isReady(address string) error {
+	res, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	return nil
+}
+
+type bearerTransport string
+
+func (k bearerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+string(k))
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// operator returns an operator's client of a control replica.
+func operator(address string) schema.Operators {
+	return schema.NewOperatorsProtobufClient("http://"+address, &http.Client{Transport: bearerTransport(operatorKey), Timeout: 10 * time.Second})
+}
+
+// answer is what a caller received.
+type answer struct {
+	status int
+	frames []generation.Frame
+	ids    []string
+	done   bool
+	err    string
+	body   string
+}
+
+// complete sends a request and reads the whole answer.
+func complete(ctx context.Context, address, key string, fields map[string]any) (*answer, error) {
+	body, _ := json.Marshal(fields)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Content-Type", "application/json")
+	return readAnswer(r)
+}
+
+func readAnswer(r *http.Request) (*answer, error) {
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	a := &answer{status: res.StatusCode}
+	if res.Header.Get("Content-Type") != "text/event-stream" {
+		b, err := io.ReadAll(res.Body)
+		a.body = string(b)
+		return a, err
+	}
+	return a, a.readEvents(res.Body)
+}
+
+func (a *answer) readEvents(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, 1<<20)
+	isError := false
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			a.ids = append(a.ids, id)
+		}
+		isError = isError || line == "event: error"
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			a.done = true
+		case isError:
+			a.err = data
+		default:
+			var f generation.Frame
+			if err := json.Unmarshal([]byte(data), &f); err != nil {
+				return err
+			}
+			a.frames = append(a.frames, f)
+		}
+	}
+	return scanner.Err()
+}
+
+// checkWhole checks that an answer has each token once, in order, from one generation.
+func (a *answer) checkWhole(length int) error {
+	if a.status != http.StatusOK || !a.done {
+		return fmt.Errorf("status %d, done %v, error %q, body %q", a.status, a.done, a.err, a.body)
+	}
+	if len(a.frames) != length {
+		return fmt.Errorf("%d tokens instead of %d", len(a.frames), length)
+	}
+	for i, f := range a.frames {
+		if int(f.Index) != i || f.GenerationID != a.frames[0].GenerationID || f.RequestID != a.frames[0].RequestID {
+			return fmt.Errorf("frame %d is %+v", i, f)
+		}
+	}
+	return nil
+}
+
+func keyHash(key string) []byte {
+	sum := sha256.Sum256([]byte(key))
+	return sum[:]
+}
