Add membership: directory, exchanges between entries, rendezvous owners

Cause: an engine announces itself to one entry only, and the others must learn of it; a partitioned entry must not look dead. Ruled out: a broadcast of every announcement to all, which grows with entries times engines.

--- a/internal/entry/blackboard.go
+++ b/internal/entry/blackboard.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"sync/atomic"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // publishInterval bounds how often snapshots are made for mere load reports,
@@ -15,7 +15,8 @@
 
 // Engine is what an entry knows of one engine.
 type Engine struct {
-	Announcement
+	*engine.Announcement
+	State      engine.State
 	ReceivedAt time.Duration
 	counters   *engineCounters
 }
@@ -28,25 +29,47 @@
 // Blackboard is the state that controllers read and write. A published
 // blackboard is immutable.
 type Blackboard struct {
-	View    *View
+	View *View
+	// Engines are those that may still run work: dead ones are absent.
 	Engines map[serving.EngineID]*Engine
+	// Entries are the other entries, with their states.
+	Entries []Peer
 }
 
-// event changes the blackboard; urgent ones are published at once.
+// Peer is another entry.
+type Peer struct {
+	ID      string
+	Address string
+	State   engine.State
+}
+
+// controlState is what only the control goroutine uses.
+type controlState struct {
+	Blackboard
+	directory *engine.Directory
+	counters  map[serving.EngineID]*engineCounters
+}
+
+// event changes the control state; urgent ones are published at once.
 type event interface {
-	apply(b *Blackboard, now time.Duration) (urgent bool)
+	apply(s *controlState, now time.Duration) (urgent bool)
 }
 
-// board owns the blackboard and publishes snapshots.
+// board owns the control state and publishes snapshots.
 type board struct {
 	clock    serving.Clock
 	events   chan event
 	snapshot atomic.Pointer[Blackboard]
+	state    *controlState
 }
 
-func newBoard(clock serving.Clock) *board {
+func newBoard(clock serving.Clock, self engine.Member) *board {
 	b := &board{clock: clock, events: make(chan event, 1024)}
-	b.snapshot.Store(&Blackboard{Engines: map[serving.EngineID]*Engine{}})
+	b.snapshot.Store(&Blackboard{})
+	b.state = &controlState{
+		directory: engine.NewDirectory(engine.Config{Self: self}),
+		counters:  map[serving.EngineID]*engineCounters{},
+	}
 	return b
 }
 
@@ -63,7 +86,6 @@
 
 // run is the control goroutine.
 func (b *board) run(ctx context.Context) {
-	state := &Blackboard{Engines: map[serving.EngineID]*Engine{}}
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
 	dirty := false
@@ -72,24 +94,42 @@
 		case <-ctx.Done():
 			return
 		case ev := <-b.events:
-			if ev.apply(state, b.clock.Now()) {
-				b.publish(state)
+			if ev.apply(b.state, b.clock.Now()) {
+				b.publish()
 				dirty = false
 				continue
 			}
 			dirty = true
 		case <-ticker.C:
-			dropSilentEngines(state, b.clock.Now())
-			if dirty {
-				b.publish(state)
+			if b.sweep() || dirty {
+				b.publish()
 				dirty = false
 			}
 		}
 	}
 }
 
-func (b *board) publish(state *Blackboard) {
-	c := *state
-	c.Engines = maps.Clone(state.Engines)
-	b.snapshot.Store(&c)
+func (b *board) publish() {
+	now := b.clock.Now()
+	s := b.state
+	c := &Blackboard{View: s.View, Engines: map[serving.EngineID]*Engine{}}
+	for _, m := range s.directory.Members(engine.MemberEngine) {
+		if state := s.directory.State(now, m.ID); state != engine.StateDead {
+			id := m.Announcement.Engine
+			c.Engines[id] = &Engine{Announcement: m.Announcement, State: state, ReceivedAt: m.HeardAt, counters: s.countersOf(id)}
+		}
+	}
+	for _, m := range s.directory.Members(engine.MemberEntry) {
+		c.Entries = append(c.Entries, Peer{ID: m.ID, Address: m.Address, State: s.directory.State(now, m.ID)})
+	}
+	b.snapshot.Store(c)
+}
+
+func (s *controlState) countersOf(id serving.EngineID) *engineCounters {
+	c, ok := s.counters[id]
+	if !ok {
+		c = &engineCounters{}
+		s.counters[id] = c
+	}
+	return c
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -14,6 +14,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
@@ -222,7 +223,7 @@
 func (e *Entry) place(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (*Engine, error) {
 	var best *Engine
 	for _, n := range b.Engines {
-		if tried[n.Engine] || n.State != EngineReady || b.View.out[string(n.DataCentre)] || !n.carries(r.Model) {
+		if tried[n.Engine] || n.State != engine.StateAlive || n.Announcement.State != engine.PhaseReady || b.View.out[string(n.DataCentre)] || !n.Carries(r.Model) {
 			continue
 		}
 		if best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load() {
@@ -235,13 +236,4 @@
 	return best, nil
 }
 
-func (n *Engine) carries(m serving.ModelID) bool {
-	for _, ref := range n.Models {
-		if ref.Model == m {
-			return true
-		}
-	}
-	return false
-}
-
 func newID() string { return rand.Text() }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
@@ -38,7 +39,7 @@
 // Run serves until ctx ends, then drains: it turns not ready, takes no new work
 // and returns when every stream in progress has ended.
 func (e *Entry) Run(ctx context.Context) error {
-	e.board = newBoard(e.Clock)
+	e.board = newBoard(e.Clock, e.self())
 	e.signer = generation.NewSigner(e.Settings.Entry.ResumeKey)
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second}
 	e.upstream = &http.Client{Transport: transport}
@@ -49,6 +50,7 @@
 	g, _ := errgroup.WithContext(background)
 	g.Go(func() error { e.board.run(background); return nil })
 	g.Go(func() error { e.pollViews(background); return nil })
+	g.Go(func() error { e.exchangeMembership(background); return nil })
 
 	server := &http.Server{
 		Addr:              string(e.Settings.Listen),
@@ -70,6 +72,16 @@
 	return g.Wait()
 }
 
+// self is the membership record of this entry. The wall clock at the start serves
+// as incarnation, since an entry keeps no state on disk.
+func (e *Entry) self() engine.Member {
+	return engine.Member{
+		ID: string(e.Settings.Host), Address: string(e.Settings.Advertise),
+		DataCentre: e.Settings.DataCentre, Region: e.Settings.Region,
+		Incarnation: serving.Incarnation(time.Now().UnixNano()),
+	}
+}
+
 // drain waits for the balancer to notice, then for every stream to end.
 func (e *Entry) drain(server *http.Server) {
 	klog.InfoS("Entry draining", "host", e.Settings.Host)
@@ -93,6 +105,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", container)
 	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e)))
+	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
 	mux.Handle("/debug/vars", expvar.Handler())
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -64,7 +64,7 @@
 	at       time.Duration
 }
 
-func (ev viewReceived) apply(b *Blackboard, _ time.Duration) bool {
+func (ev viewReceived) apply(b *controlState, _ time.Duration) bool {
 	if ev.view == nil {
 		if b.View == nil || b.View.Config.Revision != ev.confirms || ev.at <= b.View.ConfirmedAt {
 			return false
--- /dev/null
+++ b/pkg/serving/engine/announcement.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"encoding/json"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// Kind tells model engines from plain services.
+type Kind string
+
+// Kinds of engines.
+const (
+	KindModel   Kind = "model"
+	KindService Kind = "service"
+)
+
+// Phase is the state that an engine announces.
+type Phase string
+
+// Phases of an engine.
+const (
+	PhaseStarting Phase = "starting"
+	PhaseReady    Phase = "ready"
+	PhaseLeaving  Phase = "leaving"
+)
+
+// Announcement is what an engine says of itself, in the JSON form that it sends.
+type Announcement struct {
+	Engine      serving.EngineID     `json:"engine"`
+	Host        serving.HostID       `json:"host"`
+	Address     string               `json:"address"`
+	DataCentre  serving.DataCentreID `json:"data_centre"`
+	Incarnation serving.Incarnation  `json:"incarnation"`
+	// Seq grows with each announcement of an incarnation; as_of_ms stands in for it where it is 0.
+	Seq      uint64              `json:"seq,omitempty"`
+	Kind     Kind                `json:"kind"`
+	Services []serving.ServiceID `json:"services,omitempty"`
+	Models   []ModelRef          `json:"models"`
+	Role     string              `json:"role"`
+	State    Phase               `json:"state"`
+	Capacity serving.Capacity    `json:"capacity"`
+	Load     serving.Load        `json:"load"`
+	// ChecksFencing is yes, no or unknown; unknown counts as no.
+	ChecksFencing string       `json:"checks_fencing"`
+	CacheEvents   []CacheEvent `json:"cache_events,omitempty"`
+}
+
+// ModelRef names a model at a version.
+type ModelRef struct {
+	Model   serving.ModelID `json:"model"`
+	Version serving.Version `json:"version"`
+}
+
+// CacheEvent tells that a prompt prefix entered or left an engine's cache.
+type CacheEvent struct {
+	Seq    uint64 `json:"seq"`
+	Op     string `json:"op"`
+	Prefix string `json:"prefix"`
+}
+
+// Reply is the answer to an announcement.
+type Reply struct {
+	Entries []string `json:"entries"`
+	// Owner is the address of the entry to announce to from now on.
+	Owner string `json:"owner,omitempty"`
+}
+
+// DecodeAnnouncement decodes and checks an announcement.
+func DecodeAnnouncement(b []byte) (*Announcement, error) {
+	var a Announcement
+	if err := json.Unmarshal(b, &a); err != nil {
+		return nil, serving.WrapError(err, serving.KindInvalid, "decode announcement")
+	}
+	if a.Engine == "" || a.Address == "" || a.DataCentre == "" {
+		return nil, serving.NewError(serving.KindInvalid, "an announcement needs engine, address and data_centre")
+	}
+	return &a, nil
+}
+
+// Carries tells whether the engine has announced a model at any version.
+func (a *Announcement) Carries(m serving.ModelID) bool {
+	for _, ref := range a.Models {
+		if ref.Model == m {
+			return true
+		}
+	}
+	return false
+}
+
+// Serves tells whether the engine has announced a service.
+func (a *Announcement) Serves(s serving.ServiceID) bool {
+	for _, id := range a.Services {
+		if id == s {
+			return true
+		}
+	}
+	return false
+}
+
+// version orders the announcements of one incarnation.
+func (a *Announcement) version() uint64 {
+	if a.Seq > 0 {
+		return a.Seq
+	}
+	return uint64(max(a.Load.AsOfMS, 0))
+}
--- /dev/null
+++ b/pkg/serving/engine/engine_test.go
@@ -0,0 +1,134 @@
+package engine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
+)
+
+func announcement(incarnation serving.Incarnation, seq uint64, phase engine.Phase) *engine.Announcement {
+	return &engine.Announcement{Engine: "e1", Address: "127.0.0.1:1", DataCentre: "dc-a", Incarnation: incarnation, Seq: seq, State: phase}
+}
+
+func member(id string, version uint64, heardAt time.Duration) engine.Member {
+	return engine.Member{ID: id, Kind: engine.MemberEntry, Version: version, HeardAt: heardAt}
+}
+
+// Guards against old news that replaces new news, and against a leaving mark
+// that is lost within an incarnation.
+func TestAnnounceKeepsTheNewest(t *testing.T) {
+	tests := []struct {
+		name    string
+		then    *engine.Announcement
+		taken   bool
+		leaving bool
+	}{
+		{"older sequence", announcement(2, 4, engine.PhaseReady), false, true},
+		{"older incarnation", announcement(1, 99, engine.PhaseReady), false, true},
+		{"same incarnation", announcement(2, 6, engine.PhaseReady), true, true},
+		{"new incarnation", announcement(3, 1, engine.PhaseReady), true, false},
+	}
+	for _, tt := range tests {
+		d := engine.NewDirectory(engine.Config{Self: member("self", 0, 0)})
+		assert.Assert(t, d.Announce(0, announcement(2, 5, engine.PhaseLeaving), ""))
+		assert.Equal(t, d.Announce(0, tt.then, ""), tt.taken, tt.name)
+		assert.Equal(t, d.Members(engine.MemberEngine)[0].Leaving, tt.leaving, tt.name)
+	}
+}
+
+// Guards against a partitioned member that is taken for dead, and a dead one
+// that is taken for partitioned.
+func TestStateTellsUnreachableFromDead(t *testing.T) {
+	tests := []struct {
+		name        string
+		heardAt     time.Duration
+		directFails bool
+		want        engine.State
+	}{
+		{"heard and reached", 9 * time.Second, false, engine.StateAlive},
+		{"heard through others only", 9 * time.Second, true, engine.StateUnreachable},
+		{"silent for a while", 8 * time.Second, true, engine.StateSuspect},
+		{"silent for long", 4 * time.Second, true, engine.StateDead},
+	}
+	for _, tt := range tests {
+		now := 10 * time.Second
+		d := engine.NewDirectory(engine.Config{Self: member("self", 0, 0)})
+		d.Merge(now, []engine.Member{member("peer", 1, tt.heardAt)})
+		d.Contact(now, "peer", !tt.directFails)
+		assert.Equal(t, d.State(now, "peer"), tt.want, tt.name)
+	}
+}
+
+// Guards against views of the membership that never become equal under lost messages.
+func TestExchangesConvergeUnderLoss(t *testing.T) {
+	const entries = 9
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		var all []*engine.Directory
+		for i := range entries {
+			d := engine.NewDirectory(engine.Config{Self: member(fmt.Sprint("entry-", i), 0, 0)})
+			d.Beat(0, false)
+			all = append(all, d)
+		}
+		all[0].Announce(0, announcement(1, 1, engine.PhaseReady), "")
+		for round := range 40 {
+			now := time.Duration(round) * 10 * time.Millisecond
+			for _, d := range all {
+				peer := all[r.IntN(entries)]
+				if r.Float64() < 0.3 {
+					continue
+				}
+				d.Merge(now, peer.Newer(d.Digest()))
+			}
+		}
+		for i, d := range all {
+			assert.Equal(t, len(d.Digest()), entries+1, "seed %d, entry %d", seed, i)
+		}
+	}
+}
+
+// Guards against a change of one entry that moves engines of other entries.
+func TestOwnerMovesOnlyWhatItMust(t *testing.T) {
+	var entries []engine.Entry
+	for i := range 7 {
+		entries = append(entries, engine.Entry{Host: serving.HostID(fmt.Sprint("h", i)), DataCentre: serving.DataCentreID(fmt.Sprint("dc-", i%3)), Region: serving.RegionID(fmt.Sprint("r-", i%3))})
+	}
+	for i := range 200 {
+		id := serving.EngineID(fmt.Sprint("engine-", i))
+		dc := serving.DataCentreID(fmt.Sprint("dc-", i%3))
+		before, ok := engine.Owner(id, dc, "", entries)
+		assert.Assert(t, ok)
+		assert.Equal(t, before.DataCentre, dc)
+		after, _ := engine.Owner(id, dc, "", entries[1:])
+		if before.Host != "h0" {
+			assert.Equal(t, after, before)
+		}
+	}
+	_, ok := engine.Owner("e", "dc-0", "", nil)
+	assert.Assert(t, !ok)
+}
+
+// Guards against a panic on announcements from the network.
+func FuzzDecodeAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"engine":"e1","address":"127.0.0.1:1","data_centre":"dc-a","models":[{"model":"m"}]}`))
+	f.Add([]byte(`{"engine":1}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := engine.DecodeAnnouncement(b)
+		if err == nil {
+			assert.Assert(t, a.Engine != "")
+		}
+	})
+}
+
+func ExampleDirectory() {
+	d := engine.NewDirectory(engine.Config{Self: engine.Member{ID: "entry-1"}})
+	d.Announce(0, &engine.Announcement{Engine: "engine-1", Address: "127.0.0.1:9000", DataCentre: "leon", Seq: 1}, "leon")
+	fmt.Println(d.State(time.Second, "engine-1"), d.State(time.Minute, "engine-1"))
+	// Output: alive dead
+}
