Add replicated log state machine

Cause: the configuration and the order claims need a replicated log. Ruled out: replacing a voter by a single configuration entry, since the old quorum and the new one may have no member in common; sending all messages after the sync, since appends of a leader depend on nothing unsaved.

--- /dev/null
+++ b/pkg/serving/ledger/doc.go
@@ -0,0 +1,43 @@
+// Package ledger implements the replicated log: leader election, replication,
+// membership changes, snapshots and leader leases, following the Raft protocol.
+//
+// A [Replica] is a single-threaded state machine. It has no sockets, clocks,
+// files or goroutines; the caller passes the time as a [time.Duration] since an
+// arbitrary monotonic origin of its process, delivers messages and persists what
+// [Replica.Ready] returns.
+//
+// # Usage
+//
+// A driver calls [Replica.Tick] at least once per heartbeat interval,
+// [Replica.Step] for each received message and [Replica.Propose] for each
+// command. After any of these it processes what became ready:
+//
+//	rd := r.Ready()
+//	send(rd.Immediate)           // does not depend on what is persisted next
+//	err := journal.Save(rd)      // must be durable when it returns
+//	r.Persisted(rd, err)
+//	send(rd.Messages)
+//	apply(rd.Snapshot, rd.Committed)
+//
+// Commands that were proposed while Save was running are part of the next Ready
+// and share one sync (group commit). Messages may be lost, duplicated, delayed
+// and reordered.
+//
+// # Leases
+//
+// [Replica.ReadIndex] answers only under a leader lease. The lease runs from the
+// send time of the last heartbeat round that a quorum acknowledged, for
+// ElectionMin × (1 − MaxDrift). It relies on one assumption: the monotonic
+// clocks of two hosts drift relative to each other by at most MaxDrift. Wall
+// clocks are never used.
+//
+// # Membership
+//
+// Members are identified by host and incarnation; the incarnation is created
+// with the data folder, so a host that lost its disk counts towards no quorum
+// until its new identity replaced the old one. Changes of the voters go through
+// a joint configuration, in which majorities of both the old and the new voters
+// are needed; the leader ends it on its own once it is committed.
+//
+// Errors are values of [*serving.Error].
+package ledger
--- /dev/null
+++ b/pkg/serving/ledger/election.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+func (r *Replica) resetElection(now time.Duration) {
+	spread := r.cfg.ElectionMax - r.cfg.ElectionMin
+	r.electionDeadline = now + r.cfg.ElectionMin + time.Duration(r.cfg.Random.Float64()*float64(spread))
+}
+
+func (r *Replica) becomeFollower(term Term, leader serving.ReplicaID) {
+	if term > r.hard.Term {
+		r.hard = HardState{Term: term}
+	}
+	r.role, r.leader = Follower, leader
+	r.votes, r.progress, r.rounds, r.promotion = nil, nil, nil, nil
+}
+
+// startPreVote asks the voters whether they would vote for this replica. The
+// term changes only if a quorum would, so a replica that returns from behind a
+// partition does not depose a working leader.
+func (r *Replica) startPreVote(now time.Duration) {
+	r.resetElection(now)
+	if !r.membership().IsVoter(r.cfg.Self) {
+		return
+	}
+	r.becomeFollower(r.hard.Term, serving.ReplicaID{})
+	r.role = PreCandidate
+	r.requestVotes(now, MsgPreVote, r.hard.Term+1)
+}
+
+func (r *Replica) startVote(now time.Duration) {
+	r.resetElection(now)
+	r.role = Candidate
+	r.hard = HardState{Term: r.hard.Term + 1, Vote: r.cfg.Self}
+	r.requestVotes(now, MsgVote, r.hard.Term)
+}
+
+func (r *Replica) requestVotes(now time.Duration, t MessageType, term Term) {
+	r.votes = map[serving.ReplicaID]bool{r.cfg.Self: true}
+	r.eachPeer(func(m Member) {
+		if r.membership().IsVoter(m.ID) {
+			r.send(Message{Type: t, To: m.ID, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm()})
+		}
+	})
+	r.countVotes(now)
+}
+
+func (r *Replica) countVotes(now time.Duration) {
+	if !r.membership().quorum(func(id serving.ReplicaID) bool { return r.votes[id] }) {
+		return
+	}
+	if r.role == PreCandidate {
+		r.startVote(now)
+		return
+	}
+	r.becomeLeader(now)
+}
+
+// withholdsVote tells whether a vote could break a leader's lease: while this
+// replica leads, within ElectionMin after it heard from a leader, and within
+// ElectionMin after its start, when it does not know what it heard before.
+func (r *Replica) withholdsVote(now time.Duration) bool {
+	if r.faults.voteAfterHeard {
+		return false
+	}
+	return r.role == Leader || now-r.heard < r.cfg.ElectionMin
+}
+
+func (r *Replica) onPreVote(now time.Duration, m Message) {
+	grant := m.Term > r.hard.Term && !r.withholdsVote(now) && r.log.upToDate(m.Index, m.LogTerm)
+	res := Message{Type: MsgPreVoteResult, To: m.From, Reject: !grant}
+	if grant {
+		res.Term = m.Term
+	}
+	r.send(res)
+}
+
+func (r *Replica) onVote(now time.Duration, m Message) {
+	if r.withholdsVote(now) {
+		// The term is not adopted either; a leader within its lease stays.
+		return
+	}
+	if m.Term > r.hard.Term {
+		r.becomeFollower(m.Term, serving.ReplicaID{})
+	}
+	free := r.hard.Vote == serving.ReplicaID{} || r.hard.Vote == m.From
+	grant := m.Term == r.hard.Term && free && r.role != Candidate && r.log.upToDate(m.Index, m.LogTerm)
+	if grant {
+		r.becomeFollower(m.Term, serving.ReplicaID{})
+		r.hard.Vote = m.From
+		r.resetElection(now)
+	}
+	r.send(Message{Type: MsgVoteResult, To: m.From, Reject: !grant})
+}
+
+func (r *Replica) onVoteResult(now time.Duration, m Message) {
+	switch {
+	case m.Reject:
+	case m.Type == MsgPreVoteResult && r.role == PreCandidate && m.Term == r.hard.Term+1,
+		m.Type == MsgVoteResult && r.role == Candidate && m.Term == r.hard.Term:
+		r.votes[m.From] = true
+		r.countVotes(now)
+	}
+}
+
+func (r *Replica) becomeLeader(now time.Duration) {
+	r.role, r.leader, r.votes = Leader, r.cfg.Self, nil
+	r.progress = map[serving.ReplicaID]*progress{}
+	r.promotion = map[serving.ReplicaID]Index{}
+	r.rounds = map[uint64]time.Duration{}
+	r.round, r.elected = 0, now
+	r.syncProgress(r.log.last() + 1)
+	r.appendEntry(EntryEmpty, nil)
+	r.broadcastHeartbeat(now)
+	r.broadcastAppend()
+}
+
+// eachPeer calls f for each other member, in the order of the membership.
+func (r *Replica) eachPeer(f func(Member)) {
+	seen := map[serving.ReplicaID]bool{r.cfg.Self: true}
+	m := r.membership()
+	for _, set := range [][]Member{m.Members, m.OldVoters} {
+		for _, member := range set {
+			if !seen[member.ID] {
+				seen[member.ID] = true
+				f(member)
+			}
+		}
+	}
+}
