--- /dev/null
+++ b/pkg/serving/journal/doc.go
@@ -0,0 +1,31 @@
+// Package journal stores one replica of the replicated log in one data folder.
+//
+// # Usage
+//
+//	disk, err := journal.OpenFolder("/var/lib/turmericdrum")
+//	j, state, err := journal.Open(disk, journal.Options{Host: "leon-1"})
+//	r, err := ledger.New(ledger.Config{Self: j.Self(), ...}, state, now)
+//	...
+//	err = j.Save(rd) // durable when it returns nil
+//
+// # Files
+//
+// The folder contains:
+//
+//   - identity: host and incarnation. A folder without data gets a new random
+//     incarnation, so a host that lost its disk does not count as the member it was.
+//   - log-N: segments of the log, numbered from 1. Each Save appends one frame
+//     with the hard state and the new entries, and syncs once.
+//   - snapshot-N: snapshots by index. The newest one counts.
+//   - lock: locked with flock while the journal is open.
+//
+// A frame is the payload length (4 bytes), the CRC-32C of the payload, the
+// CRC-32C of the two fields before, and the payload. Integers are little endian.
+//
+// # Damage
+//
+// A crash can leave only the last frame of the last segment incomplete; Open
+// truncates it. Any other damage is an error of kind damaged. After a failed
+// write or sync, what is durable is unknown, so that the journal refuses every
+// further write with an error of kind storage_failed.
+package journal
--- /dev/null
+++ b/pkg/serving/journal/memory.go
@@ -0,0 +1,168 @@
+package journal
+
+import (
+	"errors"
+	"io/fs"
+	"maps"
+	"slices"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// Errors that a MemoryDisk injects.
+var (
+	ErrDiskFull   = errors.New("no space left on device (injected)")
+	ErrSyncFailed = errors.New("sync failed (injected)")
+)
+
+// MemoryDisk is a Disk in memory with injected faults. It is not safe for
+// concurrent use.
+type MemoryDisk struct {
+	// Capacity is the number of bytes that fit; 0 means no limit.
+	Capacity int
+	// FailSyncs makes every sync of a file fail.
+	FailSyncs bool
+	// IgnoreSyncs acknowledges syncs without making anything durable.
+	IgnoreSyncs bool
+
+	files   map[string]*memoryFile
+	durable map[string]*memoryFile
+	locked  bool
+	syncs   int
+}
+
+type memoryFile struct {
+	disk   *MemoryDisk
+	data   []byte
+	synced []byte
+}
+
+// NewMemoryDisk returns an empty disk.
+func NewMemoryDisk() *MemoryDisk {
+	return &MemoryDisk{files: map[string]*memoryFile{}, durable: map[string]*memoryFile{}}
+}
+
+// Crash drops what was not synced, except for a random part of the bytes that
+// were appended to a file since its last sync, and releases the lock.
+func (d *MemoryDisk) Crash(random serving.Random) {
+	d.locked = false
+	d.files = maps.Clone(d.durable)
+	for _, name := range slices.Sorted(maps.Keys(d.files)) {
+		f := d.files[name]
+		// Files held open by the crashed process must not change the disk.
+		kept := slices.Clone(f.synced)
+		if tail := len(f.data) - len(kept); tail > 0 {
+			kept = append(kept, f.data[len(kept):len(kept)+random.IntN(tail+1)]...)
+			if len(kept) > len(f.synced) && random.IntN(2) == 0 {
+				kept[len(kept)-1] ^= 0x40
+			}
+		}
+		d.files[name] = &memoryFile{disk: d, data: kept, synced: slices.Clone(kept)}
+	}
+	d.durable = maps.Clone(d.files)
+}
+
+// Corrupt inverts a bit of a stored byte.
+func (d *MemoryDisk) Corrupt(name string, offset int) {
+	f := d.files[name]
+	f.data[offset] ^= 1
+	f.synced = slices.Clone(f.data)
+}
+
+// Syncs returns the number of file syncs so far.
+func (d *MemoryDisk) Syncs() int { return d.syncs }
+
+// Lock implements Disk.
+func (d *MemoryDisk) Lock() (func() error, error) {
+	if d.locked {
+		return nil, serving.NewError(serving.KindConflict, "the memory disk is in use")
+	}
+	d.locked = true
+	return func() error { d.locked = false; return nil }, nil
+}
+
+// Names implements Disk.
+func (d *MemoryDisk) Names() ([]string, error) { return slices.Sorted(maps.Keys(d.files)), nil }
+
+// Read implements Disk.
+func (d *MemoryDisk) Read(name string) ([]byte, error) {
+	f, ok := d.files[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(f.data), nil
+}
+
+// Create implements Disk.
+func (d *MemoryDisk) Create(name string) (File, error) {
+	f := &memoryFile{disk: d}
+	d.files[name] = f
+	return f, nil
+}
+
+// Truncate implements Disk.
+func (d *MemoryDisk) Truncate(name string, size int64) error {
+	f, ok := d.files[name]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	f.data = slices.Clone(f.data[:size])
+	return f.Sync()
+}
+
+// Rename implements Disk.
+func (d *MemoryDisk) Rename(from, to string) error {
+	f, ok := d.files[from]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	d.files[to] = f
+	delete(d.files, from)
+	return nil
+}
+
+// Remove implements Disk.
+func (d *MemoryDisk) Remove(name string) error {
+	delete(d.files, name)
+	return nil
+}
+
+// SyncFolder implements Disk.
+func (d *MemoryDisk) SyncFolder() error {
+	if !d.IgnoreSyncs {
+		d.durable = maps.Clone(d.files)
+	}
+	return nil
+}
+
+// Write implements io.Writer.
+func (f *memoryFile) Write(p []byte) (int, error) {
+	if f.disk.Capacity > 0 {
+		used := 0
+		for _, other := range f.disk.files {
+			used += len(other.data)
+		}
+		if free := max(f.disk.Capacity-used, 0); len(p) > free {
+			f.data = append(f.data, p[:free]...)
+			return free, ErrDiskFull
+		}
+	}
+	f.data = append(f.data, p...)
+	return len(p), nil
+}
+
+// Sync implements File.
+func (f *memoryFile) Sync() error {
+	f.disk.syncs++
+	if f.disk.FailSyncs {
+		return ErrSyncFailed
+	}
+	if !f.disk.IgnoreSyncs {
+		// Appended bytes never change, so that the arrays can be shared.
+		f.synced = f.data[:len(f.data):len(f.data)]
+	}
+	return nil
+}
+
+// Close implements io.Closer.
+func (f *memoryFile) Close() error { return nil }
