Add running replica of the log

Cause: the control process needs a serving.ReplicatedLog over sockets and disks. Ruled out: a single call at a time to each peer, since a message then waits a round trip for the previous answer. Change: package replica with the control goroutine, transport over twirp, bootstrap with a check against repeated use, membership changes and recovery.

--- /dev/null
+++ b/internal/replica/bootstrap.go
@@ -0,0 +1,71 @@
+package replica
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+)
+
+// initialIncarnation is the incarnation of the identities of a first start,
+// which the initial members have to know of each other.
+const initialIncarnation = "initial"
+
+// bootstrapProbeTimeout bounds the question to each initial member whether this
+// host was a member before.
+const bootstrapProbeTimeout = 300 * time.Millisecond
+
+// prepareBootstrap sets the identity and the first snapshot of a folder without
+// data. It refuses if another initial member has received messages from this
+// host's initial identity, because then the folder was lost.
+func (n *Node) prepareBootstrap(ctx context.Context, opts *journal.Options) error {
+	names, err := n.Disk.Names()
+	if err != nil {
+		return serving.WrapError(err, serving.KindStorage, "list data folder")
+	}
+	if slices.Contains(names, journal.IdentityName) {
+		return nil
+	}
+	self := serving.ReplicaID{Host: n.Host, Incarnation: initialIncarnation}
+	var membership ledger.Membership
+	for _, m := range n.Initial {
+		id := serving.ReplicaID{Host: m.Host, Incarnation: initialIncarnation}
+		membership.Members = append(membership.Members, ledger.Member{ID: id, Address: m.Address, Voter: true})
+	}
+	if !membership.IsVoter(self) {
+		return serving.NewError(serving.KindInvalid, "host "+string(n.Host)+" is not among the initial members")
+	}
+	for _, m := range n.Initial {
+		if m.Host != n.Host && seenBy(ctx, m.Address, self) {
+			e := serving.NewError(serving.KindConflict, "the cluster already knows "+self.String()+", whose data folder was lost")
+			e.Remedy = "start without bootstrap, add the new identity as a learner and replace the old one"
+			return e
+		}
+	}
+	opts.Incarnation = initialIncarnation
+	opts.Initial = &ledger.Snapshot{Index: 1, Term: 1, Membership: membership}
+	return nil
+}
+
+func seenBy(ctx context.Context, address string, id serving.ReplicaID) bool {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapProbeTimeout)
+	defer cancel()
+	client := schema.NewLogProtobufClient(address, http.DefaultClient)
+	res, err := client.Deliver(ctx, &schema.LogMessages{})
+	return err == nil && slices.Contains(res.GetSeen(), id.String())
+}
+
+// Recover makes the replica on disk the only voter, under a new incarnation,
+// after a majority is lost for good. Its report describes the replica before:
+// every change after LastIndex is lost, and so are changes that only lost
+// replicas had stored; entries after SnapshotIndex may become accepted although
+// their callers were told that the outcome is unknown. Before other hosts start
+// again their data folders must be wiped, and they are added as learners.
+func Recover(disk journal.Disk, address string) (journal.Report, error) {
+	return journal.Recover(disk, address)
+}
--- /dev/null
+++ b/internal/replica/node.go
@@ -0,0 +1,287 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+)
+
+const (
+	// DefaultSnapshotEvery is the number of entries between snapshots.
+	DefaultSnapshotEvery = 10_000
+	// maxPending bounds the proposals that wait for their result.
+	maxPending = 16_384
+	// maxDrain bounds the events handled before the next sync.
+	maxDrain  = 4096
+	inboxSize = 4096
+)
+
+var _ serving.ReplicatedLog = (*Node)(nil)
+var _ schema.Log = (*Node)(nil)
+
+// InitialMember is a voter at the first start of a cluster.
+type InitialMember struct {
+	Host    serving.HostID
+	Address string
+}
+
+// Node is a running replica. Zero values of optional fields mean defaults.
+type Node struct {
+	Host serving.HostID
+	// Address is the base URL at which other replicas reach this one.
+	Address string
+	Disk    journal.Disk
+	Machine serving.StateMachine
+	// Bootstrap starts a new cluster of the Initial members; see the package comment.
+	Bootstrap bool
+	Initial   []InitialMember
+
+	// SnapshotEvery is the number of applied entries after which a snapshot is
+	// taken and the log compacted.
+	SnapshotEvery int
+	// Config holds the timing of the log; Self and Random are set by Run.
+	Config ledger.Config
+	// SegmentSize is the size of the journal's segments in bytes.
+	SegmentSize int
+	Clock       serving.Clock
+	Transport   Transport
+
+	once     sync.Once
+	inbox    chan ledger.Message
+	requests chan request
+	stopped  chan struct{}
+	status   atomic.Pointer[nodeStatus]
+	// addresses holds the address of each identity that sent a message.
+	addresses sync.Map
+
+	journal  *journal.Journal
+	replica  *ledger.Replica
+	applied  ledger.Index
+	snapshot ledger.Index
+	pending  map[ledger.Index]pendingProposal
+	reads    []pendingRead
+	changes  []pendingChange
+}
+
+// nodeStatus is the state that other goroutines may read.
+type nodeStatus struct {
+	ledger.Status
+	applied ledger.Index
+}
+
+func (n *Node) setup() {
+	n.once.Do(func() {
+		n.inbox = make(chan ledger.Message, inboxSize)
+		n.requests = make(chan request, maxDrain)
+		n.stopped = make(chan struct{})
+		n.pending = map[ledger.Index]pendingProposal{}
+		n.status.Store(&nodeStatus{})
+	})
+}
+
+// Run opens the data folder and runs the replica until the context ends, when it
+// returns nil, or storage fails. It must be called only once.
+func (n *Node) Run(ctx context.Context) error {
+	n.setup()
+	defer close(n.stopped)
+	if n.Clock == nil {
+		n.Clock = serving.NewMonotonicClock()
+	}
+	if n.Transport == nil {
+		n.Transport = NewHTTPTransport()
+	}
+	if n.SnapshotEvery == 0 {
+		n.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if err := n.open(ctx); err != nil {
+		return err
+	}
+	defer func() { _ = n.journal.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { n.Transport.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	defer n.failAll()
+	klog.InfoS("replica started", "replica", n.journal.Self(), "address", n.Address, "applied", n.applied)
+	return n.loop(ctx)
+}
+
+func (n *Node) open(ctx context.Context) error {
+	opts := journal.Options{Host: n.Host, SegmentSize: n.SegmentSize}
+	if n.Bootstrap {
+		if err := n.prepareBootstrap(ctx, &opts); err != nil {
+			return err
+		}
+	}
+	j, state, err := journal.Open(n.Disk, opts)
+	if err != nil {
+		return err
+	}
+	n.journal = j
+	if len(state.Snapshot.Data) > 0 {
+		if err := n.Machine.Restore(state.Snapshot.Data); err != nil {
+			_ = j.Close()
+			return serving.WrapError(err, serving.KindDamaged, "restore the state machine")
+		}
+	}
+	cfg := n.Config
+	cfg.Self = j.Self()
+	if cfg.Random == nil {
+		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	n.Config.Heartbeat = max(cfg.Heartbeat, 0)
+	if n.Config.Heartbeat == 0 {
+		n.Config.Heartbeat = ledger.DefaultHeartbeat
+	}
+	n.replica, err = ledger.New(cfg, state, n.Clock.Now())
+	if err != nil {
+		_ = j.Close()
+		return err
+	}
+	n.applied, n.snapshot = state.Snapshot.Index, state.Snapshot.Index
+	n.publish()
+	return nil
+}
+
+// loop is the control goroutine. All events that arrive during one sync are
+// handled before the next one and share it.
+func (n *Node) loop(ctx context.Context) error {
+	ticker := time.NewTicker(n.Config.Heartbeat / 5)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case m := <-n.inbox:
+			n.replica.Step(n.Clock.Now(), m)
+		case q := <-n.requests:
+			n.handle(q)
+		}
+		n.drain()
+		n.replica.Tick(n.Clock.Now())
+		if err := n.flush(); err != nil {
+			klog.ErrorS(err, "replica stops", "replica", n.journal.Self())
+			return err
+		}
+	}
+}
+
+// drain handles waiting messages before waiting requests, so that a leader that
+// was deposed learns it before it answers.
+func (n *Node) drain() {
+	for range maxDrain {
+		select {
+		case m := <-n.inbox:
+			n.replica.Step(n.Clock.Now(), m)
+			continue
+		default:
+		}
+		select {
+		case q := <-n.requests:
+			n.handle(q)
+		default:
+			return
+		}
+	}
+}
+
+// flush persists, sends and applies until nothing is left to do.
+func (n *Node) flush() error {
+	for {
+		rd := n.replica.Ready()
+		if rd.Empty() {
+			break
+		}
+		n.send(rd.Immediate)
+		err := n.journal.Save(rd)
+		n.replica.Persisted(rd, err)
+		if err != nil {
+			return err
+		}
+		n.send(rd.Messages)
+		if err := n.apply(rd); err != nil {
+			return err
+		}
+		n.compact()
+	}
+	n.publish()
+	n.settleWaiting()
+	return nil
+}
+
+func (n *Node) apply(rd ledger.Ready) error {
+	if rd.Install && rd.Snapshot.Index > n.applied {
+		if err := n.Machine.Restore(rd.Snapshot.Data); err != nil {
+			return serving.WrapError(err, serving.KindDamaged, "restore the state machine")
+		}
+		n.applied, n.snapshot = rd.Snapshot.Index, rd.Snapshot.Index
+	}
+	for _, e := range rd.Committed {
+		var result []byte
+		if e.Type == ledger.EntryCommand {
+			result = n.Machine.Apply(uint64(e.Index), e.Data)
+		}
+		n.applied = e.Index
+		if p, ok := n.pending[e.Index]; ok {
+			delete(n.pending, e.Index)
+			if p.term == e.Term {
+				p.reply <- response{result: result}
+			} else {
+				p.reply <- response{err: errLeadershipLost()}
+			}
+		}
+	}
+	return nil
+}
+
+func (n *Node) compact() {
+	if n.applied-n.snapshot < ledger.Index(n.SnapshotEvery) {
+		return
+	}
+	n.snapshot = n.applied
+	state, err := n.Machine.Snapshot()
+	if err != nil {
+		klog.ErrorS(err, "snapshot failed; the log grows until the next one", "index", n.applied)
+		return
+	}
+	n.replica.Compact(n.applied, state)
+}
+
+func (n *Node) send(messages []ledger.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	byAddress := map[string][]*schema.LogMessage{}
+	membership := n.replica.Status().Membership
+	for _, m := range messages {
+		address := ""
+		if member, ok := membership.Find(m.To); ok {
+			address = member.Address
+		} else if sender, ok := n.addresses.Load(m.To.String()); ok {
+			address = sender.(string)
+		}
+		if address != "" {
+			wire := toWire(m)
+			wire.FromAddress = n.Address
+			byAddress[address] = append(byAddress[address], wire)
+		}
+	}
+	for address, batch := range byAddress {
+		n.Transport.Send(address, batch)
+	}
+}
+
+func (n *Node) publish() {
+	n.status.Store(&nodeStatus{Status: n.replica.Status(), applied: n.applied})
+}
--- /dev/null
+++ b/internal/replica/waiting.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+)
+
+// settleWaiting answers the calls whose outcome is known after a flush. When
+// this replica no longer leads, proposals end as unknown, since a later leader
+// may still commit them, and reads as not run.
+func (n *Node) settleWaiting() {
+	n.reads = slices.DeleteFunc(n.reads, func(p pendingRead) bool {
+		if n.applied >= p.index {
+			p.reply <- response{}
+			return true
+		}
+		return false
+	})
+	s := n.status.Load()
+	n.changes = slices.DeleteFunc(n.changes, func(p pendingChange) bool {
+		switch {
+		case s.MembershipCommitted && inForce(p.change, s.Membership):
+			p.reply <- response{}
+		case s.Role != ledger.Leader || s.Term != p.term:
+			p.reply <- response{err: errLeadershipLost()}
+		default:
+			return false
+		}
+		return true
+	})
+	if s.Role == ledger.Leader {
+		return
+	}
+	for _, p := range n.reads {
+		p.reply <- response{err: serving.NewError(serving.KindNoQuorum, "the leadership was lost before the read")}
+	}
+	n.reads = nil
+	for index, p := range n.pending {
+		p.reply <- response{err: errLeadershipLost()}
+		delete(n.pending, index)
+	}
+}
+
+// failAll answers all calls when the replica stops.
+func (n *Node) failAll() {
+	stopped := func(ran serving.Ran) response {
+		return response{err: serving.NewError(serving.KindDraining, "the replica has stopped").WithRan(ran)}
+	}
+	for _, p := range n.pending {
+		p.reply <- stopped(serving.RanUnknown)
+	}
+	for _, p := range n.reads {
+		p.reply <- stopped(serving.NotRun)
+	}
+	for _, p := range n.changes {
+		p.reply <- stopped(serving.RanUnknown)
+	}
+	for {
+		select {
+		case q := <-n.requests:
+			q.reply <- stopped(serving.NotRun)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) handleChange(now time.Duration, q request) {
+	s := n.replica.Status()
+	if s.Role == ledger.Leader && s.MembershipCommitted && inForce(*q.change, s.Membership) {
+		q.reply <- response{}
+		return
+	}
+	_, term, err := n.replica.ProposeMembers(now, *q.change)
+	if err != nil {
+		q.reply <- response{err: err}
+		return
+	}
+	n.changes = append(n.changes, pendingChange{change: *q.change, term: term, reply: q.reply})
+}
+
+// inForce tells whether a change is fully part of the membership.
+func inForce(c ledger.MemberChange, m ledger.Membership) bool {
+	member, ok := m.Find(c.Replica)
+	_, oldThere := m.Find(c.Old)
+	switch {
+	case m.Joint():
+		return false
+	case c.Action == ledger.AddLearner:
+		return ok && member.Address == c.Address
+	case c.Action == ledger.Promote:
+		return ok && member.Voter
+	case c.Action == ledger.Replace:
+		return ok && member.Voter && !oldThere
+	case c.Action == ledger.Remove:
+		return !ok
+	}
+	return false
+}
