--- /dev/null
+++ b/pkg/serving/registry/claims.go
@@ -0,0 +1,233 @@
+package registry
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+)
+
+// Short names of the states of a claim.
+const (
+	granted    = schema.ClaimState_CLAIM_STATE_GRANTED
+	inProgress = schema.ClaimState_CLAIM_STATE_IN_PROGRESS
+	done       = schema.ClaimState_CLAIM_STATE_DONE
+	unknown    = schema.ClaimState_CLAIM_STATE_UNKNOWN
+	keyReused  = schema.ClaimState_CLAIM_STATE_KEY_REUSED
+	expiredKey = schema.ClaimState_CLAIM_STATE_EXPIRED_KEY
+	notRun     = schema.ClaimState_CLAIM_STATE_NOT_RUN
+	notFound   = schema.ClaimState_CLAIM_STATE_NOT_FOUND
+)
+
+// claim is one order. Its state is inProgress, done, unknown or notRun.
+type claim struct {
+	key         claimKey
+	contentHash string
+	holder      string
+	attempt     string
+	state       schema.ClaimState
+	grantedMS   int64
+	answer      *schema.Answer
+	others      []attempt
+}
+
+type claimKey struct{ account, service, key string }
+
+// attempt is an attempt that was not granted, or no longer is, and what it was told.
+type attempt struct {
+	holder, id string
+	state      schema.ClaimState
+}
+
+// applyClaim grants the right to send a call if nobody else may have sent it.
+func (m *Machine) applyClaim(r *schema.ClaimRequest) *schema.ClaimResult {
+	key := m.claimKey(r.GetKey())
+	if msg := checkClaim(key, r); msg != "" {
+		return &schema.ClaimResult{Message: msg}
+	}
+	c := m.claims.byKey[key]
+	if c == nil {
+		if m.claims.expired(key) || m.pastRetention(r.GetKeyMadeAtMs()) {
+			return &schema.ClaimResult{State: expiredKey}
+		}
+		m.grant(&claim{key: key, contentHash: string(r.GetContentHash())}, r)
+		return &schema.ClaimResult{State: granted}
+	}
+	if c.contentHash != string(r.GetContentHash()) {
+		return &schema.ClaimResult{State: keyReused}
+	}
+	state := c.stateFor(r.GetHolder(), r.GetAttemptId(), m.effective(c, m.nowMS))
+	switch state {
+	case granted:
+		if c.attempt != r.GetAttemptId() || c.holder != r.GetHolder() {
+			c.remember(c.holder, c.attempt, notRun)
+			m.grant(c, r)
+		}
+	case inProgress, unknown:
+		c.remember(r.GetHolder(), r.GetAttemptId(), state)
+	}
+	return c.result(state)
+}
+
+// stateFor returns what an attempt is told of a claim in the effective state.
+func (c *claim) stateFor(holder, id string, effective schema.ClaimState) schema.ClaimState {
+	if c.attempt == id && c.holder == holder {
+		if effective == done || effective == notRun {
+			return effective
+		}
+		// Nobody else was granted the claim since, so its one holder may still send.
+		return granted
+	}
+	for _, a := range c.others {
+		if a.id == id && a.holder == holder {
+			return a.state
+		}
+	}
+	if effective == notRun {
+		return granted
+	}
+	return effective
+}
+
+// remember keeps what an attempt was told, so that a copy of its request which
+// arrives late is not granted a claim that nobody would use.
+func (c *claim) remember(holder, id string, state schema.ClaimState) {
+	for _, a := range c.others {
+		if a.id == id && a.holder == holder {
+			return
+		}
+	}
+	c.others = append(c.others, attempt{holder, id, state})
+	if n := len(c.others) - maxAttempts; n > 0 {
+		c.others = append([]attempt(nil), c.others[n:]...)
+	}
+}
+
+func (c *claim) result(state schema.ClaimState) *schema.ClaimResult {
+	res := &schema.ClaimResult{State: state}
+	if state == done {
+		res.Answer = c.answer
+	}
+	return res
+}
+
+func (m *Machine) grant(c *claim, r *schema.ClaimRequest) {
+	c.holder, c.attempt = r.GetHolder(), r.GetAttemptId()
+	c.state, c.grantedMS, c.answer = inProgress, m.nowMS, nil
+	m.claims.add(c)
+}
+
+// effective returns the state of a claim at a time. A holder that did not settle
+// in time may still send, so the claim counts as unknown and never as not run.
+func (m *Machine) effective(c *claim, nowMS int64) schema.ClaimState {
+	if c.state != inProgress || nowMS < c.grantedMS+m.cfg.ClaimTimeout.Milliseconds() {
+		return c.state
+	}
+	if m.hooks.timeoutIsNotRun {
+		return notRun
+	}
+	return unknown
+}
+
+// applySettle records the outcome of a claimed call.
+func (m *Machine) applySettle(r *schema.SettleRequest) *schema.ClaimResult {
+	key := m.claimKey(r.GetKey())
+	c := m.claims.byKey[key]
+	if c == nil {
+		return m.absent(key)
+	}
+	if msg := m.checkSettle(c, r); msg != "" {
+		res := c.result(m.effective(c, m.nowMS))
+		res.Message = msg
+		return res
+	}
+	c.state = r.GetState()
+	if c.state == done {
+		c.answer = proto.CloneOf(r.GetAnswer())
+	}
+	return c.result(c.state)
+}
+
+// checkSettle returns why a settlement changes nothing.
+func (m *Machine) checkSettle(c *claim, r *schema.SettleRequest) string {
+	state := r.GetState()
+	if state != done && state != notRun && state != unknown {
+		return "a claim is settled as done, not_run or unknown"
+	}
+	if len(r.GetAnswer().GetBody()) > m.cfg.MaxAnswer {
+		return "the answer is larger than the limit; settle it without its body"
+	}
+	if c.state == done {
+		return "the claim is settled as done already"
+	}
+	if r.GetByLookup() {
+		// A service that does not know the key may still get the call from the
+		// holder, so a lookup can prove only that the call ran.
+		if state == done {
+			return ""
+		}
+		return "a lookup can settle a claim only as done"
+	}
+	if c.holder != r.GetHolder() || c.attempt != r.GetAttemptId() {
+		return "the claim is held by another attempt"
+	}
+	if c.state == notRun {
+		return "the claim is settled as not_run already"
+	}
+	if c.state == unknown && state == notRun {
+		return "the holder settled the claim as unknown, which only done can replace"
+	}
+	return ""
+}
+
+// Lookup returns the state of a claim at a wall time in milliseconds.
+func (m *Machine) Lookup(k *schema.ClaimKey, nowMS int64) *schema.ClaimResult {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	key := m.claimKey(k)
+	c := m.claims.byKey[key]
+	if c == nil {
+		return m.absent(key)
+	}
+	res := c.result(m.effective(c, max(m.nowMS, nowMS)))
+	res.Answer = proto.CloneOf(res.GetAnswer())
+	return res
+}
+
+func (m *Machine) absent(key claimKey) *schema.ClaimResult {
+	if m.claims.expired(key) {
+		return &schema.ClaimResult{State: expiredKey}
+	}
+	return &schema.ClaimResult{State: notFound}
+}
+
+// claimKey replaces names of the account and the service by canonical ids, so
+// that a key means the same order under every name.
+func (m *Machine) claimKey(k *schema.ClaimKey) claimKey {
+	key := claimKey{k.GetClientAccount(), k.GetService(), k.GetKey()}
+	if id, ok := m.resolve(schema.ObjectKind_OBJECT_KIND_CLIENT_ACCOUNT, key.account); ok {
+		key.account = id
+	}
+	if id, ok := m.resolve(schema.ObjectKind_OBJECT_KIND_SERVICE, key.service); ok {
+		key.service = id
+	}
+	return key
+}
+
+func checkClaim(key claimKey, r *schema.ClaimRequest) string {
+	for _, f := range []struct{ what, s string }{
+		{"client account", key.account}, {"service", key.service}, {"idempotency key", key.key},
+		{"holder", r.GetHolder()}, {"attempt id", r.GetAttemptId()},
+	} {
+		if msg := checkText(f.what, f.s); msg != "" {
+			return msg
+		}
+	}
+	if n := len(r.GetContentHash()); n == 0 || n > keyHashBytes {
+		return "content_hash must have 1 to 32 bytes"
+	}
+	return ""
+}
+
+func (m *Machine) pastRetention(madeMS int64) bool {
+	return madeMS > 0 && madeMS < m.nowMS-m.cfg.ClaimRetention.Milliseconds()
+}
--- /dev/null
+++ b/pkg/serving/registry/claims_test.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+)
+
+// Guards against a second grant of an order that may have run, and against
+// outcomes that a late, foreign or repeated settlement should not change.
+func TestClaimStates(t *testing.T) {
+	late := startMS + 31_000
+	past := startMS + 8*dayMS
+	tests := []struct {
+		name string
+		cmds []*schema.Command
+		want []schema.ClaimState
+	}{
+		{"second claim waits", []*schema.Command{claimAt(startMS, "a", "x"), claimAt(startMS, "b", "x")}, []schema.ClaimState{granted, inProgress}},
+		{"resent claim", []*schema.Command{claimAt(startMS, "a", "x"), claimAt(late, "a", "x")}, []schema.ClaimState{granted, granted}},
+		{"done", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "a", done, false), claimAt(startMS, "b", "x"), claimAt(startMS, "a", "x")},
+			[]schema.ClaimState{granted, done, done, done}},
+		{"not run", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "a", notRun, false), claimAt(startMS, "b", "x"), claimAt(startMS, "a", "x")},
+			[]schema.ClaimState{granted, notRun, granted, notRun}},
+		{"copy of a refused claim arrives late", []*schema.Command{claimAt(startMS, "a", "x"), claimAt(startMS, "b", "x"), settleAt(startMS, "a", notRun, false), claimAt(startMS, "b", "x"), claimAt(startMS, "c", "x")},
+			[]schema.ClaimState{granted, inProgress, notRun, inProgress, granted}},
+		{"time-out", []*schema.Command{claimAt(startMS, "a", "x"), claimAt(late, "b", "x")}, []schema.ClaimState{granted, unknown}},
+		{"late settlement", []*schema.Command{claimAt(startMS, "a", "x"), claimAt(late, "b", "x"), settleAt(late, "a", done, false)},
+			[]schema.ClaimState{granted, unknown, done}},
+		{"unknown stays unknown for not_run", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "a", unknown, false), settleAt(startMS, "a", notRun, false), settleAt(startMS, "a", done, false)},
+			[]schema.ClaimState{granted, unknown, unknown, done}},
+		{"foreign settlement", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "b", notRun, false), settleAt(startMS, "b", done, false)},
+			[]schema.ClaimState{granted, inProgress, inProgress}},
+		{"settlement after done", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "a", done, false), settleAt(startMS, "a", notRun, false)},
+			[]schema.ClaimState{granted, done, done}},
+		{"lookup finds the call", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(late, "b", done, true), claimAt(late, "c", "x")},
+			[]schema.ClaimState{granted, done, done}},
+		{"lookup finds nothing", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(late, "b", notRun, true), claimAt(late, "c", "x")},
+			[]schema.ClaimState{granted, unknown, unknown}},
+		{"other content", []*schema.Command{claimAt(startMS, "a", "x"), claimAt(startMS, "b", "y"), settleAt(startMS, "a", notRun, false), claimAt(startMS, "b", "y")},
+			[]schema.ClaimState{granted, keyReused, notRun, keyReused}},
+		{"past retention", []*schema.Command{claimAt(startMS, "a", "x"), claimAt(past, "b", "x"), settleAt(past, "a", done, false), claimAt(startMS+90*dayMS, "b", "x")},
+			[]schema.ClaimState{granted, expiredKey, expiredKey, expiredKey}},
+		{"settlement without claim", []*schema.Command{settleAt(startMS, "a", done, false)}, []schema.ClaimState{notFound}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMachine(t)
+			var got []schema.ClaimState
+			for _, c := range tt.cmds {
+				res := apply(t, m, c).GetClaim()
+				got = append(got, res.GetState())
+				assert.Equal(t, res.GetState() == done, res.GetAnswer() != nil)
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// Guards against one order under two names of its account, which would run twice.
+func TestClaimResolvesNames(t *testing.T) {
+	m := newMachine(t)
+	alias := putAlias("legacy", "pez", "aguja")
+	alias.GetPutAlias().Kind = kAccount
+	assert.DeepEqual(t, run(t, m, put(account("aguja")), alias), []schema.Outcome{accepted, accepted})
+	assert.Equal(t, apply(t, m, claimAt(startMS, "a", "x")).GetClaim().GetState(), granted)
+	c := claimAt(startMS, "b", "x")
+	c.GetClaim().Key.ClientAccount = "pez"
+	assert.Equal(t, apply(t, m, c).GetClaim().GetState(), inProgress)
+	assert.Equal(t, m.Lookup(testKey(), startMS+31_000).GetState(), unknown)
+}
+
+// Guards against a grant for a key that was made before the oldest kept claim.
+func TestOldKeyIsExpired(t *testing.T) {
+	c := claimAt(startMS, "a", "x")
+	c.GetClaim().KeyMadeAtMs = startMS - 8*dayMS
+	assert.Equal(t, apply(t, newMachine(t), c).GetClaim().GetState(), expiredKey)
+}
--- /dev/null
+++ b/pkg/serving/registry/view_test.go
@@ -0,0 +1,76 @@
+package registry
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the same
+// verdict; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against names of one scheme that resolve to another object or to none,
+// and against keys and places that a view reports wrongly.
+func TestViewLookups(t *testing.T) {
+	m := newMachine(t)
+	run(t, m, put(model("m")), putAlias("legacy", "old m", "m"), put(account("aguja", "secret")),
+		put(dataCentre("leon", "norte")), expecting(takeOut(kDC, "leon"), 4), put(engine("e", "old m")), expecting(takeOut(kEngine, "e"), 6))
+	v, err := NewView(m.ConfigView(0))
+	assert.NilError(t, err)
+	id, _, ok := v.Model("old m")
+	assert.Assert(t, ok)
+	assert.Equal(t, id, serving.ModelID("m"))
+	owner, _, ok := v.AccountByKey("secret")
+	assert.Assert(t, ok)
+	assert.Equal(t, owner, serving.ClientAccountID("aguja"))
+	_, _, ok = v.AccountByKey("other")
+	assert.Assert(t, !ok)
+	assert.Assert(t, v.DataCentreOut("leon") && v.EngineOut("e") && !v.EngineOut("unknown"))
+	_, e, _ := v.Engine("e")
+	assert.Equal(t, e.GetModels()[0].GetModel(), "m")
+}
+
+// Guards against a view that goes back or takes changes that do not apply to it.
+func TestViewUpdateRefusesOtherBase(t *testing.T) {
+	m := newMachine(t)
+	run(t, m, put(model("m")), put(model("n")), put(model("o")))
+	v, err := NewView(m.ConfigView(0))
+	assert.NilError(t, err)
+	_, err = v.Update(&schema.ConfigView{Revision: 2})
+	assert.Equal(t, serving.KindOf(err), serving.KindConflict)
+	_, err = v.Update(m.ConfigView(1))
+	assert.Equal(t, serving.KindOf(err), serving.KindConflict)
+}
+
+// Guards against changes since a revision that leave out or keep an object.
+func TestViewUpdatesEqualWholeConfiguration(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(t)
+		v, err := NewView(m.ConfigView(0))
+		assert.NilError(t, err)
+		for _, s := range schedules.Draw(rt, "schedule") {
+			m.Apply(1, encode(t, s.cmd))
+			if !s.restore {
+				continue
+			}
+			v, err = v.Update(m.ConfigView(v.Revision()))
+			assert.NilError(t, err)
+			if !proto.Equal(v.Config(), m.ConfigView(0)) {
+				rt.Fatalf("updated view %v differs from %v", v.Config(), m.ConfigView(0))
+			}
+		}
+	})
+}
