Add control server, rpc errors, authentication and client

Ruled out: authentication before the read barrier, because a replica that lags would accept a revoked key and refuse a new one; resends of membership changes, which have no command id. Change: internal/rpc, internal/control with Operators, Views and Claims, and an in-memory log for tests; views answer with the changes since config_revision. Conclusion: usable over any serving.ReplicatedLog.

--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"turmericdrum.org/turmericdrum/internal/rpc"
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/registry"
+)
+
+const (
+	// maxBody bounds a request. The largest is a settlement with its answer.
+	maxBody = 1 << 20
+	// Slow callers are cut off after these times.
+	readTimeout  = 10 * time.Second
+	writeTimeout = 60 * time.Second
+	idleTimeout  = 2 * time.Minute
+	// shutdownTimeout bounds the wait for calls in progress at shutdown.
+	shutdownTimeout = 10 * time.Second
+)
+
+// Replica gives the state and the membership of the replicated log.
+type Replica interface {
+	Status() *schema.ReplicaStatus
+	// ChangeMember returns once the change is committed. A KindNotLeader error
+	// names the leader's address in its detail.
+	ChangeMember(ctx context.Context, c *schema.MemberChange) error
+}
+
+// Server answers operators and entries. Its fields are set before Run or Handler.
+type Server struct {
+	Log     serving.ReplicatedLog
+	Replica Replica
+	Machine *registry.Machine
+	// WallClock sets the time of commands; nil means time.Now.
+	WallClock func() time.Time
+	// ClusterKey is the hash of the key that entries and replicas share.
+	ClusterKey rpc.KeyHash
+	// Bootstrap is the hash of the operator key of the settings; the zero value means none.
+	Bootstrap rpc.KeyHash
+
+	// whole is the whole configuration at the last revision that was asked for.
+	whole atomic.Pointer[schema.ConfigView]
+}
+
+// Handler returns the handler of all services.
+func (s *Server) Handler() http.Handler {
+	if s.WallClock == nil {
+		s.WallClock = time.Now
+	}
+	mapErrors := twirp.WithServerInterceptors(rpc.MapErrors)
+	o := schema.NewOperatorsServer(operators{s}, mapErrors)
+	v := schema.NewViewsServer(views{s}, mapErrors)
+	c := schema.NewClaimsServer(claims{s}, mapErrors)
+	mux := http.NewServeMux()
+	mux.Handle(o.PathPrefix(), rpc.ReadKey(o))
+	mux.Handle(v.PathPrefix(), rpc.RequireKey(s.ClusterKey, v))
+	mux.Handle(c.PathPrefix(), rpc.RequireKey(s.ClusterKey, c))
+	return http.MaxBytesHandler(mux, maxBody)
+}
+
+// Run serves until the context ends, then lets calls in progress finish.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	srv := &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	select {
+	case err := <-failed:
+		return serving.WrapError(err, serving.KindInternal, "serve "+l.Addr().String())
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		return errors.Join(serving.WrapError(err, serving.KindDeadline, "calls in progress did not finish"), srv.Close())
+	}
+	return nil
+}
+
+// propose makes a command durable and returns its result.
+func (s *Server) propose(ctx context.Context, cmd *schema.Command) (*schema.CommandResult, error) {
+	cmd.NowMs = s.WallClock().UnixMilli()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, serving.WrapError(err, serving.KindInvalid, "encode command")
+	}
+	data, err = s.Log.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	var res schema.CommandResult
+	if err := proto.Unmarshal(data, &res); err != nil {
+		return nil, serving.WrapError(err, serving.KindInternal, "decode command result").WithRan(serving.RanUnknown)
+	}
+	if res.GetError() != "" {
+		return nil, serving.NewError(serving.KindInternal, "command refused: "+res.GetError())
+	}
+	return &res, nil
+}
--- a/pkg/serving/registry/read.go
+++ b/pkg/serving/registry/read.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"crypto/sha256"
 	"maps"
 	"slices"
 
@@ -157,3 +158,13 @@
 	}
 	return schema.ObjectKind_OBJECT_KIND_UNSPECIFIED
 }
+
+// AccountByKeyHash returns the client account that has a key with a SHA-256
+// hash. The caller must not modify it.
+func (m *Machine) AccountByKeyHash(hash [sha256.Size]byte) (serving.ClientAccountID, *schema.ClientAccount, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	id, ok := m.keyOwners[string(hash[:])]
+	o := m.objects[objectKey{schema.ObjectKind_OBJECT_KIND_CLIENT_ACCOUNT, id}]
+	return serving.ClientAccountID(id), o.GetClientAccount(), ok
+}
