Merge the registry and the control server; compose the control process

Cause: the control process kept the configuration in memory. Change: the process runs a replica of the log with the registry behind the twirp services; log messages need the cluster key; commands inspect, backup, restore and recover work on a data folder.

--- /dev/null
+++ b/cmd/turmericdrum/processes.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/internal/control"
+	"turmericdrum.org/turmericdrum/internal/entry"
+	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+type entryCommand struct {
+	Settings string `arg:"--settings,required" help:"settings file of this process (YAML)"`
+}
+
+type controlCommand struct {
+	control.FolderCommand
+	Settings  string `arg:"--settings" help:"settings file of this process (YAML)"`
+	Data      string `arg:"--data" help:"data folder; it overrides control.data of the settings"`
+	Bootstrap bool   `arg:"--bootstrap" help:"start a new cluster; only at the very first start"`
+}
+
+// terminated returns a context that ends at the first SIGTERM or SIGINT; a
+// second signal ends the process.
+func terminated() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		klog.InfoS("Second signal: requests in progress are cut")
+		klog.Flush()
+		os.Exit(1)
+	}()
+	return ctx
+}
+
+func (c *entryCommand) run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if s.Entry == nil {
+		return wrongSection("entry", c.Settings)
+	}
+	e := &entry.Entry{Settings: s, Clock: serving.NewMonotonicClock()}
+	return e.Run(terminated())
+}
+
+func (c *controlCommand) run() error {
+	if done, err := c.FolderCommand.Run(os.Stdout); done {
+		return err
+	}
+	if c.Settings == "" {
+		e := serving.NewError(serving.KindInvalid, "--settings is missing")
+		e.Remedy = "name the settings file of this process"
+		return e
+	}
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if s.Control == nil {
+		return wrongSection("control", c.Settings)
+	}
+	if c.Data != "" {
+		s.Control.Data = c.Data
+	}
+	p := &control.Process{Settings: s, Bootstrap: c.Bootstrap, Clock: serving.NewMonotonicClock()}
+	return p.Run(terminated())
+}
+
+func wrongSection(section, path string) error {
+	e := serving.NewError(serving.KindInvalid, path+" has no section "+section)
+	e.Remedy = "name the settings file of an " + section + " process"
+	return e
+}
--- /dev/null
+++ b/internal/control/process.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/internal/replica"
+	"turmericdrum.org/turmericdrum/internal/rpc"
+	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+	"turmericdrum.org/turmericdrum/pkg/serving/registry"
+)
+
+// peerConnections bounds the idle connections to one other replica.
+const peerConnections = 8
+
+// Process is a control process: one replica of the log with the registry, and
+// the server in front of it. Its fields are set before Run.
+type Process struct {
+	Settings *settings.Settings
+	// Bootstrap starts a new cluster; see package replica.
+	Bootstrap bool
+	Clock     serving.Clock
+}
+
+// Run serves until ctx ends or storage fails.
+func (p *Process) Run(ctx context.Context) error {
+	machine, err := p.machine()
+	if err != nil {
+		return err
+	}
+	disk, err := journal.OpenFolder(p.Settings.Control.Data)
+	if err != nil {
+		return err
+	}
+	node := p.node(disk, machine)
+	server, err := p.server(node, machine)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", string(p.Settings.Listen))
+	if err != nil {
+		return serving.WrapError(err, serving.KindInvalid, "listen on "+string(p.Settings.Listen))
+	}
+	klog.InfoS("Control started", "host", p.Settings.Host, "listen", p.Settings.Listen)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return node.Run(ctx) })
+	g.Go(func() error { return server.Run(ctx, l) })
+	return g.Wait()
+}
+
+func (p *Process) machine() (*registry.Machine, error) {
+	c := p.Settings.Control
+	return registry.New(registry.Config{
+		Schemes:         c.NamingSchemes,
+		ResultRetention: c.ResultRetention.Duration,
+		ClaimRetention:  c.ClaimRetention.Duration,
+		ClaimTimeout:    c.ClaimTimeout.Duration,
+	})
+}
+
+func (p *Process) node(disk journal.Disk, machine *registry.Machine) *replica.Node {
+	c := p.Settings.Control
+	client := rpc.HTTPClient(p.Settings.ClusterKey, &http.Transport{MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: time.Minute})
+	transport := replica.NewHTTPTransport()
+	transport.Client = client
+	n := &replica.Node{
+		Host:          p.Settings.Host,
+		Address:       "http://" + string(p.Settings.Advertise),
+		Disk:          disk,
+		Machine:       machine,
+		Bootstrap:     p.Bootstrap,
+		SnapshotEvery: c.SnapshotEntries,
+		Config: ledger.Config{
+			Heartbeat:   c.Heartbeat.Duration,
+			ElectionMin: c.ElectionMin.Duration,
+			ElectionMax: c.ElectionMax.Duration,
+		},
+		Clock:     p.Clock,
+		Transport: transport,
+		Client:    client,
+	}
+	for _, r := range c.Replicas {
+		n.Initial = append(n.Initial, replica.InitialMember{Host: r.Host, Address: "http://" + string(r.Address)})
+	}
+	return n
+}
+
+func (p *Process) server(node *replica.Node, machine *registry.Machine) (*Server, error) {
+	hash, err := hex.DecodeString(p.Settings.Control.OperatorKeyHash)
+	if err != nil {
+		return nil, serving.WrapError(err, serving.KindInvalid, "decode control.operator_key_hash")
+	}
+	return &Server{
+		Log:        node,
+		Replica:    node,
+		Messages:   schema.NewLogServer(node),
+		Machine:    machine,
+		ClusterKey: rpc.HashKey(p.Settings.ClusterKey),
+		Bootstrap:  rpc.KeyHash(hash),
+	}, nil
+}
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -41,7 +41,7 @@
 		return serving.NewError(serving.KindInvalid, "host "+string(n.Host)+" is not among the initial members")
 	}
 	for _, m := range n.Initial {
-		if m.Host != n.Host && seenBy(ctx, m.Address, self) {
+		if m.Host != n.Host && n.seenBy(ctx, m.Address, self) {
 			e := serving.NewError(serving.KindConflict, "the cluster already knows "+self.String()+", whose data folder was lost")
 			e.Remedy = "start without bootstrap, add the new identity as a learner and replace the old one"
 			return e
@@ -52,10 +52,14 @@
 	return nil
 }
 
-func seenBy(ctx context.Context, address string, id serving.ReplicaID) bool {
+func (n *Node) seenBy(ctx context.Context, address string, id serving.ReplicaID) bool {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapProbeTimeout)
 	defer cancel()
-	client := schema.NewLogProtobufClient(address, http.DefaultClient)
+	httpClient := n.Client
+	if httpClient == nil {
+		httpClient = http.DefaultClient
+	}
+	client := schema.NewLogProtobufClient(address, httpClient)
 	res, err := client.Deliver(ctx, &schema.LogMessages{})
 	return err == nil && slices.Contains(res.GetSeen(), id.String())
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	SegmentSize int
 	Clock       serving.Clock
 	Transport   Transport
+	// Client asks the initial members at a bootstrap; nil means http.DefaultClient.
+	Client *http.Client
 
 	once     sync.Once
 	inbox    chan ledger.Message
