--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// maxCacheEvents bounds the cache events of one announcement; further ones are lost.
+const maxCacheEvents = 256
+
+// reports holds what was not yet announced, and where to announce it.
+type reports struct {
+	loads     []serving.Load
+	events    []CacheEvent
+	times     []time.Time
+	seq       uint64
+	owner     string
+	nextEntry int
+}
+
+// cacheEvent numbers an event; a lost one leaves a gap in the numbers.
+func (e *Engine) cacheEvent(op, prefix string) {
+	e.reports.seq++
+	if e.random.Float64() < e.CacheLoss || len(e.reports.events) >= 16*maxCacheEvents {
+		return
+	}
+	e.reports.events = append(e.reports.events, CacheEvent{Seq: e.reports.seq, Op: op, Prefix: prefix})
+	e.reports.times = append(e.reports.times, time.Now())
+}
+
+func (e *Engine) announceLoop(ctx context.Context) {
+	t := time.NewTicker(e.AnnounceEvery)
+	defer t.Stop()
+	for {
+		if err := e.announce(ctx); err != nil {
+			klog.V(1).InfoS("announcement failed", "engine", e.Name, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-e.kick:
+		}
+	}
+}
+
+// announcement builds the next announcement; the load and the cache events in it lag.
+func (e *Engine) announcement(now time.Time) *Announcement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.batch.load(now)
+	l.Running += serving.Slots(e.calls)
+	e.reports.loads = append(e.reports.loads, l)
+	for len(e.reports.loads) > 1 && e.reports.loads[1].AsOfMS <= now.Add(-e.LoadLag).UnixMilli() {
+		e.reports.loads = e.reports.loads[1:]
+	}
+	n := 0
+	for n < len(e.reports.times) && now.Sub(e.reports.times[n]) >= e.CacheLag {
+		n++
+	}
+	a := &Announcement{
+		Engine: e.Name, Host: e.Host, Address: e.Addr(), DataCentre: e.DataCentre,
+		Incarnation: e.Incarnation, Kind: e.Kind, Models: slices.Clone(e.Models), Role: e.Role,
+		State: e.state, Capacity: e.Capacity, Load: e.reports.loads[0], ChecksFencing: e.ChecksFencing,
+		CacheEvents: slices.Clone(e.reports.events[:min(n, maxCacheEvents)]),
+	}
+	e.reports.events, e.reports.times = e.reports.events[n:], e.reports.times[n:]
+	if !e.deadline.IsZero() {
+		a.DeadlineMS = max(0, e.deadline.Sub(now).Milliseconds())
+	}
+	return a
+}
+
+// announce sends one announcement to the owner if one is known, else to the entries in turn.
+func (e *Engine) announce(ctx context.Context) error {
+	e.mu.Lock()
+	_, mute := e.fault("mute")
+	e.mu.Unlock()
+	if mute {
+		return nil
+	}
+	body, err := json.Marshal(e.announcement(time.Now()))
+	if err != nil {
+		return eris.Wrap(err, "encode announcement")
+	}
+	r := &e.reports
+	if r.owner != "" {
+		answer, err := e.post(ctx, r.owner, body)
+		if err == nil {
+			r.owner = answer.Owner
+			return nil
+		}
+		r.owner = ""
+	}
+	for range e.Entries {
+		var answer *AnnounceAnswer
+		if answer, err = e.post(ctx, e.Entries[r.nextEntry%len(e.Entries)], body); err == nil {
+			r.owner = answer.Owner
+			return nil
+		}
+		r.nextEntry++
+	}
+	return err
+}
+
+func (e *Engine) post(ctx context.Context, target string, body []byte) (*AnnounceAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.AnnounceEvery)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/engines/announce", bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "build announcement")
+	}
+	req.Header.Set("Authorization", "Bearer "+e.ClusterKey)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "announce")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return nil, eris.Errorf("entry %s answered the announcement with status %d", target, resp.StatusCode)
+	}
+	answer := &AnnounceAnswer{}
+	return answer, decode(resp.Body, answer)
+}
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -14,10 +14,12 @@
 	queued state = iota
 	running
 	finished
-	cancelled
+	canceled
 	failed
 )
 
+var stateNames = map[state]string{finished: "finished", canceled: "canceled", failed: "failed"}
+
 // generation is one answer; its tokens follow from its ids, so only counts are kept.
 type generation struct {
 	request  serving.RequestID
@@ -35,6 +37,8 @@
 	prefillLeft int
 	blocks      int
 	readers     int
+	// delivered is true once a reader has got everything.
+	delivered bool
 	// since is the time of the last loss of a reader, or of the end.
 	since   time.Time
 	changed chan struct{}
@@ -191,7 +195,7 @@
 	}
 	b.release(g)
 	g.state, g.since = s, now
-	b.ended(map[state]string{finished: "finished", cancelled: "cancelled", failed: "failed"}[s], g)
+	b.ended(stateNames[s], g)
 	g.notify()
 }
 
@@ -201,7 +205,7 @@
 	for id, g := range b.all {
 		switch {
 		case g.state <= running && g.readers == 0 && now.Sub(g.since) > grace:
-			b.end(g, cancelled, now)
+			b.end(g, canceled, now)
 		case g.state > running && g.readers == 0 && now.Sub(g.since) > keep:
 			delete(b.all, id)
 		}
--- /dev/null
+++ b/internal/standin/batch_test.go
@@ -0,0 +1,277 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+func testBatch(capacity serving.Capacity, ended func(string, *generation)) *batch {
+	return &batch{
+		capacity: capacity, timing: DefaultTiming, all: map[serving.GenerationID]*generation{},
+		cache: newPrefixCache(4, func(string, string) {}), ended: ended,
+	}
+}
+
+func step(b *batch) {
+	_, decode := b.plan()
+	b.commit(decode, time.Time{})
+}
+
+// Guards against a victim other than the lowest priority, most recently started
+// generation, and against a victim that loses tokens or never comes back.
+func TestPreemptionChoosesVictim(t *testing.T) {
+	tests := []struct {
+		name       string
+		priorities []serving.Priority
+		victim     serving.GenerationID
+	}{
+		{"lowest priority", []serving.Priority{0, 5, 9}, "g0"},
+		{"most recently started", []serving.Priority{5, 5, 9}, "g1"},
+		{"itself", []serving.Priority{9, 9, 0}, "g2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var victims []serving.GenerationID
+			b := testBatch(serving.Capacity{MaxRunning: 8, MemoryBlocks: 8, BlockTokens: 4}, func(event string, g *generation) {
+				if event == "preempted" {
+					victims = append(victims, g.id)
+				}
+			})
+			for i, p := range tt.priorities {
+				b.add(&generation{id: serving.GenerationID(fmt.Sprintf("g%d", i)), priority: p, prompt: 3, length: 12, finish: "stop"})
+			}
+			for range 200 {
+				step(b)
+			}
+			assert.Assert(t, len(victims) > 0)
+			assert.Equal(t, victims[0], tt.victim)
+			for id, g := range b.all {
+				assert.Equal(t, g.state, finished, string(id))
+				assert.Equal(t, g.produced, 12, string(id))
+			}
+			assert.Equal(t, b.blocksUsed, 0)
+		})
+	}
+}
+
+// Guards against memory that is lost, counted twice or exceeded under any mix of
+// generations and cancellations, and against generations that never end.
+func TestBatchKeepsItsMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := serving.Capacity{MaxRunning: 4, MemoryBlocks: 16, BlockTokens: 4}
+		b := testBatch(capacity, func(string, *generation) {})
+		n := rapid.IntRange(1, 12).Draw(t, "generations")
+		for i := range n {
+			prompt := rapid.IntRange(1, 30).Draw(t, "prompt")
+			b.add(&generation{
+				id: serving.GenerationID(fmt.Sprint(i)), priority: serving.Priority(rapid.IntRange(0, 3).Draw(t, "priority")),
+				prompt: prompt, length: rapid.IntRange(1, 64-prompt).Draw(t, "length"), finish: "stop",
+			})
+			step(b)
+			if rapid.IntRange(0, 9).Draw(t, "cancel") == 0 {
+				b.end(b.all["0"], canceled, time.Time{})
+			}
+		}
+		for range 20000 {
+			sum := 0
+			for _, g := range b.running {
+				sum += g.blocks
+			}
+			if sum != b.blocksUsed || sum > 16 || len(b.running) > 4 {
+				t.Fatalf("blocks %d, counted %d, running %d", sum, b.blocksUsed, len(b.running))
+			}
+			if len(b.running)+len(b.queue) == 0 {
+				break
+			}
+			step(b)
+		}
+		for _, g := range b.all {
+			if g.state <= running || (g.state == finished && g.produced != g.length) {
+				t.Fatalf("generation %s: state %d, %d of %d tokens", g.id, g.state, g.produced, g.length)
+			}
+		}
+	})
+}
+
+// Guards against a prefix cache that saves no prefill or exceeds its memory.
+func TestPrefixCache(t *testing.T) {
+	var ops []string
+	c := newPrefixCache(2, func(op, _ string) { ops = append(ops, op) })
+	c.insert([]uint64{1, 2})
+	assert.Equal(t, c.lookup([]uint64{1, 2, 3}), 2)
+	c.insert([]uint64{1, 3})
+	assert.Equal(t, c.lookup([]uint64{1, 2}), 1)
+	assert.Equal(t, c.lookup([]uint64{1, 3}), 2)
+	assert.DeepEqual(t, ops, []string{"add", "add", "add", "remove"})
+}
+
+// virtual runs the step loop of an engine in virtual time.
+func virtual(t *testing.T, e *Engine, f func()) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		assert.NilError(t, e.Listen())
+		defer e.listener.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		go e.runBatch(ctx)
+		f()
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func give(e *Engine, id string, length int) *generation {
+	g := &generation{request: serving.RequestID("r" + id), id: serving.GenerationID("g" + id), prompt: 8, length: length, finish: "stop", readers: 1}
+	_, _ = e.submit(g, "")
+	return g
+}
+
+func (e *Engine) stateOf(g *generation) (state, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return g.state, g.produced
+}
+
+var testModels = []Model{{Model: "m", Version: "1"}}
+
+// Guards against a generation that is canceled at once when its reader leaves,
+// or that runs on forever.
+func TestGraceTime(t *testing.T) {
+	e := &Engine{Models: testModels, ColdFor: -1, Grace: 5 * time.Second}
+	virtual(t, e, func() {
+		g := give(e, "1", 100000)
+		time.Sleep(time.Second)
+		e.leaveStream(g)
+		time.Sleep(4 * time.Second)
+		s, _ := e.stateOf(g)
+		assert.Equal(t, s, running)
+		time.Sleep(2 * time.Second)
+		s, _ = e.stateOf(g)
+		assert.Equal(t, s, canceled)
+	})
+}
+
+// Guards against a cold engine that survives overload, a warm one that does not,
+// and a silent turn that is visible at once or never has consequences.
+func TestColdStart(t *testing.T) {
+	tests := []struct {
+		name  string
+		wait  time.Duration
+		cold  bool
+		pause time.Duration
+		given int
+		falls bool
+	}{
+		{"cold within its limit", 0, false, 0, 2, false},
+		{"cold over its limit", 0, false, 0, 3, true},
+		{"warm", 11 * time.Second, false, 0, 16, false},
+		{"just turned cold", 11 * time.Second, true, time.Second, 3, false},
+		{"turned cold a while ago", 11 * time.Second, true, 3 * time.Second, 3, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &Engine{Models: testModels}
+			virtual(t, e, func() {
+				incarnation := e.Incarnation
+				time.Sleep(tt.wait)
+				if tt.cold {
+					assert.NilError(t, e.Inject(Fault{Fault: "cold"}))
+					assert.Equal(t, e.Incarnation, incarnation)
+				}
+				time.Sleep(tt.pause)
+				var last *generation
+				for i := range tt.given {
+					last = give(e, fmt.Sprint(i), 2000)
+				}
+				s, _ := e.stateOf(last)
+				assert.Equal(t, s == failed, tt.falls)
+				assert.Equal(t, e.Incarnation != incarnation, tt.falls)
+			})
+		})
+	}
+}
+
+// Guards against steps that do not slow down by batch, prefill, cold or fault.
+func TestStepTime(t *testing.T) {
+	rate := func(e *Engine, n int, fault string) int {
+		produced := 0
+		virtual(t, e, func() {
+			if fault != "" {
+				assert.NilError(t, e.Inject(Fault{Fault: fault}))
+			}
+			var g *generation
+			for i := range n {
+				g = give(e, fmt.Sprint(i), 100000)
+			}
+			time.Sleep(5 * time.Second)
+			_, produced = e.stateOf(g)
+		})
+		return produced
+	}
+	warm := rate(&Engine{Models: testModels, ColdFor: -1}, 1, "")
+	full := rate(&Engine{Models: testModels, ColdFor: -1}, 16, "")
+	cold := rate(&Engine{Models: testModels}, 1, "")
+	slow := rate(&Engine{Models: testModels, ColdFor: -1}, 1, "slow")
+	assert.Assert(t, warm > full && full > cold && cold > slow, "%d %d %d %d", warm, full, cold, slow)
+}
+
+// Guards against loads that take no time, exceed the weight store's rate, or
+// ignore or enforce the fencing number against the engine's declaration.
+func TestOrders(t *testing.T) {
+	tests := []struct {
+		checks string
+		ok     bool
+	}{{"yes", false}, {"no", true}, {"unknown", true}}
+	for _, tt := range tests {
+		t.Run(tt.checks, func(t *testing.T) {
+			e := &Engine{ChecksFencing: tt.checks}
+			virtual(t, e, func() {
+				for _, m := range []serving.ModelID{"a", "b"} {
+					_, err := e.runOrder(Order{FencingNumber: 7, Command: "load_model", Model: m, Version: "1"})
+					assert.NilError(t, err)
+				}
+				assert.Equal(t, e.announcement(time.Now()).State, "starting")
+				time.Sleep(4 * time.Second)
+				assert.Equal(t, len(e.announcement(time.Now()).Models), 1)
+				time.Sleep(3 * time.Second)
+				a := e.announcement(time.Now())
+				assert.Equal(t, len(a.Models), 2)
+				assert.Equal(t, a.State, "ready")
+				_, err := e.runOrder(Order{FencingNumber: 6, Command: "set_role", Role: "draft"})
+				assert.Equal(t, err == nil, tt.ok)
+				assert.Equal(t, e.announcement(time.Now()).Role == "draft", tt.ok)
+			})
+		})
+	}
+}
+
+// Guards against load reports without a lag and cache events that are never late or lost.
+func TestReportsLag(t *testing.T) {
+	e := &Engine{Models: testModels, ColdFor: -1, LoadLag: time.Second, CacheLag: 2 * time.Second, CacheLoss: 0.5, CacheBlocks: 200}
+	virtual(t, e, func() {
+		e.announcement(time.Now())
+		g := &generation{request: "r", id: "g", prompt: 8, length: 100000, finish: "stop", readers: 1}
+		for i := range 100 {
+			g.hashes = append(g.hashes, uint64(i))
+		}
+		_, err := e.submit(g, "")
+		assert.NilError(t, err)
+		time.Sleep(500 * time.Millisecond)
+		a := e.announcement(time.Now())
+		assert.Equal(t, int(a.Load.Running), 0)
+		assert.Equal(t, len(a.CacheEvents), 0)
+		time.Sleep(2 * time.Second)
+		a = e.announcement(time.Now())
+		assert.Equal(t, int(a.Load.Running), 1)
+		n := len(a.CacheEvents)
+		assert.Assert(t, n > 10 && n < 90, n)
+		assert.Assert(t, a.CacheEvents[n-1].Seq > uint64(n))
+	})
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,8 +1,8 @@
-// Package standin is a stand-in engine: a process that speaks the engine protocol
-// of section 6.3 of the design page and behaves like a model engine (continuous
-// batching, finite block memory, prefix cache, cold start, priorities, resume and
-// cancel) or like a plain service. It misbehaves on request, for tests of the
-// failure behavior of the system.
+// Package standin is a stand-in engine: it speaks the engine protocol of section
+// 6.3 of the design page and behaves like a model engine (continuous batching,
+// finite block memory, prefix cache, cold start, priorities, resume and cancel)
+// or like a plain service. It misbehaves on request (see Fault), for tests of the
+// failure behavior of the system, and records what it was given (see Record).
 //
 // # Usage
 //
@@ -13,24 +13,24 @@
 //	go e.Run(ctx)
 //	fmt.Println(e.Addr())
 //
-// Fields left at zero take the defaults that their comments give.
+// Fields left at zero take the defaults that their comments give. The program
+// cmd/standin-engine runs one engine as a process.
 package standin
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
-	"k8s.io/klog/v2"
+	"golang.org/x/time/rate"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -41,8 +41,23 @@
 	KindService = "service"
 )
 
-// keepEnded is how long ended generations can still be resumed.
-const keepEnded = time.Minute
+const (
+	// keepEnded is how long ended generations can still be resumed.
+	keepEnded = time.Minute
+	// idleTick is how often an idle engine looks for generations without a reader.
+	idleTick = 100 * time.Millisecond
+	// leaveAccept is how long a leaving engine still takes new work; it is the bound
+	// of guarantee P7, and the record shows what came in that time.
+	leaveAccept = 3 * time.Second
+	// silentTolerance is how long an engine that turned cold without saying so
+	// survives overload, so that a detector has a chance to act.
+	silentTolerance = 2 * time.Second
+)
+
+// ErrDied is what Run returns after the fault "die" if Exit is not set.
+var ErrDied = errors.New("engine died as requested")
+
+var errLeft = errors.New("engine left")
 
 // Timing describes the duration of one step of the batch.
 type Timing struct {
@@ -51,8 +66,7 @@
 	PrefillPerStep int
 }
 
-// DefaultTiming is in the range of a mid-size model: about 100 tokens/s for a
-// single sequence.
+// DefaultTiming gives about 100 tokens/s to a single sequence.
 var DefaultTiming = Timing{
 	Base: 10 * time.Millisecond, PerSequence: 100 * time.Microsecond,
 	PerPrefillToken: 20 * time.Microsecond, PrefillPerStep: 512,
@@ -62,6 +76,7 @@
 var DefaultCapacity = serving.Capacity{MaxRunning: 16, ColdRunning: 2, MemoryBlocks: 1000, BlockTokens: 16}
 
 // Engine is one stand-in engine. Its exported fields are set before Listen or Run.
+// A negative value turns off a duration or fraction that has a default.
 type Engine struct {
 	Name       serving.EngineID
 	Host       serving.HostID
@@ -75,91 +90,177 @@
 	ClusterKey string
 	// Incarnation defaults to the start time in milliseconds.
 	Incarnation serving.Incarnation
-	Models      []Model
-	Role        string
+	// Models are those carried from the start; without any, the engine is starting
+	// until an order loads one.
+	Models []Model
+	Role   string
+	// ChecksFencing is yes, no or unknown (default); only yes checks.
+	ChecksFencing string
 	// Capacity defaults to DefaultCapacity, Timing to DefaultTiming.
 	Capacity serving.Capacity
 	Timing   Timing
-	// AnnounceEvery defaults to 500 ms.
-	AnnounceEvery time.Duration
+	// CacheBlocks limits the prefix cache; default a quarter of MemoryBlocks.
+	CacheBlocks int
+	// ColdFor is how long an engine is cold after a start; default 10 s. While it is
+	// cold, steps take ColdFactor times as long; default 3.
+	ColdFor    time.Duration
+	ColdFactor float64
+	// AnnounceEvery defaults to 500 ms. LoadLag (default 500 ms) and CacheLag
+	// (default 2 s) delay what announcements report; CacheLoss (default 0.02) is
+	// the fraction of lost cache events.
+	AnnounceEvery, LoadLag, CacheLag time.Duration
+	CacheLoss                        float64
 	// Grace is how long a generation without a reader goes on; default 10 s.
 	Grace time.Duration
+	// LoadTime is how long the weight store needs for one model; default 3 s.
+	// Weights is its rate limit, which engines of one process can share; by default
+	// it allows one load in LoadTime.
+	LoadTime time.Duration
+	Weights  *rate.Limiter
+	// Latency is the duration of one call of a plain service; default 20 ms.
+	Latency time.Duration
+	// Record gets what the engine did; engines can share one. Default: in memory.
+	Record *Record
+	// Exit ends the process on the fault "die"; without it Run returns ErrDied.
+	Exit func(code int)
 
 	mu        sync.Mutex
 	batch     batch
+	random    *rand.Rand
 	state     string
-	listener  net.Listener
-	wake      chan struct{}
-	owner     string
-	nextEntry int
+	coldUntil time.Time
+	// tolerant is the time until which overload in the cold does not fail the engine.
+	tolerant time.Time
+	leftAt   time.Time
+	deadline time.Time
+	calls    int
+	faults   map[string]activeFault
+	orders   orders
+	reports  reports
+	listener net.Listener
+	wake     chan struct{}
+	kick     chan struct{}
+	kill     context.CancelCauseFunc
 }
 
 // Listen opens the listen address; Run does so itself if it was not called before.
 func (e *Engine) Listen() error {
+	e.setDefaults()
+	e.batch = batch{
+		capacity: e.Capacity, timing: e.Timing, all: map[serving.GenerationID]*generation{},
+		cache: newPrefixCache(e.CacheBlocks, e.cacheEvent), ended: e.recordGeneration,
+	}
+	e.random = rand.New(rand.NewPCG(xxhash.Sum64String(string(e.Name)), 2))
+	e.faults = map[string]activeFault{}
+	e.wake, e.kick = make(chan struct{}, 1), make(chan struct{}, 1)
+	e.kill = func(error) {}
+	e.state = "ready"
+	if e.Kind == KindModel && len(e.Models) == 0 {
+		e.state = "starting"
+	}
+	e.coldUntil = time.Now().Add(e.ColdFor)
+	var err error
+	e.listener, err = net.Listen("tcp", cmp.Or(e.Address, "127.0.0.1:0"))
+	return eris.Wrap(err, "listen")
+}
+
+func (e *Engine) setDefaults() {
+	e.Host = cmp.Or(e.Host, serving.HostID(e.Name))
 	e.Kind = cmp.Or(e.Kind, KindModel)
 	e.Incarnation = cmp.Or(e.Incarnation, serving.Incarnation(time.Now().UnixMilli()))
+	e.ChecksFencing = cmp.Or(e.ChecksFencing, "unknown")
 	e.Capacity = cmp.Or(e.Capacity, DefaultCapacity)
 	e.Timing = cmp.Or(e.Timing, DefaultTiming)
+	e.CacheBlocks = cmp.Or(e.CacheBlocks, int(e.Capacity.MemoryBlocks)/4)
+	e.ColdFor = cmp.Or(e.ColdFor, 10*time.Second)
+	e.ColdFactor = cmp.Or(e.ColdFactor, 3)
 	e.AnnounceEvery = cmp.Or(e.AnnounceEvery, 500*time.Millisecond)
+	e.LoadLag = cmp.Or(e.LoadLag, 500*time.Millisecond)
+	e.CacheLag = cmp.Or(e.CacheLag, 2*time.Second)
+	e.CacheLoss = cmp.Or(e.CacheLoss, 0.02)
 	e.Grace = cmp.Or(e.Grace, 10*time.Second)
-	e.state = "ready"
-	e.wake = make(chan struct{}, 1)
-	e.batch = batch{
-		capacity: e.Capacity, timing: e.Timing, all: map[serving.GenerationID]*generation{},
-		cache: newPrefixCache(int(e.Capacity.MemoryBlocks)/4, func(string, string) {}),
-		ended: func(string, *generation) {},
+	e.LoadTime = cmp.Or(e.LoadTime, 3*time.Second)
+	e.Latency = cmp.Or(e.Latency, 20*time.Millisecond)
+	if e.Weights == nil {
+		e.Weights = rate.NewLimiter(rate.Every(e.LoadTime), 1)
+	}
+	if e.Record == nil {
+		e.Record = &Record{}
 	}
-	var err error
-	e.listener, err = net.Listen("tcp", cmp.Or(e.Address, "127.0.0.1:0"))
-	return eris.Wrap(err, "listen")
 }
 
 // Addr returns the address that the engine listens on.
 func (e *Engine) Addr() string { return e.listener.Addr().String() }
 
-// Run serves until ctx ends, which cuts off whatever runs.
+// Run serves until the engine has left (see Leave) or ctx ends, which cuts off
+// whatever runs.
 func (e *Engine) Run(ctx context.Context) error {
 	if e.listener == nil {
 		if err := e.Listen(); err != nil {
 			return err
 		}
 	}
+	ctx, kill := context.WithCancelCause(ctx)
+	defer kill(nil)
+	e.mu.Lock()
+	e.kill = kill
+	e.mu.Unlock()
 	srv := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second}
-	g, ctx := errgroup.WithContext(ctx)
+	var g errgroup.Group
 	g.Go(func() error {
-		if err := srv.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrap(err, "serve")
+		err := srv.Serve(e.listener)
+		kill(err)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
 		}
-		return nil
+		return eris.Wrap(err, "serve")
 	})
 	g.Go(func() error { e.runBatch(ctx); return nil })
 	g.Go(func() error { e.announceLoop(ctx); return nil })
-	g.Go(func() error {
-		<-ctx.Done()
-		return srv.Close()
-	})
-	return g.Wait()
+	<-ctx.Done()
+	_ = srv.Close()
+	err := g.Wait()
+	if errors.Is(context.Cause(ctx), ErrDied) {
+		return ErrDied
+	}
+	return err
+}
+
+// Leave announces that the engine leaves; it refuses new work after 3 s and Run
+// returns when nothing runs any more, or at the deadline unless that is 0.
+func (e *Engine) Leave(deadline time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state != "leaving" {
+		e.state, e.leftAt = "leaving", time.Now()
+		e.Record.write(e.event("leaving"))
+	}
+	if deadline > 0 {
+		e.deadline = time.Now().Add(deadline)
+	}
+	signal(e.kick)
+	signal(e.wake)
+}
+
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
 }
 
 // runBatch runs the step loop.
 func (e *Engine) runBatch(ctx context.Context) {
 	for ctx.Err() == nil {
-		e.mu.Lock()
-		e.batch.expire(time.Now(), e.Grace, keepEnded)
-		d, decode := e.batch.plan()
-		idle := len(e.batch.running) == 0
-		e.mu.Unlock()
-		if idle {
-			select {
-			case <-ctx.Done():
-			case <-e.wake:
-			case <-time.After(100 * time.Millisecond):
-			}
-			continue
+		d, decode, busy := e.startStep(time.Now())
+		wake := e.wake
+		if busy {
+			wake = nil // new work waits for the end of the step
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-wake:
 		case <-time.After(d):
 		}
 		e.mu.Lock()
@@ -168,75 +269,63 @@
 	}
 }
 
-func (e *Engine) announceLoop(ctx context.Context) {
-	t := time.NewTicker(e.AnnounceEvery)
-	defer t.Stop()
-	for {
-		if err := e.announce(ctx); err != nil {
-			klog.V(1).InfoS("announcement failed", "engine", e.Name, "err", err)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-func (e *Engine) announcement() *Announcement {
+func (e *Engine) startStep(now time.Time) (d time.Duration, decode []*generation, busy bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return &Announcement{
-		Engine: e.Name, Host: e.Host, Address: e.Addr(), DataCentre: e.DataCentre,
-		Incarnation: e.Incarnation, Kind: e.Kind, Models: slices.Clone(e.Models), Role: e.Role,
-		State: e.state, Capacity: e.Capacity, Load: e.batch.load(time.Now()), ChecksFencing: "unknown",
+	e.batch.expire(now, e.Grace, keepEnded)
+	if e.state == "leaving" && e.drained(now) {
+		e.kill(errLeft)
+	}
+	d, decode = e.batch.plan()
+	if len(e.batch.running) == 0 {
+		return idleTick, nil, false
+	}
+	if e.cold(now) {
+		d = time.Duration(float64(d) * e.ColdFactor)
 	}
+	if f, ok := e.fault("slow"); ok {
+		d = time.Duration(float64(d) * f.Factor)
+	}
+	e.batch.stepTime = d
+	return d, decode, true
 }
 
-// announce sends one announcement to the owner if one is known, else to the entries in turn.
-func (e *Engine) announce(ctx context.Context) error {
-	body, err := json.Marshal(e.announcement())
-	if err != nil {
-		return eris.Wrap(err, "encode announcement")
-	}
-	var targets []string
-	if e.owner != "" {
-		targets = append(targets, e.owner)
+func (e *Engine) cold(now time.Time) bool { return now.Before(e.coldUntil) }
+
+// drained tells whether a leaving engine can exit: it was announced as leaving and
+// every answer was delivered, or nobody came back for it within the grace time.
+func (e *Engine) drained(now time.Time) bool {
+	if !e.deadline.IsZero() && now.After(e.deadline) {
+		return true
 	}
-	for i := range e.Entries {
-		targets = append(targets, e.Entries[(e.nextEntry+i)%len(e.Entries)])
+	if now.Sub(e.leftAt) < 2*e.AnnounceEvery || e.calls > 0 {
+		return false
 	}
-	for i, target := range targets {
-		var answer *AnnounceAnswer
-		if answer, err = e.post(ctx, target, body); err == nil {
-			e.owner = answer.Owner
-			return nil
-		}
-		if i > 0 || e.owner == "" {
-			e.nextEntry++
+	for _, g := range e.batch.all {
+		waits := g.state == finished && !g.delivered && now.Sub(g.since) < e.Grace
+		if g.state <= running || g.readers > 0 || waits {
+			return false
 		}
-		e.owner = ""
 	}
-	return err
+	return true
 }
 
-func (e *Engine) post(ctx context.Context, target string, body []byte) (*AnnounceAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.AnnounceEvery)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/engines/announce", bytes.NewReader(body))
-	if err != nil {
-		return nil, eris.Wrap(err, "build announcement")
-	}
-	req.Header.Set("Authorization", "Bearer "+e.ClusterKey)
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, eris.Wrap(err, "announce")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		return nil, eris.Errorf("entry %s answered the announcement with status %d", target, resp.StatusCode)
-	}
-	answer := &AnnounceAnswer{}
-	return answer, decode(resp.Body, answer)
+// fallOver fails all generations and forgets them, as a crash and restart does.
+func (e *Engine) fallOver(now time.Time) {
+	e.Record.write(e.event("fell_over"))
+	for _, g := range e.batch.all {
+		e.batch.end(g, failed, now)
+	}
+	clear(e.batch.all)
+	e.batch.cache.clear()
+	e.batch.preemptions, e.batch.tokensOut = 0, 0
+	e.Incarnation++
+	e.coldUntil = now.Add(e.ColdFor)
+}
+
+func (e *Engine) die() {
+	if e.Exit != nil {
+		e.Exit(3)
+	}
+	e.kill(ErrDied)
 }
--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,315 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// start runs an engine with fast steps and returns what Run returns.
+func start(t *testing.T, e *Engine) <-chan error {
+	t.Helper()
+	if e.Timing == (Timing{}) {
+		e.Timing = Timing{Base: time.Millisecond, PrefillPerStep: 512}
+	}
+	if e.ColdFor == 0 {
+		e.ColdFor = -1
+	}
+	if e.Kind != KindService && e.Models == nil {
+		e.Models = testModels
+	}
+	assert.NilError(t, e.Listen())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	ended := make(chan struct{})
+	go func() { done <- e.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return done
+}
+
+// answer is a response whose body the test's end closes.
+type answer struct {
+	status int
+	body   io.Reader
+}
+
+func call(t *testing.T, e *Engine, method, path, body string, headers ...string) (*answer, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+e.Addr()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return &answer{resp.StatusCode, resp.Body}, nil
+}
+
+func complete(t *testing.T, e *Engine, id, body string) *answer {
+	t.Helper()
+	a, err := call(t, e, http.MethodPost, "/v1/completions", body, "X-Request-Id", "r"+id, "X-Generation-Id", "g"+id)
+	assert.NilError(t, err)
+	return a
+}
+
+// frames reads a stream and tells whether it ended with [DONE].
+func frames(t *testing.T, r io.Reader) (fs []Frame, done bool) {
+	t.Helper()
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		switch {
+		case data == "[DONE]":
+			return fs, true
+		case ok:
+			var f Frame
+			assert.NilError(t, json.Unmarshal([]byte(data), &f))
+			fs = append(fs, f)
+		}
+	}
+	return fs, false
+}
+
+func indexes(fs []Frame) (is []int) {
+	for _, f := range fs {
+		is = append(is, f.Index)
+	}
+	return is
+}
+
+// Guards against answers that depend on anything but prompt and ids, and against
+// resumed streams that differ from the first one.
+func TestCompleteAndResume(t *testing.T) {
+	e := &Engine{Name: "e1"}
+	start(t, e)
+	first, done := frames(t, complete(t, e, "1", `{"prompt":"p","test_length":20}`).body)
+	assert.Assert(t, done)
+	assert.Equal(t, len(first), 20)
+	assert.Equal(t, first[19].FinishReason, "stop")
+	resp, err := call(t, e, http.MethodGet, "/v1/generations/g1?from=7", "")
+	assert.NilError(t, err)
+	rest, done := frames(t, resp.body)
+	assert.Assert(t, done)
+	assert.DeepEqual(t, rest, first[7:])
+	second, _ := frames(t, complete(t, e, "2", `{"prompt":"p","max_tokens":20,"test_length":30}`).body)
+	assert.Equal(t, len(second), 20)
+	assert.Equal(t, second[19].FinishReason, "length")
+	assert.Assert(t, first[3].Token != second[3].Token)
+}
+
+// Guards against bad calls that run and refusals without a kind.
+func TestRefusals(t *testing.T) {
+	e := &Engine{Name: "e1", Capacity: DefaultCapacity}
+	start(t, e)
+	complete(t, e, "used", `{"test_length":1}`)
+	tests := []struct {
+		name, id, body string
+		status         int
+		kind           string
+	}{
+		{"broken body", "1", `{`, 400, "invalid"},
+		{"negative length", "1", `{"max_tokens":-1}`, 400, "invalid"},
+		{"unknown model", "1", `{"model":"x"}`, 404, "unknown_model"},
+		{"prompt over memory", "1", `{"prompt":"` + strings.Repeat("x", 70000) + `"}`, 413, "too_large"},
+		{"generation id in use", "used", `{}`, 409, "conflict"},
+	}
+	for _, tt := range tests {
+		resp := complete(t, e, tt.id, tt.body)
+		assert.Equal(t, resp.status, tt.status, tt.name)
+		body, _ := io.ReadAll(resp.body)
+		assert.Assert(t, bytes.Contains(body, []byte(`"kind":"`+tt.kind+`"`)), "%s: %s", tt.name, body)
+	}
+}
+
+// Guards against cancellations that leave the generation running or its stream
+// with a clean end.
+func TestCancelCutsTheStream(t *testing.T) {
+	e := &Engine{Name: "e1"}
+	start(t, e)
+	resp := complete(t, e, "1", `{"test_length":10000}`)
+	_, err := call(t, e, http.MethodDelete, "/v1/generations/g1", "")
+	assert.NilError(t, err)
+	_, done := frames(t, resp.body)
+	assert.Assert(t, !done)
+	gone, err := call(t, e, http.MethodGet, "/v1/generations/g1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, gone.status, 404)
+}
+
+// Guards against faults that do nothing or something else than their name says.
+func TestStreamFaults(t *testing.T) {
+	tests := []struct {
+		fault   Fault
+		indexes []int
+		request string
+	}{
+		{Fault{Fault: "repeat"}, []int{0, 0, 1, 1, 2, 2}, "r1"},
+		{Fault{Fault: "drop"}, nil, "r1"},
+		{Fault{Fault: "reorder"}, []int{1, 0, 2}, "r1"},
+		{Fault{Fault: "crossed"}, []int{0, 1, 2}, "crossed"},
+		{Fault{Fault: "clear"}, []int{0, 1, 2}, "r1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.fault.Fault, func(t *testing.T) {
+			e := &Engine{Name: "e1"}
+			start(t, e)
+			body, _ := json.Marshal(tt.fault)
+			resp, err := call(t, e, http.MethodPost, "/v1/faults", string(body))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.status, 200)
+			fs, done := frames(t, complete(t, e, "1", `{"test_length":3}`).body)
+			assert.Assert(t, done)
+			assert.DeepEqual(t, indexes(fs), tt.indexes)
+			for _, f := range fs {
+				assert.Equal(t, string(f.RequestID), tt.request)
+			}
+		})
+	}
+}
+
+// Guards against stalls and late answers that pass bytes, or that never end.
+func TestDelayFaults(t *testing.T) {
+	for _, f := range []Fault{{Fault: "stall", DurationMS: 300}, {Fault: "late", DelayMS: 300}} {
+		e := &Engine{Name: "e1"}
+		start(t, e)
+		begin := time.Now()
+		assert.NilError(t, e.Inject(f))
+		fs, done := frames(t, complete(t, e, "1", `{"test_length":3}`).body)
+		assert.Assert(t, done)
+		assert.Equal(t, len(fs), 3)
+		assert.Assert(t, time.Since(begin) >= 300*time.Millisecond, f.Fault)
+	}
+}
+
+// Guards against refusals that run, faults without an effect on calls, and names
+// that are accepted although no fault has them.
+func TestRefuseAndDie(t *testing.T) {
+	e := &Engine{Name: "e1"}
+	done := start(t, e)
+	assert.ErrorContains(t, e.Inject(Fault{Fault: "nothing"}), "unknown fault")
+	assert.NilError(t, e.Inject(Fault{Fault: "refuse"}))
+	assert.Equal(t, complete(t, e, "1", `{}`).status, 503)
+	assert.Equal(t, len(e.Record.Events()), 0)
+	assert.NilError(t, e.Inject(Fault{Fault: "clear"}))
+	resp := complete(t, e, "2", `{"test_length":10000}`)
+	assert.NilError(t, e.Inject(Fault{Fault: "die"}))
+	assert.Assert(t, errors.Is(<-done, ErrDied))
+	_, ended := frames(t, resp.body)
+	assert.Assert(t, !ended)
+}
+
+// Guards against a leaving engine that cuts off an answer, keeps running, or does
+// not announce that it leaves.
+func TestLeaveFinishesWhatRuns(t *testing.T) {
+	states := make(chan string, 100)
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a Announcement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		states <- a.State
+		writeJSON(w, 200, AnnounceAnswer{})
+	}))
+	defer entry.Close()
+	e := &Engine{Name: "e1", Entries: []string{entry.Listener.Addr().String()}, AnnounceEvery: 50 * time.Millisecond}
+	done := start(t, e)
+	resp := complete(t, e, "1", `{"test_length":300}`)
+	_, err := call(t, e, http.MethodPost, "/v1/reclaim", `{"deadline_ms":60000}`)
+	assert.NilError(t, err)
+	fs, ended := frames(t, resp.body)
+	assert.Assert(t, ended)
+	assert.Equal(t, len(fs), 300)
+	assert.NilError(t, <-done)
+	close(states)
+	last := ""
+	for s := range states {
+		last = s
+	}
+	assert.Equal(t, last, "leaving")
+}
+
+// Guards against announcements that stay with a dead entry or miss the owner.
+func TestAnnounceFollowsOwner(t *testing.T) {
+	got := make(chan string, 100)
+	serve := func(name string, answer *AnnounceAnswer) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Authorization") == "Bearer key" {
+				got <- name
+			}
+			writeJSON(w, 200, answer)
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	answer := &AnnounceAnswer{}
+	owner := serve("owner", answer)
+	*answer = AnnounceAnswer{Owner: owner}
+	entry := serve("entry", answer)
+	e := &Engine{Name: "e1", ClusterKey: "key", Entries: []string{"127.0.0.1:1", entry}, AnnounceEvery: 20 * time.Millisecond}
+	start(t, e)
+	assert.Equal(t, <-got, "entry")
+	assert.Equal(t, <-got, "owner")
+	assert.Equal(t, <-got, "owner")
+}
+
+// Guards against a record that misses a run of a key when the service dies, or
+// that is lost with the process.
+func TestServiceCountsRuns(t *testing.T) {
+	tests := []struct {
+		fault  string
+		status string
+		ran    int
+	}{{"die_before", "not_run", 0}, {"die_after", "ran", 1}, {"late", "ran", 2}}
+	for _, tt := range tests {
+		t.Run(tt.fault, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "record.jsonl")
+			e := &Engine{Name: "s1", Kind: KindService, Record: &Record{Path: path}}
+			start(t, e)
+			assert.NilError(t, e.Inject(Fault{Fault: tt.fault, DelayMS: 10}))
+			for range 2 {
+				_, _ = call(t, e, http.MethodPost, "/v1/call/orders/new", `{}`, "Idempotency-Key", "k")
+			}
+			other := &Engine{Name: "s2", Kind: KindService, Record: &Record{Path: path}}
+			start(t, other)
+			resp, err := call(t, other, http.MethodGet, "/v1/calls/k", "")
+			assert.NilError(t, err)
+			var a CallAnswer
+			assert.NilError(t, decode(resp.body, &a))
+			assert.Equal(t, a.Status, tt.status)
+			assert.Equal(t, a.Ran, tt.ran)
+		})
+	}
+}
+
+// Guards against a record that does not show all work that was given.
+func TestRecordShowsWork(t *testing.T) {
+	e := &Engine{Name: "e1", ColdFor: time.Hour, ColdFactor: 1}
+	start(t, e)
+	frames(t, complete(t, e, "1", `{"test_length":3}`).body)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(e.Record.Events()) == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("not ended")
+	})
+	given, ended := e.Record.Events()[0], e.Record.Events()[1]
+	assert.Equal(t, given.Event, "given")
+	assert.Equal(t, string(given.RequestID), "r1")
+	assert.Assert(t, given.Cold)
+	assert.Equal(t, given.Running+given.Queued, 1)
+	assert.Equal(t, ended.Event, "finished")
+	assert.Equal(t, ended.Tokens, 3)
+}
--- /dev/null
+++ b/internal/standin/record.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// maxEvents bounds a record in memory.
+const maxEvents = 1 << 18
+
+// Event is one line of a record: given, finished, canceled, failed, preempted,
+// order, loaded, leaving, fell_over, died, call_started or call_ran.
+type Event struct {
+	WallMS       int64                `json:"wall_ms"`
+	Event        string               `json:"event"`
+	Engine       serving.EngineID     `json:"engine"`
+	Incarnation  serving.Incarnation  `json:"incarnation"`
+	RequestID    serving.RequestID    `json:"request_id,omitempty"`
+	GenerationID serving.GenerationID `json:"generation_id,omitempty"`
+	Priority     serving.Priority     `json:"priority,omitempty"`
+	// Cold, Running, Queued and State describe the engine; Running and Queued count
+	// what it carries right after the event.
+	Cold    bool   `json:"cold"`
+	Running int    `json:"running"`
+	Queued  int    `json:"queued"`
+	State   string `json:"state"`
+	// Tokens counts the tokens made so far.
+	Tokens int    `json:"tokens,omitempty"`
+	Key    string `json:"key,omitempty"`
+	Path   string `json:"path,omitempty"`
+	Order  *Order `json:"order,omitempty"`
+	Stale  bool   `json:"stale,omitempty"`
+}
+
+// Record keeps what engines did, in a file of JSON lines if Path is set, else in memory.
+type Record struct {
+	Path string
+
+	mu     sync.Mutex
+	file   *os.File
+	events []Event
+}
+
+// write appends an event. A record that cannot be written ends the process:
+// tests that read it would pass without proof.
+func (r *Record) write(ev Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Path == "" {
+		if len(r.events) < maxEvents {
+			r.events = append(r.events, ev)
+		}
+		return
+	}
+	line, err := json.Marshal(ev)
+	if err == nil && r.file == nil {
+		r.file, err = os.OpenFile(r.Path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	}
+	if err == nil {
+		// One write a line keeps lines of several processes whole.
+		_, err = r.file.Write(append(line, '\n'))
+	}
+	if err != nil {
+		panic(eris.Wrap(err, "write record"))
+	}
+}
+
+// Events returns all events so far, without lines that cannot be decoded.
+func (r *Record) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Path == "" {
+		return append([]Event(nil), r.events...)
+	}
+	data, _ := os.ReadFile(r.Path)
+	var events []Event
+	for line := range bytes.Lines(data) {
+		var ev Event
+		if json.Unmarshal(line, &ev) == nil {
+			events = append(events, ev)
+		}
+	}
+	return events
+}
+
+func (e *Engine) event(name string) Event {
+	now := time.Now()
+	return Event{
+		WallMS: now.UnixMilli(), Event: name, Engine: e.Name, Incarnation: e.Incarnation, Cold: e.cold(now),
+		Running: len(e.batch.running) + e.calls, Queued: len(e.batch.queue), State: e.state,
+	}
+}
+
+func (e *Engine) recordGeneration(name string, g *generation) {
+	ev := e.event(name)
+	ev.RequestID, ev.GenerationID, ev.Priority, ev.Tokens = g.request, g.id, g.priority, g.produced
+	e.Record.write(ev)
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -2,18 +2,29 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
+// maxQueue bounds the waiting generations of one engine.
+const maxQueue = 256
+
 func (e *Engine) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("GET /v1/generations/{id}", e.resume)
 	mux.HandleFunc("DELETE /v1/generations/{id}", e.cancel)
+	mux.HandleFunc("GET /v1/orders", e.getOrders)
+	mux.HandleFunc("POST /v1/orders", e.postOrder)
+	mux.HandleFunc("POST /v1/call/{path...}", e.call)
+	mux.HandleFunc("GET /v1/calls/{key}", e.getCall)
+	mux.HandleFunc("POST /v1/faults", e.postFault)
+	mux.HandleFunc("POST /v1/reclaim", e.reclaim)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, map[string]string{}) })
 	return mux
 }
@@ -49,15 +60,28 @@
 		hashes: PrefixHashes(c.Prompt, e.Capacity.BlockTokens), readers: 1,
 	}
 	g.length, g.finish = AnswerLength(c)
-	if status, err := e.submit(g); err != nil {
+	if status, err := e.submit(g, c.Model); err != nil {
 		writeError(w, status, err)
 		return
 	}
 	e.stream(w, r, g, 0)
 }
 
+// refusal tells whether a call is refused before anything runs.
+func (e *Engine) refusal() (int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.fault("refuse"); ok {
+		return http.StatusServiceUnavailable, serving.NewError(serving.KindOverloaded, "engine refuses calls as requested")
+	}
+	if e.state == "leaving" && time.Since(e.leftAt) > leaveAccept {
+		return http.StatusServiceUnavailable, serving.NewError(serving.KindDraining, "engine leaves")
+	}
+	return 0, nil
+}
+
 // submit checks a generation and queues it.
-func (e *Engine) submit(g *generation) (int, error) {
+func (e *Engine) submit(g *generation, model serving.ModelID) (int, error) {
 	if g.request == "" || g.id == "" {
 		return http.StatusBadRequest, serving.NewError(serving.KindInvalid, "headers X-Request-Id and X-Generation-Id are required")
 	}
@@ -68,21 +92,55 @@
 	if g.length > room {
 		g.length, g.finish = room, "length"
 	}
+	if status, err := e.refusal(); err != nil {
+		return status, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	carries := func(m Model) bool { return m.Model == model || model == "" }
+	if !slices.ContainsFunc(e.Models, carries) {
+		return http.StatusNotFound, serving.NewError(serving.KindUnknownModel, "engine does not carry model "+string(model))
+	}
 	if e.batch.all[g.id] != nil {
 		return http.StatusConflict, serving.NewError(serving.KindConflict, "generation id is in use").WithRan(serving.DidRun)
 	}
+	if len(e.batch.queue) >= maxQueue {
+		return http.StatusServiceUnavailable, serving.NewError(serving.KindOverloaded, "queue is full")
+	}
+	now := time.Now()
 	e.batch.add(g)
-	e.wakeUp()
+	e.recordGeneration("given", g)
+	if e.cold(now) && now.After(e.tolerant) && len(e.batch.running)+len(e.batch.queue) > int(e.Capacity.ColdRunning) {
+		e.fallOver(now)
+	}
+	signal(e.wake)
 	return 0, nil
 }
 
-func (e *Engine) wakeUp() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
+func (e *Engine) postFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	err := decode(r.Body, &f)
+	if err == nil {
+		err = e.Inject(f)
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
 	}
+	writeJSON(w, http.StatusOK, f)
+}
+
+// reclaim announces leaving with the deadline of the body, {"deadline_ms": N}.
+func (e *Engine) reclaim(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		DeadlineMS int64 `json:"deadline_ms"`
+	}
+	if err := decode(r.Body, &body); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	e.Leave(time.Duration(body.DeadlineMS) * time.Millisecond)
+	writeJSON(w, http.StatusOK, body)
 }
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
@@ -93,7 +151,7 @@
 	}
 	e.mu.Lock()
 	g := e.batch.all[serving.GenerationID(r.PathValue("id"))]
-	if g == nil || g.state == cancelled || g.state == failed || from > g.length {
+	if g == nil || g.state == canceled || g.state == failed || from > g.length {
 		e.mu.Unlock()
 		writeError(w, http.StatusNotFound, serving.NewError(serving.KindNotFound, "no such generation or index").WithRan(serving.RanUnknown))
 		return
@@ -111,34 +169,38 @@
 		writeError(w, http.StatusNotFound, serving.NewError(serving.KindNotFound, "no such generation"))
 		return
 	}
-	e.batch.end(g, cancelled, time.Now())
+	e.batch.end(g, canceled, time.Now())
 	writeJSON(w, http.StatusOK, map[string]any{"generation_id": g.id, "tokens": g.produced})
 }
 
 // stream sends frames from an index on until the generation ends or the reader leaves.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, from int) {
-	defer func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		g.readers--
-		g.since = time.Now()
-	}()
-	out := &sseWriter{w: w, flush: http.NewResponseController(w)}
+	defer e.leaveStream(g)
+	e.delay(r)
+	source := e.crossed(g)
+	out := &frameWriter{engine: e, sseWriter: sseWriter{w: w, flush: http.NewResponseController(w)}}
 	out.start()
 	for {
 		e.mu.Lock()
-		produced, st, changed := g.produced, g.state, g.changed
+		produced, st, changed := source.produced, source.state, source.changed
+		_, stalled := e.fault("stall")
 		e.mu.Unlock()
-		for ; from < produced; from++ {
-			if out.frame(g.frame(from)) != nil {
+		for ; from < produced && !stalled; from++ {
+			if out.frame(source.frame(from)) != nil {
 				return
 			}
 		}
-		switch st {
-		case finished:
-			out.done()
+		switch {
+		case stalled:
+			changed = nil
+		case st == finished:
+			if out.done() == nil {
+				e.mu.Lock()
+				g.delivered = true
+				e.mu.Unlock()
+			}
 			return
-		case cancelled, failed:
+		case st > running:
 			// Ending the response without [DONE] would look like a clean end to some clients.
 			panic(http.ErrAbortHandler)
 		}
@@ -146,10 +208,20 @@
 		case <-r.Context().Done():
 			return
 		case <-changed:
+		case <-time.After(idleTick):
 		}
 	}
 }
 
+func (e *Engine) leaveStream(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.readers--
+	if g.state <= running {
+		g.since = time.Now()
+	}
+}
+
 // sseWriter writes server-sent events.
 type sseWriter struct {
 	w     http.ResponseWriter
@@ -162,19 +234,25 @@
 	_ = s.flush.Flush()
 }
 
-func (s *sseWriter) frame(f Frame) error {
-	data, err := json.Marshal(f)
+func (s *sseWriter) event(v any) error {
+	data, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	return s.event(data)
+	return s.write(string(data))
 }
 
-func (s *sseWriter) event(data []byte) error {
-	if _, err := s.w.Write(append(append([]byte("data: "), data...), "\n\n"...)); err != nil {
+func (s *sseWriter) write(data string) error {
+	if _, err := io.WriteString(s.w, "data: "+data+"\n\n"); err != nil {
 		return err
 	}
 	return s.flush.Flush()
 }
 
-func (s *sseWriter) done() { _ = s.event([]byte("[DONE]")) }
+// done ends the stream, after the frame that the fault "reorder" may have held back.
+func (w *frameWriter) done() error {
+	if w.held != nil {
+		_ = w.event(w.held)
+	}
+	return w.write("[DONE]")
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// CallAnswer is the answer to a call of a plain service and to a lookup. Status
+// is not_run, in_progress or ran; Ran counts the runs of the key.
+type CallAnswer struct {
+	Key    string           `json:"key"`
+	Path   string           `json:"path,omitempty"`
+	Status string           `json:"status"`
+	Ran    int              `json:"ran"`
+	Engine serving.EngineID `json:"engine"`
+}
+
+// call runs one call. It doesn't look at earlier runs of the key, so the record
+// shows every repetition.
+func (e *Engine) call(w http.ResponseWriter, r *http.Request) {
+	if status, err := e.refusal(); err != nil {
+		writeError(w, status, err)
+		return
+	}
+	if e.hits("die_before") {
+		e.die()
+		panic(http.ErrAbortHandler)
+	}
+	key, path := r.Header.Get("Idempotency-Key"), r.PathValue("path")
+	e.recordCall("call_started", key, path, 1)
+	e.mu.Lock()
+	latency := max(0, e.Latency)
+	if f, ok := e.fault("slow"); ok {
+		latency = time.Duration(float64(latency) * f.Factor)
+	}
+	e.mu.Unlock()
+	// A call that has begun runs even if its caller leaves.
+	time.Sleep(latency)
+	e.recordCall("call_ran", key, path, -1)
+	if e.hits("die_after") {
+		e.die()
+		panic(http.ErrAbortHandler)
+	}
+	e.delay(r)
+	a := e.lookup(key)
+	a.Path = path
+	writeJSON(w, http.StatusOK, a)
+}
+
+func (e *Engine) recordCall(event, key, path string, running int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls += running
+	ev := e.event(event)
+	ev.Key, ev.Path = key, path
+	e.Record.write(ev)
+}
+
+// lookup counts the runs of a key in the record, so that services that share a
+// record file answer for each other and a restarted one for its earlier life.
+func (e *Engine) lookup(key string) CallAnswer {
+	a := CallAnswer{Key: key, Status: "not_run", Engine: e.Name}
+	started := 0
+	for _, ev := range e.Record.Events() {
+		switch {
+		case ev.Key == key && ev.Event == "call_started":
+			started++
+		case ev.Key == key && ev.Event == "call_ran":
+			a.Ran++
+		}
+	}
+	switch {
+	case a.Ran > 0:
+		a.Status = "ran"
+	case started > 0:
+		a.Status = "in_progress"
+	}
+	return a
+}
+
+func (e *Engine) getCall(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, e.lookup(r.PathValue("key")))
+}
