standin: use the announcement type of pkg/serving/engine

Cause: the entry's announcement now has a sequence number and services, which the stand-in's own copy of the type lacked; two lagged reports with equal as_of_ms counted as one announcement. Change: the stand-in sends engine.Announcement with seq and services; handlers share one decoder and one reply function. Checked: go test -race ./internal/standin and go test ./internal/e2e pass.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -17,6 +17,7 @@
 
 	"turmericdrum.org/turmericdrum/internal/standin"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 type args struct {
@@ -29,6 +30,7 @@
 	ClusterKey    string        `arg:"--cluster-key,env:CLUSTER_KEY" help:"key for announcements"`
 	Incarnation   uint64        `arg:"--incarnation" help:"default: start time in milliseconds"`
 	Models        []string      `arg:"--model,separate" help:"MODEL@VERSION carried from the start; may be repeated"`
+	Services      []string      `arg:"--service,separate" help:"service that a plain service is part of; may be repeated"`
 	Role          string        `arg:"--role" help:"role to announce"`
 	ChecksFencing string        `arg:"--checks-fencing" default:"unknown" help:"yes, no or unknown; only yes refuses stale orders"`
 	MaxRunning    int64         `arg:"--max-running" default:"16" help:"generations in the batch"`
@@ -53,7 +55,7 @@
 func (a *args) engine() *standin.Engine {
 	e := &standin.Engine{
 		Name: serving.EngineID(a.Name), Host: serving.HostID(a.Host), DataCentre: serving.DataCentreID(a.DataCentre),
-		Kind: a.Kind, Address: a.Listen, Entries: a.Entries, ClusterKey: a.ClusterKey,
+		Kind: engine.Kind(a.Kind), Address: a.Listen, Entries: a.Entries, ClusterKey: a.ClusterKey,
 		Incarnation: serving.Incarnation(a.Incarnation), Role: a.Role, ChecksFencing: a.ChecksFencing,
 		Capacity: serving.Capacity{
 			MaxRunning: serving.Slots(a.MaxRunning), ColdRunning: serving.Slots(a.ColdRunning),
@@ -67,9 +69,12 @@
 		CacheLoss: a.CacheLoss, LoadTime: a.LoadTime, Latency: a.Latency, Grace: a.Grace,
 		Record: &standin.Record{Path: a.Record}, Exit: os.Exit,
 	}
+	for _, s := range a.Services {
+		e.Services = append(e.Services, serving.ServiceID(s))
+	}
 	for _, m := range a.Models {
 		model, version, _ := strings.Cut(m, "@")
-		e.Models = append(e.Models, standin.Model{Model: serving.ModelID(model), Version: serving.Version(version)})
+		e.Models = append(e.Models, engine.ModelRef{Model: serving.ModelID(model), Version: serving.Version(version)})
 	}
 	return e
 }
@@ -77,7 +82,7 @@
 func main() {
 	var a args
 	p := arg.MustParse(&a)
-	if a.Kind != standin.KindModel && a.Kind != standin.KindService {
+	if a.Kind != string(engine.KindModel) && a.Kind != string(engine.KindService) {
 		p.Fail("--kind must be model or service")
 	}
 	if a.MaxRunning < 1 || a.MemoryBlocks < 1 || a.BlockTokens < 1 {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -12,19 +12,28 @@
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // maxCacheEvents bounds the cache events of one announcement; further ones are lost.
 const maxCacheEvents = 256
 
+// Announcement is what an engine sends; a leaving one adds the time that it has left.
+type Announcement struct {
+	engine.Announcement
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+}
+
 // reports holds what was not yet announced, and where to announce it.
 type reports struct {
 	loads     []serving.Load
-	events    []CacheEvent
+	events    []engine.CacheEvent
 	times     []time.Time
 	seq       uint64
+	announced uint64
 	owner     string
-	nextEntry int
+	// first is the entry that answered last.
+	first int
 }
 
 // cacheEvent numbers an event; a lost one leaves a gap in the numbers.
@@ -33,7 +42,7 @@
 	if e.random.Float64() < e.CacheLoss || len(e.reports.events) >= 16*maxCacheEvents {
 		return
 	}
-	e.reports.events = append(e.reports.events, CacheEvent{Seq: e.reports.seq, Op: op, Prefix: prefix})
+	e.reports.events = append(e.reports.events, engine.CacheEvent{Seq: e.reports.seq, Op: op, Prefix: prefix})
 	e.reports.times = append(e.reports.times, time.Now())
 }
 
@@ -67,12 +76,13 @@
 	for n < len(e.reports.times) && now.Sub(e.reports.times[n]) >= e.CacheLag {
 		n++
 	}
-	a := &Announcement{
-		Engine: e.Name, Host: e.Host, Address: e.Addr(), DataCentre: e.DataCentre,
-		Incarnation: e.Incarnation, Kind: e.Kind, Models: slices.Clone(e.Models), Role: e.Role,
-		State: e.state, Capacity: e.Capacity, Load: e.reports.loads[0], ChecksFencing: e.ChecksFencing,
-		CacheEvents: slices.Clone(e.reports.events[:min(n, maxCacheEvents)]),
-	}
+	e.reports.announced++
+	a := &Announcement{Announcement: engine.Announcement{
+		Engine: e.Name, Host: e.Host, Address: e.Addr(), DataCentre: e.DataCentre, Seq: e.reports.announced,
+		Incarnation: e.Incarnation, Kind: e.Kind, Services: e.Services, Models: slices.Clone(e.Models),
+		Role: e.Role, State: e.state, Capacity: e.Capacity, Load: e.reports.loads[0],
+		ChecksFencing: e.ChecksFencing, CacheEvents: slices.Clone(e.reports.events[:min(n, maxCacheEvents)]),
+	}}
 	e.reports.events, e.reports.times = e.reports.events[n:], e.reports.times[n:]
 	if !e.deadline.IsZero() {
 		a.DeadlineMS = max(0, e.deadline.Sub(now).Milliseconds())
@@ -93,42 +103,36 @@
 		return eris.Wrap(err, "encode announcement")
 	}
 	r := &e.reports
+	targets := slices.Concat(e.Entries[r.first:], e.Entries[:r.first])
 	if r.owner != "" {
-		answer, err := e.post(ctx, r.owner, body)
-		if err == nil {
-			r.owner = answer.Owner
-			return nil
-		}
-		r.owner = ""
+		targets = append([]string{r.owner}, targets...)
 	}
-	for range e.Entries {
-		var answer *AnnounceAnswer
-		if answer, err = e.post(ctx, e.Entries[r.nextEntry%len(e.Entries)], body); err == nil {
-			r.owner = answer.Owner
+	for _, target := range targets {
+		var reply engine.Reply
+		if reply, err = e.post(ctx, target, body); err == nil {
+			r.owner, r.first = reply.Owner, max(0, slices.Index(e.Entries, target))
 			return nil
 		}
-		r.nextEntry++
 	}
 	return err
 }
 
-func (e *Engine) post(ctx context.Context, target string, body []byte) (*AnnounceAnswer, error) {
+func (e *Engine) post(ctx context.Context, target string, body []byte) (reply engine.Reply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, e.AnnounceEvery)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/engines/announce", bytes.NewReader(body))
 	if err != nil {
-		return nil, eris.Wrap(err, "build announcement")
+		return reply, eris.Wrap(err, "build announcement")
 	}
 	req.Header.Set("Authorization", "Bearer "+e.ClusterKey)
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, eris.Wrap(err, "announce")
+		return reply, eris.Wrap(err, "announce")
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		return nil, eris.Errorf("entry %s answered the announcement with status %d", target, resp.StatusCode)
+	if resp.StatusCode != http.StatusOK {
+		return reply, eris.Errorf("entry %s answered the announcement with status %d", target, resp.StatusCode)
 	}
-	answer := &AnnounceAnswer{}
-	return answer, decode(resp.Body, answer)
+	return reply, decode(resp.Body, &reply)
 }
--- a/internal/standin/batch_test.go
+++ b/internal/standin/batch_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 func testBatch(capacity serving.Capacity, ended func(string, *generation)) *batch {
@@ -129,7 +130,7 @@
 
 func give(e *Engine, id string, length int) *generation {
 	g := &generation{request: serving.RequestID("r" + id), id: serving.GenerationID("g" + id), prompt: 8, length: length, finish: "stop", readers: 1}
-	_, _ = e.submit(g, "")
+	_ = e.submit(g, "")
 	return g
 }
 
@@ -139,7 +140,7 @@
 	return g.state, g.produced
 }
 
-var testModels = []Model{{Model: "m", Version: "1"}}
+var testModels = []engine.ModelRef{{Model: "m", Version: "1"}}
 
 // Guards against a generation that is canceled at once when its reader leaves,
 // or that runs on forever.
@@ -234,17 +235,17 @@
 			e := &Engine{ChecksFencing: tt.checks}
 			virtual(t, e, func() {
 				for _, m := range []serving.ModelID{"a", "b"} {
-					_, err := e.runOrder(Order{FencingNumber: 7, Command: "load_model", Model: m, Version: "1"})
+					err := e.runOrder(Order{FencingNumber: 7, Command: "load_model", Model: m, Version: "1"})
 					assert.NilError(t, err)
 				}
-				assert.Equal(t, e.announcement(time.Now()).State, "starting")
+				assert.Equal(t, e.announcement(time.Now()).State, engine.PhaseStarting)
 				time.Sleep(4 * time.Second)
 				assert.Equal(t, len(e.announcement(time.Now()).Models), 1)
 				time.Sleep(3 * time.Second)
 				a := e.announcement(time.Now())
 				assert.Equal(t, len(a.Models), 2)
-				assert.Equal(t, a.State, "ready")
-				_, err := e.runOrder(Order{FencingNumber: 6, Command: "set_role", Role: "draft"})
+				assert.Equal(t, a.State, engine.PhaseReady)
+				err := e.runOrder(Order{FencingNumber: 6, Command: "set_role", Role: "draft"})
 				assert.Equal(t, err == nil, tt.ok)
 				assert.Equal(t, e.announcement(time.Now()).Role == "draft", tt.ok)
 			})
@@ -261,7 +262,7 @@
 		for i := range 100 {
 			g.hashes = append(g.hashes, uint64(i))
 		}
-		_, err := e.submit(g, "")
+		err := e.submit(g, "")
 		assert.NilError(t, err)
 		time.Sleep(500 * time.Millisecond)
 		a := e.announcement(time.Now())
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -33,12 +33,7 @@
 	"golang.org/x/time/rate"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
-)
-
-// Kinds of engines.
-const (
-	KindModel   = "model"
-	KindService = "service"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 const (
@@ -81,8 +76,8 @@
 	Name       serving.EngineID
 	Host       serving.HostID
 	DataCentre serving.DataCentreID
-	// Kind is KindModel (default) or KindService.
-	Kind string
+	// Kind is that of a model engine (default) or of a plain service.
+	Kind engine.Kind
 	// Address is the listen address; default 127.0.0.1:0.
 	Address string
 	// Entries are the addresses to announce to, in order of preference.
@@ -92,8 +87,10 @@
 	Incarnation serving.Incarnation
 	// Models are those carried from the start; without any, the engine is starting
 	// until an order loads one.
-	Models []Model
-	Role   string
+	Models []engine.ModelRef
+	// Services are those that a plain service is part of.
+	Services []serving.ServiceID
+	Role     string
 	// ChecksFencing is yes, no or unknown (default); only yes checks.
 	ChecksFencing string
 	// Capacity defaults to DefaultCapacity, Timing to DefaultTiming.
@@ -127,7 +124,7 @@
 	mu        sync.Mutex
 	batch     batch
 	random    *rand.Rand
-	state     string
+	state     engine.Phase
 	coldUntil time.Time
 	// tolerant is the time until which overload in the cold does not fail the engine.
 	tolerant time.Time
@@ -135,7 +132,7 @@
 	deadline time.Time
 	calls    int
 	faults   map[string]activeFault
-	orders   orders
+	orders   OrdersInForce
 	reports  reports
 	listener net.Listener
 	wake     chan struct{}
@@ -154,9 +151,9 @@
 	e.faults = map[string]activeFault{}
 	e.wake, e.kick = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.kill = func(error) {}
-	e.state = "ready"
-	if e.Kind == KindModel && len(e.Models) == 0 {
-		e.state = "starting"
+	e.state = engine.PhaseReady
+	if e.Kind == engine.KindModel && len(e.Models) == 0 {
+		e.state = engine.PhaseStarting
 	}
 	e.coldUntil = time.Now().Add(e.ColdFor)
 	var err error
@@ -166,7 +163,7 @@
 
 func (e *Engine) setDefaults() {
 	e.Host = cmp.Or(e.Host, serving.HostID(e.Name))
-	e.Kind = cmp.Or(e.Kind, KindModel)
+	e.Kind = cmp.Or(e.Kind, engine.KindModel)
 	e.Incarnation = cmp.Or(e.Incarnation, serving.Incarnation(time.Now().UnixMilli()))
 	e.ChecksFencing = cmp.Or(e.ChecksFencing, "unknown")
 	e.Capacity = cmp.Or(e.Capacity, DefaultCapacity)
@@ -231,8 +228,8 @@
 func (e *Engine) Leave(deadline time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state != "leaving" {
-		e.state, e.leftAt = "leaving", time.Now()
+	if e.state != engine.PhaseLeaving {
+		e.state, e.leftAt = engine.PhaseLeaving, time.Now()
 		e.Record.write(e.event("leaving"))
 	}
 	if deadline > 0 {
@@ -273,7 +270,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.batch.expire(now, e.Grace, keepEnded)
-	if e.state == "leaving" && e.drained(now) {
+	if e.state == engine.PhaseLeaving && e.drained(now) {
 		e.kill(errLeft)
 	}
 	d, decode = e.batch.plan()
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -16,6 +16,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // start runs an engine with fast steps and returns what Run returns.
@@ -27,7 +29,7 @@
 	if e.ColdFor == 0 {
 		e.ColdFor = -1
 	}
-	if e.Kind != KindService && e.Models == nil {
+	if e.Kind != engine.KindService && e.Models == nil {
 		e.Models = testModels
 	}
 	assert.NilError(t, e.Listen())
@@ -220,8 +222,8 @@
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var a Announcement
 		_ = json.NewDecoder(r.Body).Decode(&a)
-		states <- a.State
-		writeJSON(w, 200, AnnounceAnswer{})
+		states <- string(a.State)
+		reply(w, engine.Reply{}, nil)
 	}))
 	defer entry.Close()
 	e := &Engine{Name: "e1", Entries: []string{entry.Listener.Addr().String()}, AnnounceEvery: 50 * time.Millisecond}
@@ -244,19 +246,19 @@
 // Guards against announcements that stay with a dead entry or miss the owner.
 func TestAnnounceFollowsOwner(t *testing.T) {
 	got := make(chan string, 100)
-	serve := func(name string, answer *AnnounceAnswer) string {
+	serve := func(name string, answer *engine.Reply) string {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get("Authorization") == "Bearer key" {
 				got <- name
 			}
-			writeJSON(w, 200, answer)
+			reply(w, answer, nil)
 		}))
 		t.Cleanup(s.Close)
 		return s.Listener.Addr().String()
 	}
-	answer := &AnnounceAnswer{}
+	answer := &engine.Reply{}
 	owner := serve("owner", answer)
-	*answer = AnnounceAnswer{Owner: owner}
+	*answer = engine.Reply{Owner: owner}
 	entry := serve("entry", answer)
 	e := &Engine{Name: "e1", ClusterKey: "key", Entries: []string{"127.0.0.1:1", entry}, AnnounceEvery: 20 * time.Millisecond}
 	start(t, e)
@@ -276,13 +278,13 @@
 	for _, tt := range tests {
 		t.Run(tt.fault, func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "record.jsonl")
-			e := &Engine{Name: "s1", Kind: KindService, Record: &Record{Path: path}}
+			e := &Engine{Name: "s1", Kind: engine.KindService, Record: &Record{Path: path}}
 			start(t, e)
 			assert.NilError(t, e.Inject(Fault{Fault: tt.fault, DelayMS: 10}))
 			for range 2 {
 				_, _ = call(t, e, http.MethodPost, "/v1/call/orders/new", `{}`, "Idempotency-Key", "k")
 			}
-			other := &Engine{Name: "s2", Kind: KindService, Record: &Record{Path: path}}
+			other := &Engine{Name: "s2", Kind: engine.KindService, Record: &Record{Path: path}}
 			start(t, other)
 			resp, err := call(t, other, http.MethodGet, "/v1/calls/k", "")
 			assert.NilError(t, err)
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // maxEvents bounds a record in memory.
@@ -27,10 +28,10 @@
 	Priority     serving.Priority     `json:"priority,omitempty"`
 	// Cold, Running, Queued and State describe the engine; Running and Queued count
 	// what it carries right after the event.
-	Cold    bool   `json:"cold"`
-	Running int    `json:"running"`
-	Queued  int    `json:"queued"`
-	State   string `json:"state"`
+	Cold    bool         `json:"cold"`
+	Running int          `json:"running"`
+	Queued  int          `json:"queued"`
+	State   engine.Phase `json:"state"`
 	// Tokens counts the tokens made so far.
 	Tokens int    `json:"tokens,omitempty"`
 	Key    string `json:"key,omitempty"`
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // maxQueue bounds the waiting generations of one engine.
@@ -18,36 +20,58 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("GET /v1/generations/{id}", e.resume)
-	mux.HandleFunc("DELETE /v1/generations/{id}", e.cancel)
-	mux.HandleFunc("GET /v1/orders", e.getOrders)
-	mux.HandleFunc("POST /v1/orders", e.postOrder)
+	mux.HandleFunc("DELETE /v1/generations/{id}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, struct{}{}, e.cancel(serving.GenerationID(r.PathValue("id"))))
+	})
+	mux.HandleFunc("POST /v1/orders", handle(e.runOrder))
+	mux.HandleFunc("GET /v1/orders", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.readBack(), nil) })
 	mux.HandleFunc("POST /v1/call/{path...}", e.call)
-	mux.HandleFunc("GET /v1/calls/{key}", e.getCall)
-	mux.HandleFunc("POST /v1/faults", e.postFault)
-	mux.HandleFunc("POST /v1/reclaim", e.reclaim)
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, map[string]string{}) })
+	mux.HandleFunc("GET /v1/calls/{key}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, e.lookup(r.PathValue("key")), nil)
+	})
+	mux.HandleFunc("POST /v1/faults", handle(e.Inject))
+	mux.HandleFunc("POST /v1/reclaim", handle(e.reclaim))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { reply(w, struct{}{}, nil) })
 	return mux
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
+// handle returns a handler that decodes the body for f and answers with it.
+func handle[T any](f func(body T) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body T
+		err := decode(r.Body, &body)
+		if err == nil {
+			err = f(body)
+		}
+		reply(w, body, err)
+	}
+}
+
+var statuses = map[serving.Kind]int{
+	serving.KindInvalid: 400, serving.KindNotFound: 404, serving.KindUnknownModel: 404,
+	serving.KindConflict: 409, serving.KindTooLarge: 413,
+}
+
+// reply answers with v, or with err in the refusal format of section 6.1 of the design page.
+func reply(w http.ResponseWriter, v any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		t := serving.AsError(err)
+		status = cmp.Or(statuses[t.Kind], http.StatusServiceUnavailable)
+		v = map[string]any{"error": map[string]any{
+			"kind": t.Kind, "message": t.Message, "remedy": t.Remedy, "ran": t.Ran,
+			"retry_after_ms": t.RetryAfter.Milliseconds(),
+		}}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// writeError answers with the refusal format of section 6.1 of the design page.
-func writeError(w http.ResponseWriter, status int, err error) {
-	t := serving.AsError(err)
-	writeJSON(w, status, map[string]any{"error": map[string]any{
-		"kind": t.Kind, "message": t.Message, "remedy": t.Remedy, "ran": t.Ran,
-		"retry_after_ms": t.RetryAfter.Milliseconds(),
-	}})
-}
-
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	c, err := DecodeCompletion(r.Body)
 	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
+		reply(w, nil, err)
 		return
 	}
 	priority, err := strconv.Atoi(r.Header.Get("X-Priority"))
@@ -60,52 +84,52 @@
 		hashes: PrefixHashes(c.Prompt, e.Capacity.BlockTokens), readers: 1,
 	}
 	g.length, g.finish = AnswerLength(c)
-	if status, err := e.submit(g, c.Model); err != nil {
-		writeError(w, status, err)
+	if err := e.submit(g, c.Model); err != nil {
+		reply(w, nil, err)
 		return
 	}
 	e.stream(w, r, g, 0)
 }
 
 // refusal tells whether a call is refused before anything runs.
-func (e *Engine) refusal() (int, error) {
+func (e *Engine) refusal() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, ok := e.fault("refuse"); ok {
-		return http.StatusServiceUnavailable, serving.NewError(serving.KindOverloaded, "engine refuses calls as requested")
+		return serving.NewError(serving.KindOverloaded, "engine refuses calls as requested")
 	}
-	if e.state == "leaving" && time.Since(e.leftAt) > leaveAccept {
-		return http.StatusServiceUnavailable, serving.NewError(serving.KindDraining, "engine leaves")
+	if e.state == engine.PhaseLeaving && time.Since(e.leftAt) > leaveAccept {
+		return serving.NewError(serving.KindDraining, "engine leaves")
 	}
-	return 0, nil
+	return nil
 }
 
 // submit checks a generation and queues it.
-func (e *Engine) submit(g *generation, model serving.ModelID) (int, error) {
+func (e *Engine) submit(g *generation, model serving.ModelID) error {
 	if g.request == "" || g.id == "" {
-		return http.StatusBadRequest, serving.NewError(serving.KindInvalid, "headers X-Request-Id and X-Generation-Id are required")
+		return serving.NewError(serving.KindInvalid, "headers X-Request-Id and X-Generation-Id are required")
 	}
 	room := int(e.Capacity.MemoryBlocks)*int(e.Capacity.BlockTokens) - g.prompt
 	if room < 1 {
-		return http.StatusRequestEntityTooLarge, serving.NewError(serving.KindTooLarge, "prompt exceeds the engine's memory")
+		return serving.NewError(serving.KindTooLarge, "prompt exceeds the engine's memory")
 	}
 	if g.length > room {
 		g.length, g.finish = room, "length"
 	}
-	if status, err := e.refusal(); err != nil {
-		return status, err
+	if err := e.refusal(); err != nil {
+		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	carries := func(m Model) bool { return m.Model == model || model == "" }
+	carries := func(m engine.ModelRef) bool { return m.Model == model || model == "" }
 	if !slices.ContainsFunc(e.Models, carries) {
-		return http.StatusNotFound, serving.NewError(serving.KindUnknownModel, "engine does not carry model "+string(model))
+		return serving.NewError(serving.KindUnknownModel, "engine does not carry model "+string(model))
 	}
 	if e.batch.all[g.id] != nil {
-		return http.StatusConflict, serving.NewError(serving.KindConflict, "generation id is in use").WithRan(serving.DidRun)
+		return serving.NewError(serving.KindConflict, "generation id is in use").WithRan(serving.DidRun)
 	}
 	if len(e.batch.queue) >= maxQueue {
-		return http.StatusServiceUnavailable, serving.NewError(serving.KindOverloaded, "queue is full")
+		return serving.NewError(serving.KindOverloaded, "queue is full")
 	}
 	now := time.Now()
 	e.batch.add(g)
@@ -114,46 +138,32 @@
 		e.fallOver(now)
 	}
 	signal(e.wake)
-	return 0, nil
+	return nil
 }
 
-func (e *Engine) postFault(w http.ResponseWriter, r *http.Request) {
-	var f Fault
-	err := decode(r.Body, &f)
-	if err == nil {
-		err = e.Inject(f)
-	}
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, f)
+// reclaimBody is the body of a reclaim; the deadline counts from now.
+type reclaimBody struct {
+	DeadlineMS int64 `json:"deadline_ms"`
 }
 
-// reclaim announces leaving with the deadline of the body, {"deadline_ms": N}.
-func (e *Engine) reclaim(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		DeadlineMS int64 `json:"deadline_ms"`
-	}
-	if err := decode(r.Body, &body); err != nil {
-		writeError(w, http.StatusBadRequest, err)
-		return
-	}
-	e.Leave(time.Duration(body.DeadlineMS) * time.Millisecond)
-	writeJSON(w, http.StatusOK, body)
+func (e *Engine) reclaim(b reclaimBody) error {
+	e.Leave(time.Duration(b.DeadlineMS) * time.Millisecond)
+	return nil
 }
 
+var errNoGeneration = serving.NewError(serving.KindNotFound, "no such generation or index").WithRan(serving.RanUnknown)
+
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
-	from, err := strconv.Atoi(r.FormValue("from"))
-	if r.FormValue("from") != "" && (err != nil || from < 0) {
-		writeError(w, http.StatusBadRequest, serving.NewError(serving.KindInvalid, "from must be a token index"))
+	from, err := strconv.Atoi(cmp.Or(r.FormValue("from"), "0"))
+	if err != nil || from < 0 {
+		reply(w, nil, serving.NewError(serving.KindInvalid, "from must be a token index"))
 		return
 	}
 	e.mu.Lock()
 	g := e.batch.all[serving.GenerationID(r.PathValue("id"))]
-	if g == nil || g.state == canceled || g.state == failed || from > g.length {
+	if g == nil || g.state > finished || from > g.length {
 		e.mu.Unlock()
-		writeError(w, http.StatusNotFound, serving.NewError(serving.KindNotFound, "no such generation or index").WithRan(serving.RanUnknown))
+		reply(w, nil, errNoGeneration)
 		return
 	}
 	g.readers++
@@ -161,16 +171,15 @@
 	e.stream(w, r, g, from)
 }
 
-func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) cancel(id serving.GenerationID) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	g := e.batch.all[serving.GenerationID(r.PathValue("id"))]
+	g := e.batch.all[id]
 	if g == nil {
-		writeError(w, http.StatusNotFound, serving.NewError(serving.KindNotFound, "no such generation"))
-		return
+		return errNoGeneration
 	}
 	e.batch.end(g, canceled, time.Now())
-	writeJSON(w, http.StatusOK, map[string]any{"generation_id": g.id, "tokens": g.produced})
+	return nil
 }
 
 // stream sends frames from an index on until the generation ends or the reader leaves.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -20,8 +20,8 @@
 // call runs one call. It doesn't look at earlier runs of the key, so the record
 // shows every repetition.
 func (e *Engine) call(w http.ResponseWriter, r *http.Request) {
-	if status, err := e.refusal(); err != nil {
-		writeError(w, status, err)
+	if err := e.refusal(); err != nil {
+		reply(w, nil, err)
 		return
 	}
 	if e.hits("die_before") {
@@ -46,7 +46,7 @@
 	e.delay(r)
 	a := e.lookup(key)
 	a.Path = path
-	writeJSON(w, http.StatusOK, a)
+	reply(w, a, nil)
 }
 
 func (e *Engine) recordCall(event, key, path string, running int) {
@@ -79,7 +79,3 @@
 	}
 	return a
 }
-
-func (e *Engine) getCall(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, http.StatusOK, e.lookup(r.PathValue("key")))
-}
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -18,45 +18,6 @@
 // bytesPerToken converts prompt sizes; the stand-in has no tokenizer.
 const bytesPerToken = 4
 
-// Model names a model at a version.
-type Model struct {
-	Model   serving.ModelID `json:"model"`
-	Version serving.Version `json:"version"`
-}
-
-// CacheEvent reports that a prompt prefix entered ("add") or left ("remove") the
-// prefix cache. Prefix is the hexadecimal hash of PrefixHashes.
-type CacheEvent struct {
-	Seq    uint64 `json:"seq"`
-	Op     string `json:"op"`
-	Prefix string `json:"prefix"`
-}
-
-// Announcement is what an engine sends to entries.
-type Announcement struct {
-	Engine        serving.EngineID     `json:"engine"`
-	Host          serving.HostID       `json:"host"`
-	Address       string               `json:"address"`
-	DataCentre    serving.DataCentreID `json:"data_centre"`
-	Incarnation   serving.Incarnation  `json:"incarnation"`
-	Kind          string               `json:"kind"`
-	Models        []Model              `json:"models"`
-	Role          string               `json:"role"`
-	State         string               `json:"state"`
-	DeadlineMS    int64                `json:"deadline_ms,omitempty"`
-	Capacity      serving.Capacity     `json:"capacity"`
-	Load          serving.Load         `json:"load"`
-	ChecksFencing string               `json:"checks_fencing"`
-	CacheEvents   []CacheEvent         `json:"cache_events,omitempty"`
-}
-
-// AnnounceAnswer is an entry's answer to an announcement; both fields hold
-// addresses of the form ip:port.
-type AnnounceAnswer struct {
-	Entries []string `json:"entries"`
-	Owner   string   `json:"owner"`
-}
-
 // CompletionRequest is the body of a generation call. TestLength sets the length
 // of the answer; it is an extension for tests.
 type CompletionRequest struct {
