--- /dev/null
+++ b/pkg/serving/timeline/log.go
@@ -0,0 +1,147 @@
+package timeline
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"os"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+const (
+	rotatedSuffix = ".1"
+	// DefaultMaxBytes is the default size limit of a log.
+	DefaultMaxBytes = 16 << 20
+	// bufferedEvents bounds the events that wait for the disk.
+	bufferedEvents = 4096
+	// KindDropped is the kind of the event that reports dropped events.
+	KindDropped = "events_dropped"
+)
+
+// Log writes events to a file of bounded size.
+type Log struct {
+	// MaxBytes bounds the file and the rotated file together; default DefaultMaxBytes.
+	MaxBytes int64
+
+	path    string
+	process string
+	clock   *Clock
+	queue   chan Event
+	dropped atomic.Int64
+	file    *os.File
+	size    int64
+}
+
+// NewLog returns a log that Run writes to path.
+func NewLog(path, process string, clock *Clock) *Log {
+	return &Log{path: path, process: process, clock: clock, queue: make(chan Event, bufferedEvents)}
+}
+
+// Add records an event; attributes are names and values in turn. It never waits:
+// the event is dropped and counted if too many wait for the disk.
+func (l *Log) Add(kind string, request serving.RequestID, attributes ...string) {
+	e := Event{Time: l.clock.Now(), Process: l.process, Kind: kind, RequestID: request}
+	if len(attributes) > 1 {
+		e.Attributes = make(map[string]string, len(attributes)/2)
+	}
+	for i := 0; i+1 < len(attributes); i += 2 {
+		e.Attributes[attributes[i]] = attributes[i+1]
+	}
+	select {
+	case l.queue <- e:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Dropped counts the dropped events.
+func (l *Log) Dropped() int64 { return l.dropped.Load() }
+
+// Run writes events until ctx ends, and then what was added before. A failure to
+// write ends it; later events are dropped once the buffer is full.
+func (l *Log) Run(ctx context.Context) error {
+	if err := l.open(); err != nil {
+		return err
+	}
+	defer func() { l.file.Close() }()
+	var reported int64
+	for {
+		if n := l.dropped.Load(); n > reported {
+			attributes := map[string]string{"count": strconv.FormatInt(n-reported, 10)}
+			if err := l.write(Event{Time: l.clock.Now(), Process: l.process, Kind: KindDropped, Attributes: attributes}); err != nil {
+				return err
+			}
+			reported = n
+		}
+		select {
+		case e := <-l.queue:
+			if err := l.write(e); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			if len(l.queue) == 0 {
+				return nil
+			}
+		}
+	}
+}
+
+// open appends to the file; a torn last line of an earlier process gets its end.
+func (l *Log) open() error {
+	f, err := os.OpenFile(l.path, os.O_APPEND|os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return eris.Wrap(err, "open event log")
+	}
+	l.file, l.size = f, 0
+	info, err := f.Stat()
+	if err != nil {
+		return eris.Wrap(err, "open event log")
+	}
+	l.size = info.Size()
+	last := make([]byte, 1)
+	if l.size == 0 {
+		return nil
+	}
+	if _, err := f.ReadAt(last, l.size-1); err != nil {
+		return eris.Wrap(err, "open event log")
+	}
+	if last[0] == '\n' {
+		return nil
+	}
+	return l.append([]byte{'\n'})
+}
+
+func (l *Log) append(b []byte) error {
+	n, err := l.file.Write(b)
+	l.size += int64(n)
+	return eris.Wrap(err, "write event log")
+}
+
+func (l *Log) write(e Event) error {
+	line, err := json.Marshal(e)
+	if err != nil {
+		return eris.Wrap(err, "encode event")
+	}
+	if l.size > 0 && l.size+int64(len(line))+1 > cmp.Or(l.MaxBytes, DefaultMaxBytes)/2 {
+		if err := l.rotate(); err != nil {
+			return err
+		}
+	}
+	return l.append(append(line, '\n'))
+}
+
+// rotate replaces the rotated file by the current one.
+func (l *Log) rotate() error {
+	if err := l.file.Close(); err != nil {
+		return eris.Wrap(err, "rotate event log")
+	}
+	if err := os.Rename(l.path, l.path+rotatedSuffix); err != nil {
+		return eris.Wrap(err, "rotate event log")
+	}
+	return l.open()
+}
