scripts: add local.sh, the three-region fleet on loopback

Change: start builds the programs, writes settings, keys, logs and process ids under a run folder and creates the configuration; status fails if a process is down; stop sends SIGTERM by process id, entries first. Ruled out: process ids alone; status and stop also compare the command line with the run folder, as the system reuses ids.

--- a/internal/standin/example_test.go
+++ b/internal/standin/example_test.go
@@ -18,6 +18,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	done := make(chan error)
 	go func() { done <- e.Run(ctx) }()
 
--- /dev/null
+++ b/scripts/local.sh
@@ -0,0 +1,233 @@
+#!/usr/bin/env bash
+# Starts and stops a three-region fleet on loopback: 7 entries, 3 control replicas,
+# 12 model engines and 3 plain services.
+#
+#   scripts/local.sh start  [--fleet aguja|klubba] [--dir DIR] [--port-base N]
+#   scripts/local.sh status [--dir DIR]
+#   scripts/local.sh stop   [--dir DIR]
+#
+# start builds the programs into bin/, writes settings, logs, process ids, keys and
+# records under DIR (default: a fresh folder under ${TMPDIR:-/tmp}) and creates the
+# data centres, the model, the service and one client account. status and stop use
+# the DIR of the last start from this checkout unless one is given.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+root=$PWD
+last=$root/bin/.local-run
+
+usage() { sed -n '2,12s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+
+command=${1:-}
+[ $# -gt 0 ] && shift
+fleet=aguja dir='' base=7100
+while [ $# -gt 0 ]; do
+	case $1 in
+	--fleet | --dir | --port-base) [ $# -gt 1 ] || usage ;;
+	*) usage ;;
+	esac
+	case $1 in
+	--fleet) fleet=$2 ;;
+	--dir) dir=$2 ;;
+	--port-base) base=$2 ;;
+	esac
+	shift 2
+done
+
+case $fleet in
+aguja) regions=(leon guadalajara puebla) model=guide service=counter account=bench ;;
+klubba) regions=(norr mitt syd) model=draft service=order-desk account=workshop ;;
+*) usage ;;
+esac
+
+address() { echo "127.0.0.1:$((base + $1))"; }
+
+# alive NAME: true if the process of that name runs. The process id alone is not
+# enough, as another program may have got it since.
+alive() {
+	local pid
+	pid=$(cat "$dir/$1.pid" 2>/dev/null) || return 1
+	tr '\0' ' ' 2>/dev/null <"/proc/$pid/cmdline" | grep -qF -- "$dir/"
+}
+
+# launch NAME PROGRAM ARGUMENTS...
+launch() {
+	local name=$1 program=$2
+	shift 2
+	nohup "$root/bin/$program" "$@" >"$dir/$name.log" 2>&1 </dev/null &
+	echo $! >"$dir/$name.pid"
+	echo "$name" >>"$dir/processes"
+}
+
+# common NAME REGION ADDRESS: the settings that all roles have.
+common() {
+	cat <<-YAML
+		host: $1
+		data_centre: $2-1
+		region: $2
+		listen: $3
+		cluster_key: $cluster_key
+		event_log:
+		  path: $dir/$1.events.jsonl
+	YAML
+}
+
+start_controls() {
+	local i n hash
+	hash=$(printf %s "$operator_key" | sha256sum | cut -d' ' -f1)
+	for i in 0 1 2; do
+		n=control-${regions[i]}
+		{
+			common "$n" "${regions[i]}" "$(address $((1 + i)))"
+			printf 'control:\n  data: %s\n  operator_key_hash: %s\n  replicas:\n' "$dir/$n.data" "$hash"
+			for j in 0 1 2; do
+				printf '    - {host: control-%s, address: %s}\n' "${regions[j]}" "$(address $((1 + j)))"
+			done
+		} >"$dir/$n.yaml"
+		launch "$n" turmericdrum control --settings "$dir/$n.yaml"
+	done
+}
+
+start_entries() {
+	local i n
+	for i in 0 1 2 3 4 5 6; do
+		n=entry-${regions[i % 3]}-$((i / 3 + 1))
+		{
+			common "$n" "${regions[i % 3]}" "$(address $((11 + i)))"
+			printf 'entry:\n  control: [%s, %s, %s]\n  peers: [' "$(address 1)" "$(address 2)" "$(address 3)"
+			for j in 0 1 2 3 4 5 6; do
+				[ "$j" = "$i" ] || printf '%s, ' "$(address $((11 + j)))"
+			done
+			printf ']\n'
+		} >"$dir/$n.yaml"
+		launch "$n" turmericdrum entry --settings "$dir/$n.yaml"
+	done
+}
+
+# Each engine announces first to an entry of its own region.
+start_engines() {
+	local i n
+	for i in 0 1 2 3 4 5 6 7 8 9 10 11; do
+		n=engine-${regions[i % 3]}-$((i / 3 + 1))
+		launch "$n" standin-engine --name "$n" --data-centre "${regions[i % 3]}-1" --listen "$(address $((21 + i)))" \
+			--entry "$(address $((11 + i % 3)))" --entry "$(address $((11 + (i + 1) % 3)))" --entry "$(address $((11 + (i + 2) % 3)))" \
+			--model "$model@1" --record "$dir/engines.record.jsonl"
+	done
+	for i in 0 1 2; do
+		n=$service-${regions[i]}
+		launch "$n" standin-engine --kind service --service "$service" --name "$n" --data-centre "${regions[i]}-1" \
+			--listen "$(address $((41 + i)))" --entry "$(address $((11 + i)))" --entry "$(address $((11 + (i + 1) % 3)))" \
+			--record "$dir/$service.record.jsonl"
+	done
+}
+
+# put ID KIND SPEC: creates an object through whichever control replica leads.
+put() {
+	local try i answer=''
+	for try in $(seq 1 60); do
+		for i in 1 2 3; do
+			answer=$(curl -s -m 2 -H "Authorization: Bearer $operator_key" -H 'Content-Type: application/json' \
+				-d "{\"command_id\":\"local-$1\",\"operator\":\"local\",\"issued_at_ms\":$(date +%s%3N),\"put\":{\"kind\":\"$2\",\"id\":\"$1\",$3}}" \
+				"http://$(address $i)/twirp/turmericdrum.v1.Operators/Apply" || true)
+			case $answer in *OUTCOME_ACCEPTED*) return 0 ;; esac
+		done
+		sleep 0.5
+	done
+	echo "object $1 was not accepted: $answer" >&2
+	return 1
+}
+
+configure() {
+	local r hash
+	put "$model" OBJECT_KIND_MODEL '"model":{"versions":[{"version":"1","share":1}]}'
+	for r in "${regions[@]}"; do
+		put "$r-1" OBJECT_KIND_DATA_CENTRE "\"data_centre\":{\"region\":\"$r\"}"
+	done
+	put "$service" OBJECT_KIND_SERVICE '"service":{"generates":false,"lookup_path":"/v1/calls/","routes":[{"path_prefix":"/","idempotent":false,"timeout_ms":10000}]}'
+	hash=$(printf %s "$caller_key" | sha256sum | cut -d' ' -f1)
+	hash=$(printf "$(printf %s "$hash" | sed 's/../\\x&/g')" | base64)
+	put "$account" OBJECT_KIND_CLIENT_ACCOUNT "\"client_account\":{\"weight\":1,\"key_hashes\":[\"$hash\"]}"
+}
+
+random_key() { od -An -N16 -tx1 /dev/urandom | tr -d ' \n'; }
+
+start() {
+	dir=${dir:-$(mktemp -d "${TMPDIR:-/tmp}/turmericdrum.XXXXXX")}
+	mkdir -p "$dir" bin
+	dir=$(cd "$dir" && pwd)
+	if [ -e "$dir/processes" ]; then
+		echo "$dir holds an earlier run: stop it and use another folder" >&2
+		exit 1
+	fi
+	go build -o bin/ ./cmd/turmericdrum ./cmd/standin-engine
+	cluster_key=$(random_key) operator_key=$(random_key) caller_key=$(random_key)
+	(umask 077 && printf 'cluster_key=%s\noperator_key=%s\ncaller_key=%s\nbase=%s\n' "$cluster_key" "$operator_key" "$caller_key" "$base" >"$dir/keys")
+	export CLUSTER_KEY=$cluster_key
+	echo "$dir" >"$last"
+	start_controls
+	start_entries
+	start_engines
+	configure || { echo "the fleet runs without configuration; see $dir/*.log" >&2; status; exit 1; }
+	status
+	echo "run folder: $dir"
+	echo "callers: http://$(address 11) with the caller_key in $dir/keys, model $model"
+}
+
+find_run() {
+	[ -n "$dir" ] || dir=$(cat "$last" 2>/dev/null) || true
+	if [ -z "$dir" ] || [ ! -e "$dir/processes" ]; then
+		echo "no run found: give its folder with --dir" >&2
+		exit 1
+	fi
+	dir=$(cd "$dir" && pwd)
+}
+
+# status fails if any process of the run is down.
+status() {
+	local name down=0
+	while read -r name; do
+		if alive "$name"; then
+			printf '%-24s pid %-8s running\n' "$name" "$(cat "$dir/$name.pid")"
+		else
+			printf '%-24s down\n' "$name"
+			down=$((down + 1))
+		fi
+	done <"$dir/processes"
+	echo "$down down"
+	[ $down = 0 ]
+}
+
+# stop_group PATTERN: sends SIGTERM to the processes of a group and waits up to 30 s;
+# the second SIGTERM after that cuts off what still runs.
+stop_group() {
+	local name names try
+	names=$(grep -E "$1" "$dir/processes" || true)
+	for try in $(seq 0 350); do
+		local left=''
+		for name in $names; do
+			alive "$name" || continue
+			left=1
+			case $try in
+			0 | 300) kill -TERM "$(cat "$dir/$name.pid")" 2>/dev/null || true ;;
+			340) kill -KILL "$(cat "$dir/$name.pid")" 2>/dev/null || true ;;
+			esac
+		done
+		[ -n "$left" ] || return 0
+		sleep 0.1
+	done
+}
+
+# stop ends entries first, so that what runs on the engines can be delivered.
+stop() {
+	stop_group '^entry-'
+	stop_group '^(engine|counter|order-desk)-'
+	stop_group '^control-'
+	mv "$dir/processes" "$dir/processes.stopped"
+	echo "stopped; files remain in $dir"
+}
+
+case $command in
+start) start ;;
+status) find_run && status ;;
+stop) find_run && stop ;;
+*) usage ;;
+esac
