local.sh: wait until entries have the configuration

Change: start waits 1 s after the last object. Checked: a streamed completion at all seven entries right after start.

--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -146,6 +146,8 @@
 	hash=$(printf %s "$caller_key" | sha256sum | cut -d' ' -f1)
 	hash=$(printf "$(printf %s "$hash" | sed 's/../\\x&/g')" | base64)
 	put "$account" OBJECT_KIND_CLIENT_ACCOUNT "\"client_account\":{\"weight\":1,\"key_hashes\":[\"$hash\"]}"
+	# Entries poll the configuration every 500 ms; without the wait a first call is refused.
+	sleep 1
 }
 
 random_key() { od -An -N16 -tx1 /dev/urandom | tr -d ' \n'; }
