standin: name the order of a finished load; announce without a proxy

Cause: the record's loaded events did not say which order they ended; announcements went through the default client, which follows HTTP_PROXY and keeps two idle connections for all engines of a process; the failure to write a record did not end the process, as net/http recovers panics of handlers. Change: loaded carries the order; each engine has its own client, which carries the clock; a failed write is fatal. Events leave out empty attributes. Checked: go test -race -count=3 of standin, timeline and timelines passes; golangci-lint reports 0 issues.

--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -131,7 +131,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+e.ClusterKey)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := e.client.Do(req)
 	if err != nil {
 		return reply, eris.Wrap(err, "announce")
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -139,6 +139,7 @@
 	orders   OrdersInForce
 	reports  reports
 	listener net.Listener
+	client   *http.Client
 	wake     chan struct{}
 	kick     chan struct{}
 	kill     context.CancelCauseFunc
@@ -206,9 +207,12 @@
 	e.mu.Lock()
 	e.kill = kill
 	e.mu.Unlock()
-	handler := e.handler()
+	handler, transport := e.handler(), &http.Transport{}
+	defer transport.CloseIdleConnections()
+	e.client = &http.Client{Transport: transport}
 	if e.Clock != nil {
 		handler = timeline.Handler(e.Clock, handler)
+		e.client.Transport = timeline.RoundTripper(e.Clock, transport)
 	}
 	srv := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
 	var g errgroup.Group
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -51,7 +51,7 @@
 	case "load_model":
 		if !slices.Contains(e.Models, m) && !slices.Contains(e.orders.Loading, m) {
 			e.orders.Loading = append(e.orders.Loading, m)
-			e.afterLoad(func() {
+			e.afterLoad(&o, func() {
 				e.orders.Loading = slices.DeleteFunc(e.orders.Loading, is)
 				e.Models = append(e.Models, m)
 				if e.state == engine.PhaseStarting {
@@ -63,7 +63,7 @@
 		e.Models = slices.DeleteFunc(e.Models, is)
 	case "load_adapter":
 		if !slices.Contains(e.orders.Adapters, o.Adapter) {
-			e.afterLoad(func() { e.orders.Adapters = append(e.orders.Adapters, o.Adapter) })
+			e.afterLoad(&o, func() { e.orders.Adapters = append(e.orders.Adapters, o.Adapter) })
 		}
 	case "set_role":
 		e.Role = o.Role
@@ -78,13 +78,15 @@
 }
 
 // afterLoad calls done when the weight store has delivered.
-func (e *Engine) afterLoad(done func()) {
+func (e *Engine) afterLoad(o *Order, done func()) {
 	wait := e.Weights.Reserve().Delay() + e.LoadTime
 	time.AfterFunc(wait, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		done()
-		e.record(e.event("loaded"))
+		ev := e.event("loaded")
+		ev.Order = o
+		e.record(ev)
 		signal(e.kick)
 	})
 }
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
@@ -50,7 +50,7 @@
 	events []Event
 }
 
-// write appends an event. A record that cannot be written ends the process:
+// write appends an event. A record that cannot be written ends the process, as
 // tests that read it would pass without proof.
 func (r *Record) write(ev Event) {
 	r.mu.Lock()
@@ -70,7 +70,7 @@
 		_, err = r.file.Write(append(line, '\n'))
 	}
 	if err != nil {
-		panic(eris.Wrap(err, "write record"))
+		klog.Fatalf("write record %s: %v", r.Path, err)
 	}
 }
 
--- a/pkg/serving/timeline/log.go
+++ b/pkg/serving/timeline/log.go
@@ -46,15 +46,18 @@
 	return &Log{path: path, process: process, clock: clock, queue: make(chan Event, bufferedEvents)}
 }
 
-// Add records an event; attributes are names and values in turn. It never waits:
-// the event is dropped and counted if too many wait for the disk.
+// Add records an event; attributes are names and values in turn, and those with
+// empty values are left out. It never waits: the event is dropped and counted if
+// too many wait for the disk.
 func (l *Log) Add(kind string, request serving.RequestID, attributes ...string) {
 	e := Event{Time: l.clock.Now(), Process: l.process, Kind: kind, RequestID: request}
 	if len(attributes) > 1 {
 		e.Attributes = make(map[string]string, len(attributes)/2)
 	}
 	for i := 0; i+1 < len(attributes); i += 2 {
-		e.Attributes[attributes[i]] = attributes[i+1]
+		if attributes[i+1] != "" {
+			e.Attributes[attributes[i]] = attributes[i+1]
+		}
 	}
 	select {
 	case l.queue <- e:
