--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -8,14 +8,14 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
-type state int
+type state string
 
 const (
-	queued state = iota
-	running
-	finished
-	cancelled
-	failed
+	queued   state = "queued"
+	running  state = "running"
+	finished state = "finished"
+	canceled state = "canceled"
+	failed   state = "failed"
 )
 
 // generation is one answer; its tokens follow from its ids, so only counts are kept.
@@ -35,6 +35,8 @@
 	prefillLeft int
 	blocks      int
 	readers     int
+	// delivered is true once a reader has got everything.
+	delivered bool
 	// since is the time of the last loss of a reader, or of the end.
 	since   time.Time
 	changed chan struct{}
@@ -48,6 +50,8 @@
 	return f
 }
 
+func (g *generation) active() bool { return g.state == queued || g.state == running }
+
 // notify wakes the streams that wait for this generation.
 func (g *generation) notify() {
 	close(g.changed)
@@ -186,12 +190,12 @@
 
 // end takes a generation out of the batch; it stays known for resuming.
 func (b *batch) end(g *generation, s state, now time.Time) {
-	if g.state > running {
+	if !g.active() {
 		return
 	}
 	b.release(g)
 	g.state, g.since = s, now
-	b.ended(map[state]string{finished: "finished", cancelled: "cancelled", failed: "failed"}[s], g)
+	b.ended(string(s), g)
 	g.notify()
 }
 
@@ -200,9 +204,11 @@
 func (b *batch) expire(now time.Time, grace, keep time.Duration) {
 	for id, g := range b.all {
 		switch {
-		case g.state <= running && g.readers == 0 && now.Sub(g.since) > grace:
-			b.end(g, cancelled, now)
-		case g.state > running && g.readers == 0 && now.Sub(g.since) > keep:
+		case g.active():
+			if g.readers == 0 && now.Sub(g.since) > grace {
+				b.end(g, canceled, now)
+			}
+		case g.readers == 0 && now.Sub(g.since) > keep:
 			delete(b.all, id)
 		}
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,42 +1,76 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
+// maxQueue bounds the waiting generations of one engine.
+const maxQueue = 256
+
 func (e *Engine) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("GET /v1/generations/{id}", e.resume)
-	mux.HandleFunc("DELETE /v1/generations/{id}", e.cancel)
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, map[string]string{}) })
+	mux.HandleFunc("DELETE /v1/generations/{id}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, struct{}{}, e.cancel(serving.GenerationID(r.PathValue("id"))))
+	})
+	mux.HandleFunc("POST /v1/orders", handle(e.runOrder))
+	mux.HandleFunc("GET /v1/orders", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.readBack(), nil) })
+	mux.HandleFunc("POST /v1/call/{path...}", e.call)
+	mux.HandleFunc("GET /v1/calls/{key}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, e.lookup(r.PathValue("key")), nil)
+	})
+	mux.HandleFunc("POST /v1/faults", handle(e.Inject))
+	mux.HandleFunc("POST /v1/reclaim", handle(e.reclaim))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { reply(w, struct{}{}, nil) })
 	return mux
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
+// handle returns a handler that decodes the body for f and answers with it.
+func handle[T any](f func(body T) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body T
+		err := decode(r.Body, &body)
+		if err == nil {
+			err = f(body)
+		}
+		reply(w, body, err)
+	}
+}
+
+var statuses = map[serving.Kind]int{
+	serving.KindInvalid: 400, serving.KindNotFound: 404, serving.KindUnknownModel: 404,
+	serving.KindConflict: 409, serving.KindTooLarge: 413,
+}
+
+// reply answers with v, or with err in the refusal format of section 6.1 of the design page.
+func reply(w http.ResponseWriter, v any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		t := serving.AsError(err)
+		status = cmp.Or(statuses[t.Kind], http.StatusServiceUnavailable)
+		v = map[string]any{"error": map[string]any{
+			"kind": t.Kind, "message": t.Message, "remedy": t.Remedy, "ran": t.Ran,
+			"retry_after_ms": t.RetryAfter.Milliseconds(),
+		}}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// writeError answers with the refusal format of section 6.1 of the design page.
-func writeError(w http.ResponseWriter, status int, err error) {
-	t := serving.AsError(err)
-	writeJSON(w, status, map[string]any{"error": map[string]any{
-		"kind": t.Kind, "message": t.Message, "remedy": t.Remedy, "ran": t.Ran,
-		"retry_after_ms": t.RetryAfter.Milliseconds(),
-	}})
-}
-
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	c, err := DecodeCompletion(r.Body)
 	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
+		reply(w, nil, err)
 		return
 	}
 	priority, err := strconv.Atoi(r.Header.Get("X-Priority"))
@@ -49,53 +83,86 @@
 		hashes: PrefixHashes(c.Prompt, e.Capacity.BlockTokens), readers: 1,
 	}
 	g.length, g.finish = AnswerLength(c)
-	if status, err := e.submit(g); err != nil {
-		writeError(w, status, err)
+	if err := e.submit(g, c.Model); err != nil {
+		reply(w, nil, err)
 		return
 	}
 	e.stream(w, r, g, 0)
 }
 
+// refusal tells whether a call is refused before anything runs.
+func (e *Engine) refusal() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.fault("refuse"); ok {
+		return serving.NewError(serving.KindOverloaded, "engine refuses calls as requested")
+	}
+	if e.state == engine.PhaseLeaving && time.Since(e.leftAt) > leaveAccept {
+		return serving.NewError(serving.KindDraining, "engine leaves")
+	}
+	return nil
+}
+
 // submit checks a generation and queues it.
-func (e *Engine) submit(g *generation) (int, error) {
+func (e *Engine) submit(g *generation, model serving.ModelID) error {
 	if g.request == "" || g.id == "" {
-		return http.StatusBadRequest, serving.NewError(serving.KindInvalid, "headers X-Request-Id and X-Generation-Id are required")
+		return serving.NewError(serving.KindInvalid, "headers X-Request-Id and X-Generation-Id are required")
 	}
 	room := int(e.Capacity.MemoryBlocks)*int(e.Capacity.BlockTokens) - g.prompt
 	if room < 1 {
-		return http.StatusRequestEntityTooLarge, serving.NewError(serving.KindTooLarge, "prompt exceeds the engine's memory")
+		return serving.NewError(serving.KindTooLarge, "prompt exceeds the engine's memory")
 	}
 	if g.length > room {
 		g.length, g.finish = room, "length"
 	}
+	if err := e.refusal(); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	carries := func(m engine.ModelRef) bool { return m.Model == model || model == "" }
+	if !slices.ContainsFunc(e.Models, carries) {
+		return serving.NewError(serving.KindUnknownModel, "engine does not carry model "+string(model))
+	}
 	if e.batch.all[g.id] != nil {
-		return http.StatusConflict, serving.NewError(serving.KindConflict, "generation id is in use").WithRan(serving.DidRun)
+		return serving.NewError(serving.KindConflict, "generation id is in use").WithRan(serving.DidRun)
+	}
+	if len(e.batch.queue) >= maxQueue {
+		return serving.NewError(serving.KindOverloaded, "queue is full")
 	}
+	now := time.Now()
 	e.batch.add(g)
-	e.wakeUp()
-	return 0, nil
+	e.recordGeneration("given", g)
+	if e.cold(now) && now.After(e.tolerant) && len(e.batch.running)+len(e.batch.queue) > int(e.Capacity.ColdRunning) {
+		e.fallOver(now)
+	}
+	signal(e.wake)
+	return nil
 }
 
-func (e *Engine) wakeUp() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
+// reclaimBody is the body of a reclaim; the deadline counts from now.
+type reclaimBody struct {
+	DeadlineMS int64 `json:"deadline_ms"`
+}
+
+func (e *Engine) reclaim(b reclaimBody) error {
+	e.Leave(time.Duration(b.DeadlineMS) * time.Millisecond)
+	return nil
 }
 
+var errNoGeneration = serving.NewError(serving.KindNotFound, "no such generation or index").WithRan(serving.RanUnknown)
+
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
-	from, err := strconv.Atoi(r.FormValue("from"))
-	if r.FormValue("from") != "" && (err != nil || from < 0) {
-		writeError(w, http.StatusBadRequest, serving.NewError(serving.KindInvalid, "from must be a token index"))
+	from, err := strconv.Atoi(cmp.Or(r.FormValue("from"), "0"))
+	if err != nil || from < 0 {
+		reply(w, nil, serving.NewError(serving.KindInvalid, "from must be a token index"))
 		return
 	}
 	e.mu.Lock()
 	g := e.batch.all[serving.GenerationID(r.PathValue("id"))]
-	if g == nil || g.state == cancelled || g.state == failed || from > g.length {
+	if g == nil || g.state == canceled || g.state == failed || from > g.length {
 		e.mu.Unlock()
-		writeError(w, http.StatusNotFound, serving.NewError(serving.KindNotFound, "no such generation or index").WithRan(serving.RanUnknown))
+		reply(w, nil, errNoGeneration)
 		return
 	}
 	g.readers++
@@ -103,78 +170,13 @@
 	e.stream(w, r, g, from)
 }
 
-func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) cancel(id serving.GenerationID) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	g := e.batch.all[serving.GenerationID(r.PathValue("id"))]
+	g := e.batch.all[id]
 	if g == nil {
-		writeError(w, http.StatusNotFound, serving.NewError(serving.KindNotFound, "no such generation"))
-		return
-	}
-	e.batch.end(g, cancelled, time.Now())
-	writeJSON(w, http.StatusOK, map[string]any{"generation_id": g.id, "tokens": g.produced})
-}
-
-// stream sends frames from an index on until the generation ends or the reader leaves.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, from int) {
-	defer func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		g.readers--
-		g.since = time.Now()
-	}()
-	out := &sseWriter{w: w, flush: http.NewResponseController(w)}
-	out.start()
-	for {
-		e.mu.Lock()
-		produced, st, changed := g.produced, g.state, g.changed
-		e.mu.Unlock()
-		for ; from < produced; from++ {
-			if out.frame(g.frame(from)) != nil {
-				return
-			}
-		}
-		switch st {
-		case finished:
-			out.done()
-			return
-		case cancelled, failed:
-			// Ending the response without [DONE] would look like a clean end to some clients.
-			panic(http.ErrAbortHandler)
-		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
-// sseWriter writes server-sent events.
-type sseWriter struct {
-	w     http.ResponseWriter
-	flush *http.ResponseController
-}
-
-func (s *sseWriter) start() {
-	s.w.Header().Set("Content-Type", "text/event-stream")
-	s.w.WriteHeader(http.StatusOK)
-	_ = s.flush.Flush()
-}
-
-func (s *sseWriter) frame(f Frame) error {
-	data, err := json.Marshal(f)
-	if err != nil {
-		return err
-	}
-	return s.event(data)
-}
-
-func (s *sseWriter) event(data []byte) error {
-	if _, err := s.w.Write(append(append([]byte("data: "), data...), "\n\n"...)); err != nil {
-		return err
+		return errNoGeneration
 	}
-	return s.flush.Flush()
+	e.batch.end(g, canceled, time.Now())
+	return nil
 }
-
-func (s *sseWriter) done() { _ = s.event([]byte("[DONE]")) }
