--- /dev/null
+++ b/pkg/serving/dispatch/holder.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// HolderConfig configures a holder. Zero values mean the defaults.
+type HolderConfig struct {
+	SlotConfig
+	// Spare is the number of slots kept beyond the demand, which saves the round
+	// trip to the owner (default 1; negative for none).
+	Spare serving.Slots
+	// Timeout is the time after which a request without reply is sent anew
+	// (default TTL/4).
+	Timeout time.Duration
+}
+
+// Holder is an entry's side of the slots of one engine.
+type Holder struct {
+	cfg         HolderConfig
+	engine      serving.EngineID
+	entry       EntryID
+	incarnation serving.Incarnation
+	slots       map[serving.SlotID]*heldSlot
+	seq, ack    uint64
+	sentAt      time.Duration
+	waiting     bool
+	retryAt     time.Duration
+	demand      serving.Slots
+	released    bool
+	limit       serving.Slots
+	// uses numbers all generations of this holder, so that a slot that is
+	// released and granted again never shows an earlier number.
+	uses uint32
+}
+
+type heldSlot struct {
+	expires     time.Duration
+	incarnation serving.Incarnation
+	uses        uint32
+	running     bool
+	retired     bool
+}
+
+// NewHolder returns a holder without slots.
+func NewHolder(cfg HolderConfig, engine serving.EngineID, entry EntryID) *Holder {
+	cfg.SlotConfig = cfg.withDefaults()
+	cfg.Spare = orDefault(cfg.Spare, 1)
+	cfg.Timeout = orDefault(cfg.Timeout, cfg.TTL/4)
+	return &Holder{cfg: cfg, engine: engine, entry: entry, slots: map[serving.SlotID]*heldSlot{}}
+}
+
+// SetDemand sets the number of requests that wait for a slot at this engine.
+func (h *Holder) SetDemand(n serving.Slots) { h.demand = n }
+
+// SetIncarnation drops the slots of earlier incarnations of the engine.
+func (h *Holder) SetIncarnation(i serving.Incarnation) {
+	h.incarnation = max(h.incarnation, i)
+	for id, s := range h.slots {
+		if s.incarnation < h.incarnation && !s.running {
+			delete(h.slots, id)
+			h.released = true
+		}
+	}
+}
+
+// Limit returns the engine's limit as last told by its owner.
+func (h *Holder) Limit() serving.Slots { return h.limit }
+
+// Free returns the number of generations that may start now.
+func (h *Holder) Free(now time.Duration) serving.Slots {
+	var n serving.Slots
+	for _, s := range h.slots {
+		if h.usable(now, s) {
+			n++
+		}
+	}
+	return n
+}
+
+// Running returns the number of generations that run under slots.
+func (h *Holder) Running() serving.Slots {
+	var n serving.Slots
+	for _, s := range h.slots {
+		if s.running {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *Holder) usable(now time.Duration, s *heldSlot) bool {
+	return !s.running && !s.retired && now < s.expires && s.incarnation >= h.incarnation
+}
+
+// Acquire takes a slot for one generation that starts now.
+func (h *Holder) Acquire(now time.Duration) (Slot, bool) {
+	var best serving.SlotID
+	var found *heldSlot
+	for id, s := range h.slots {
+		// The order of a map is random; the id breaks ties for reproducible runs.
+		if h.usable(now, s) && (found == nil || s.expires > found.expires || s.expires == found.expires && id < best) {
+			best, found = id, s
+		}
+	}
+	if found == nil {
+		return Slot{}, false
+	}
+	found.running = true
+	h.uses++
+	found.uses = h.uses
+	return Slot{ID: best, Engine: h.engine, Incarnation: found.incarnation, Expires: found.expires}, true
+}
+
+// Release ends the generation that ran under a slot.
+func (h *Holder) Release(now time.Duration, id serving.SlotID) {
+	s := h.slots[id]
+	if s == nil {
+		return
+	}
+	s.running = false
+	if !h.usable(now, s) {
+		delete(h.slots, id)
+		h.released = true
+	}
+}
+
+// Request returns the next request to the owner when one is due.
+func (h *Holder) Request(now time.Duration) (SlotRequest, bool) {
+	if h.waiting && now-h.sentAt < h.cfg.Timeout {
+		return SlotRequest{}, false
+	}
+	for id, s := range h.slots {
+		if !s.running && !h.usable(now, s) {
+			delete(h.slots, id)
+			h.released = true
+		}
+	}
+	want := h.want(now)
+	due := h.released || want > 0 && now >= h.retryAt
+	if !due && (len(h.slots) == 0 || now-h.sentAt < h.cfg.TTL/3) {
+		return SlotRequest{}, false
+	}
+	h.seq++
+	h.sentAt, h.waiting, h.released = now, true, false
+	q := SlotRequest{Engine: h.engine, Entry: h.entry, Seq: h.seq, Ack: h.ack, Want: want}
+	for id, s := range h.slots {
+		q.Held = append(q.Held, HeldSlot{ID: id, Uses: s.uses, Running: s.running})
+	}
+	// Slots in use come first, because the owner renews in this order.
+	slices.SortFunc(q.Held, func(a, b HeldSlot) int {
+		if a.Running != b.Running {
+			if a.Running {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return q, true
+}
+
+func (h *Holder) want(now time.Duration) serving.Slots {
+	if h.demand == 0 && h.Running() == 0 {
+		return 0
+	}
+	return max(0, h.demand+max(0, h.cfg.Spare)-h.Free(now))
+}
+
+// Reply takes in the answer to the latest request; others are ignored, because
+// the owner may have given their slots away since. The slots expire here before
+// they expire at the owner: the time runs from the sending of the request and is
+// shortened by the largest drift.
+func (h *Holder) Reply(now time.Duration, p SlotReply) {
+	if p.Engine != h.engine || p.Seq != h.seq || !h.waiting {
+		return
+	}
+	h.waiting, h.ack, h.limit = false, p.Seq, p.Limit
+	h.retryAt = now + p.RetryAfter
+	expires := h.sentAt + time.Duration(float64(p.TTL)*(1-h.cfg.MaxDrift))
+	listed := make(map[serving.SlotID]bool, len(p.Slots))
+	for _, id := range p.Slots {
+		listed[id] = true
+		s := h.slots[id]
+		if s == nil {
+			s = &heldSlot{incarnation: p.Incarnation}
+			h.slots[id] = s
+		}
+		s.expires, s.retired = expires, false
+	}
+	for _, id := range p.Retired {
+		if s := h.slots[id]; s != nil {
+			s.retired = true
+		}
+	}
+	for id, s := range h.slots {
+		if !s.running && (s.retired || !listed[id]) {
+			delete(h.slots, id)
+			h.released = true
+		}
+	}
+	if p.Reclaim {
+		h.giveBack(now)
+	}
+	h.SetIncarnation(p.Incarnation)
+}
+
+// giveBack releases free slots that no waiting request needs.
+func (h *Holder) giveBack(now time.Duration) {
+	var free []serving.SlotID
+	for id, s := range h.slots {
+		if h.usable(now, s) {
+			free = append(free, id)
+		}
+	}
+	slices.Sort(free)
+	for i := h.demand; i < serving.Slots(len(free)); i++ {
+		delete(h.slots, free[i])
+		h.released = true
+	}
+}
--- /dev/null
+++ b/pkg/serving/dispatch/slots_test.go
@@ -0,0 +1,400 @@
+package dispatch_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/dispatch"
+)
+
+const (
+	slotLimit = 8
+	// Faults end at slotFaulty; the longest one and the wait of a new owner are
+	// over at slotQuiet.
+	slotFaulty = 140 * time.Second
+	slotQuiet  = 160 * time.Second
+	slotEnd    = 200 * time.Second
+)
+
+// slotFaults selects a deliberately broken variant.
+type slotFaults struct {
+	noWait, ignoreExpiry bool
+}
+
+// slotCluster simulates several entries and one engine in true time. Each entry
+// has its own drifting clock; messages are lost, late and repeated.
+type slotCluster struct {
+	faults      slotFaults
+	rng         *rand.Rand
+	now         time.Duration
+	events      slotEvents
+	entries     []*slotEntry
+	epoch       uint64
+	owner       int
+	running     int
+	incarnation serving.Incarnation
+	starts      int
+	quietStarts int
+	exceeded    int
+	limit       serving.Slots
+	highUntil   time.Duration
+}
+
+type slotEntry struct {
+	id          int
+	incarnation serving.Incarnation
+	rate        float64
+	offset      time.Duration
+	dead, cut   bool
+	frozenUntil time.Duration
+	inbox       []func()
+	epoch       uint64
+	ownerIs     int
+	confirmed   time.Duration
+	owner       *dispatch.Owner
+	holder      *dispatch.Holder
+}
+
+type slotEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type slotEvents []slotEvent
+
+func (e slotEvents) Len() int { return len(e) }
+func (e slotEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e slotEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *slotEvents) Push(x any)   { *e = append(*e, x.(slotEvent)) }
+func (e *slotEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+var slotSeq int
+
+func (c *slotCluster) after(d time.Duration, f func()) {
+	slotSeq++
+	heap.Push(&c.events, slotEvent{c.now + d, slotSeq, f})
+}
+
+// clock returns the entry's own monotonic time.
+func (c *slotCluster) clock(e *slotEntry) time.Duration {
+	return e.offset + time.Duration(float64(c.now)*e.rate)
+}
+
+func (c *slotCluster) uniform(low, high time.Duration) time.Duration {
+	return low + time.Duration(c.rng.Int64N(int64(high-low)))
+}
+
+// send delivers a message from one entry to another unless it is lost.
+func (c *slotCluster) send(from, to *slotEntry, f func()) {
+	copies := 1
+	switch p := c.rng.Float64(); {
+	case p < 0.1 || from.cut != to.cut && from != to:
+		return
+	case p < 0.15:
+		copies = 2
+	}
+	born := to.incarnation
+	for range copies {
+		d := c.uniform(time.Millisecond, 60*time.Millisecond)
+		if c.rng.Float64() < 0.1 {
+			d = c.uniform(60*time.Millisecond, 1500*time.Millisecond)
+		}
+		c.after(d, func() {
+			if to.incarnation == born {
+				c.receive(to, f)
+			}
+		})
+	}
+}
+
+// receive runs f at an entry, or once it is no longer frozen.
+func (c *slotCluster) receive(e *slotEntry, f func()) {
+	switch {
+	case e.dead:
+	case c.now < e.frozenUntil:
+		e.inbox = append(e.inbox, f)
+	default:
+		f()
+	}
+}
+
+func (c *slotCluster) restart(e *slotEntry) {
+	e.incarnation++
+	e.dead, e.inbox, e.epoch, e.owner, e.confirmed = false, nil, 0, nil, -time.Hour
+	e.holder = dispatch.NewHolder(dispatch.HolderConfig{}, "engine", e.entryID())
+}
+
+func (e *slotEntry) entryID() dispatch.EntryID {
+	return dispatch.EntryID{Host: serving.HostID(fmt.Sprint("entry", e.id)), Incarnation: e.incarnation}
+}
+
+// poll fetches the configuration view; its age runs from the sending.
+func (c *slotCluster) poll(e *slotEntry) {
+	if e.cut {
+		return
+	}
+	sent, born := c.clock(e), e.incarnation
+	c.after(c.uniform(time.Millisecond, 50*time.Millisecond), func() {
+		epoch, owner := c.epoch, c.owner
+		c.after(c.uniform(time.Millisecond, 200*time.Millisecond), func() {
+			if e.incarnation == born && !e.cut {
+				c.receive(e, func() { c.view(e, sent, epoch, owner) })
+			}
+		})
+	})
+}
+
+func (c *slotCluster) view(e *slotEntry, sent time.Duration, epoch uint64, owner int) {
+	if epoch < e.epoch {
+		return
+	}
+	if epoch > e.epoch {
+		kept := e.owner != nil && owner == e.id && epoch == e.epoch+1
+		if !kept {
+			e.owner = nil
+		}
+		e.epoch, e.ownerIs = epoch, owner
+		if owner == e.id && !kept {
+			var from *dispatch.Handover
+			if c.faults.noWait {
+				from = &dispatch.Handover{}
+			}
+			term := dispatch.OwnerTerm{Epoch: epoch, Owner: e.entryID()}
+			e.owner = dispatch.NewOwner(dispatch.SlotConfig{}, "engine", term, c.clock(e), from)
+		}
+	}
+	e.confirmed = max(e.confirmed, sent)
+	if e.owner != nil {
+		e.owner.ViewConfirmed(sent)
+	}
+}
+
+// step lets one entry do its periodic work.
+func (c *slotCluster) step(e *slotEntry) {
+	if e.dead || c.now < e.frozenUntil {
+		return
+	}
+	inbox := e.inbox
+	e.inbox = nil
+	now := c.clock(e)
+	demand := serving.Slots(c.rng.IntN(4))
+	e.holder.SetDemand(demand)
+	// A woken entry starts work before it reads its messages, the worst order.
+	for range demand {
+		c.start(e, now)
+	}
+	for _, f := range inbox {
+		f()
+	}
+	if q, ok := e.holder.Request(now); ok {
+		to := c.entries[e.ownerIs]
+		c.send(e, to, func() {
+			if to.owner == nil {
+				return
+			}
+			to.owner.SetLimit(c.limit)
+			if p, ok := to.owner.Grant(c.clock(to), q); ok {
+				if c.faults.ignoreExpiry {
+					p.TTL = time.Hour
+				}
+				c.send(to, e, func() { e.holder.Reply(c.clock(e), p) })
+			}
+		})
+	}
+}
+
+func (c *slotCluster) start(e *slotEntry, now time.Duration) {
+	s, ok := e.holder.Acquire(now)
+	if !ok {
+		return
+	}
+	if s.Incarnation != c.incarnation {
+		// The engine refuses a slot of another incarnation.
+		e.holder.Release(now, s.ID)
+		return
+	}
+	allowed := c.limit
+	if c.now < c.highUntil {
+		allowed = slotLimit
+	}
+	c.starts++
+	if c.now >= slotQuiet {
+		c.quietStarts++
+	}
+	c.running++
+	if serving.Slots(c.running) > allowed {
+		c.exceeded++
+	}
+	d := c.uniform(50*time.Millisecond, 3*time.Second)
+	if c.rng.Float64() < 0.1 {
+		d = c.uniform(3*time.Second, 20*time.Second)
+	}
+	born, engine := e.incarnation, c.incarnation
+	c.after(d, func() {
+		if engine == c.incarnation {
+			c.running--
+		}
+		if e.incarnation == born {
+			c.receive(e, func() { e.holder.Release(c.clock(e), s.ID) })
+		}
+	})
+}
+
+func (c *slotCluster) report() {
+	load := serving.Load{Running: serving.Slots(c.running)}
+	i, incarnation := c.owner, c.incarnation
+	if c.rng.Float64() < 0.1 {
+		i = c.rng.IntN(len(c.entries))
+	}
+	e := c.entries[i]
+	if c.rng.Float64() < 0.1 || e.cut {
+		return
+	}
+	born := e.incarnation
+	// A report that a frozen entry reads late exceeds the lag bound; the entry
+	// drops it, as the time on its connection shows.
+	c.after(c.uniform(time.Millisecond, 400*time.Millisecond), func() {
+		if e.incarnation == born && !e.dead && c.now >= e.frozenUntil && e.owner != nil {
+			e.owner.Report(c.clock(e), incarnation, load)
+		}
+	})
+}
+
+func (c *slotCluster) fault() {
+	e := c.entries[c.rng.IntN(len(c.entries))]
+	if c.rng.IntN(2) == 0 {
+		e = c.entries[c.owner]
+	}
+	switch c.rng.IntN(6) {
+	case 0:
+		if !e.dead {
+			e.dead = true
+			c.after(c.uniform(100*time.Millisecond, 5*time.Second), func() { c.restart(e) })
+		}
+	case 1:
+		e.frozenUntil = c.now + c.uniform(100*time.Millisecond, 8*time.Second)
+	case 2:
+		e.cut = true
+		c.after(c.uniform(100*time.Millisecond, 8*time.Second), func() { e.cut = false })
+	case 3:
+		c.epoch++
+		c.owner = c.rng.IntN(len(c.entries))
+	case 4:
+		// A lower limit is in force once the slots under the higher one expired.
+		if c.limit == slotLimit {
+			c.limit = 3
+			c.highUntil = c.now + 1100*time.Millisecond
+		} else {
+			c.limit = slotLimit
+		}
+	case 5:
+		c.incarnation++
+		c.running = 0
+	}
+}
+
+func runSlots(seed uint64, faults slotFaults) *slotCluster {
+	c := &slotCluster{faults: faults, rng: rand.New(rand.NewPCG(seed, 7)), epoch: 1, incarnation: 1, limit: slotLimit}
+	for i := range 5 {
+		e := &slotEntry{id: i, rate: 0.976 + 0.048*c.rng.Float64(), offset: c.uniform(0, time.Hour)}
+		c.entries = append(c.entries, e)
+		c.restart(e)
+	}
+	every := func(d time.Duration, f func()) {
+		var again func()
+		again = func() { f(); c.after(d, again) }
+		c.after(0, again)
+	}
+	every(20*time.Millisecond, func() {
+		for _, e := range c.entries {
+			c.step(e)
+		}
+	})
+	every(500*time.Millisecond, func() {
+		for _, e := range c.entries {
+			c.receive(e, func() { c.poll(e) })
+		}
+	})
+	every(250*time.Millisecond, c.report)
+	every(3*time.Second, func() {
+		if c.now < slotFaulty {
+			c.fault()
+		}
+	})
+	c.after(slotFaulty, func() { c.limit = slotLimit })
+	for c.now < slotEnd && c.events.Len() > 0 {
+		e := heap.Pop(&c.events).(slotEvent)
+		c.now = e.at
+		e.run()
+	}
+	return c
+}
+
+// Guards against the limit of an engine being exceeded by all entries together
+// while owners die, freeze, are cut off and change, and against slots that stay
+// lost after such faults.
+func TestSlotsNeverExceedLimitJointly(t *testing.T) {
+	starts, quiet := 0, 0
+	for seed := range uint64(40) {
+		c := runSlots(seed, slotFaults{})
+		assert.Equal(t, c.exceeded, 0, "seed %d", seed)
+		starts += c.starts
+		quiet += c.quietStarts
+	}
+	// A generation lasts 2.5 s on average, so that 8 slots carry 3.2 per second.
+	t.Logf("%d starts, %d of them after the faults", starts, quiet)
+	assert.Assert(t, float64(quiet) > 0.8*3.2*40*(slotEnd-slotQuiet).Seconds(), "only %d starts after the faults", quiet)
+}
+
+// Guards against a joint-limit test that can't fail.
+func TestSlotsBrokenVariantsAreRejected(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults slotFaults
+	}{
+		{"no wait on new ownership", slotFaults{noWait: true}},
+		{"holder ignores expiry", slotFaults{ignoreExpiry: true}},
+	}
+	for _, tt := range tests {
+		exceeded := 0
+		for seed := range uint64(40) {
+			exceeded += runSlots(seed, tt.faults).exceeded
+		}
+		t.Logf("%s: %d starts beyond the limit", tt.name, exceeded)
+		assert.Assert(t, exceeded > 0, tt.name)
+	}
+}
+
+// Guards against slots that are counted forever after their entry died.
+func TestOwnerReclaimsSlotsOfDeadEntry(t *testing.T) {
+	o := dispatch.NewOwner(dispatch.SlotConfig{}, "e", dispatch.OwnerTerm{}, 0, &dispatch.Handover{})
+	o.SetLimit(4)
+	o.ViewConfirmed(0)
+	q := dispatch.SlotRequest{Engine: "e", Entry: dispatch.EntryID{Host: "a", Incarnation: 1}, Seq: 1, Want: 4}
+	p, ok := o.Grant(0, q)
+	assert.Assert(t, ok && len(p.Slots) == 4)
+	assert.Equal(t, o.Usage(2*time.Second), serving.Slots(4), "a lapsed slot may still be in use")
+	o.Report(2*time.Second, 1, serving.Load{Running: 1})
+	assert.Equal(t, o.Usage(2*time.Second), serving.Slots(1))
+	q = dispatch.SlotRequest{Engine: "e", Entry: dispatch.EntryID{Host: "b", Incarnation: 1}, Seq: 1, Want: 9}
+	o.ViewConfirmed(2 * time.Second)
+	p, ok = o.Grant(2*time.Second, q)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(p.Slots), 3)
+	_, ok = o.Grant(5*time.Second, dispatch.SlotRequest{Engine: "e", Entry: q.Entry, Seq: 2})
+	assert.Assert(t, !ok, "granted under an expired view")
+}
