--- /dev/null
+++ b/pkg/serving/account/doc.go
@@ -0,0 +1,25 @@
+// Package account has the decision logic for client accounts: authentication by
+// key, limits in tokens and in concurrent requests, shares of one limit over all
+// entries, and a weighted fair queue.
+//
+// All types are state machines without sockets, clocks, files or goroutines, and
+// apart from [Keyring] they are not safe for concurrent use. Times are
+// [time.Duration] values since an arbitrary monotonic origin of the process.
+//
+// # Usage
+//
+//	ring := account.NewKeyring(keys)
+//	id, ok := ring.Authenticate(key)
+//
+//	limiter := account.NewTokenLimiter()
+//	limiter.SetRate(id, account.Rate{PerSecond: 10_000, Burst: 50_000})
+//	wait, ok := limiter.Take(now, id, prompt+expected) // before the request runs
+//	limiter.Charge(now, id, ran-expected)              // after it ran
+//
+//	queue := account.NewQueue(account.QueueConfig{})
+//	evicted, err := queue.Push(now, account.Item{Request: r, Cost: cost, Weight: 1})
+//	item, ok := queue.Pop(now, admit)
+//
+// Push returns a [*serving.Error] of kind [serving.KindOverloaded] with a
+// Retry-After that follows from the measured drain rate; the request did not run.
+package account
--- /dev/null
+++ b/pkg/serving/account/keys.go
@@ -0,0 +1,80 @@
+package account
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// KeyHash is the SHA-256 hash of a key. Keys are random and long, so that a slow
+// password hash would add cost to each request without adding safety.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// String returns the hash in hexadecimal.
+func (h KeyHash) String() string { return hex.EncodeToString(h[:]) }
+
+// ParseKeyHash parses the hexadecimal form.
+func ParseKeyHash(s string) (KeyHash, error) {
+	var h KeyHash
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(h) {
+		return h, serving.NewError(serving.KindInvalid, "key hash is not 64 hexadecimal digits")
+	}
+	copy(h[:], b)
+	return h, nil
+}
+
+// Bearer returns the key in an Authorization header.
+func Bearer(header string) (string, bool) {
+	scheme, key, ok := strings.Cut(header, " ")
+	key = strings.TrimSpace(key)
+	return key, ok && strings.EqualFold(scheme, "Bearer") && key != ""
+}
+
+// Keyring finds the account of a key. It is immutable and safe for concurrent use.
+type Keyring struct {
+	byPrefix map[[4]byte][]ringKey
+}
+
+type ringKey struct {
+	hash    KeyHash
+	account serving.ClientAccountID
+}
+
+// NewKeyring returns a keyring of the hashes of each account's keys.
+func NewKeyring(keys map[serving.ClientAccountID][]KeyHash) *Keyring {
+	k := &Keyring{byPrefix: map[[4]byte][]ringKey{}}
+	for account, hashes := range keys {
+		for _, h := range hashes {
+			p := [4]byte(h[:4])
+			k.byPrefix[p] = append(k.byPrefix[p], ringKey{h, account})
+		}
+	}
+	return k
+}
+
+// Authenticate returns the account of a key. The time it takes depends on the
+// hash of the key only in its first bytes, from which the key can't be derived;
+// full hashes are compared in constant time.
+func (k *Keyring) Authenticate(key string) (serving.ClientAccountID, bool) {
+	h := HashKey(key)
+	candidates := k.byPrefix[[4]byte(h[:4])]
+	if len(candidates) == 0 {
+		// An unknown prefix costs one comparison too.
+		candidates = []ringKey{{}}
+	}
+	var account serving.ClientAccountID
+	found := 0
+	for i := range candidates {
+		if subtle.ConstantTimeCompare(candidates[i].hash[:], h[:]) == 1 {
+			account, found = candidates[i].account, 1
+		}
+	}
+	return account, found == 1 && account != ""
+}
