--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 
@@ -65,14 +66,16 @@
 	}
 }
 
+var errInvalidSettings = errors.New("some settings are invalid")
+
 // run checks every file, so that one run shows the first fault of each.
 func (c *checkCommand) run() error {
 	var failed error
 	for _, path := range c.Files {
 		_, err := settings.Load(path)
 		if err != nil {
-			failed = fmt.Errorf("%s: %w", path, err)
-			fmt.Fprintln(os.Stderr, failed)
+			fmt.Fprintf(os.Stderr, "%s: %v\n", path, err)
+			failed = errInvalidSettings
 			continue
 		}
 		fmt.Println(path + ": ok")
--- a/cmd/turmericdrum/processes.go
+++ b/cmd/turmericdrum/processes.go
@@ -55,7 +55,7 @@
 }
 
 func (c *controlCommand) run() error {
-	if done, err := c.FolderCommand.Run(os.Stdout); done {
+	if done, err := c.Run(os.Stdout); done {
 		return err
 	}
 	if c.Settings == "" {
--- a/internal/e2e/thinpath_test.go
+++ b/internal/e2e/thinpath_test.go
@@ -26,7 +26,7 @@
 			Replicas: []settings.Replica{{Host: "control-1", Address: settings.Address(controlAddress)}},
 		},
 	}
-	f.start("control-1", controlAddress, "turmericdrum", "control", "--settings", f.writeSettings("control-1", cs))
+	f.start("control-1", controlAddress, "turmericdrum", "control", "--bootstrap", "--settings", f.writeSettings("control-1", cs))
 	es := f.entrySettings("entry-1", entryAddress, []string{controlAddress})
 	f.start("entry-1", entryAddress, "turmericdrum", "entry", "--settings", f.writeSettings("entry-1", es))
 	for _, name := range []string{"engine-1", "engine-2"} {
