--- a/internal/admin/command.go
+++ b/internal/admin/command.go
@@ -33,7 +33,7 @@
 	Status    *StatusCommand  `arg:"subcommand:status" help:"state of the control replicas"`
 	Members   *MembersCommand `arg:"subcommand:members" help:"membership of the replicated log"`
 
-	// Transport sends the calls; nil means http.DefaultTransport.
+	// Transport sends the calls; nil means direct connections.
 	Transport http.RoundTripper `arg:"-"`
 	// Now gives the time of issue; nil means time.Now.
 	Now func() time.Time `arg:"-"`
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -84,7 +84,7 @@
 	if s.Replica == nil {
 		return nil, serving.NewError(serving.KindInternal, "this process has no replica of its own")
 	}
-	st := s.Replica.Status()
+	st := proto.CloneOf(s.Replica.Status())
 	st.Revision = uint64(s.Machine.Revision())
 	return st, nil
 }
--- a/internal/rpc/auth.go
+++ b/internal/rpc/auth.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -67,11 +69,19 @@
 	return b.next.RoundTrip(r)
 }
 
+// defaultTransport connects to the replicas directly: a proxy of the environment
+// would see the keys.
+var defaultTransport = &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	MaxIdleConnsPerHost: 16,
+	IdleConnTimeout:     time.Minute,
+}
+
 // HTTPClient returns a client that sends the key with each call and follows no
 // redirect, which would carry the key elsewhere.
 func HTTPClient(key string, transport http.RoundTripper) *http.Client {
 	if transport == nil {
-		transport = http.DefaultTransport
+		transport = defaultTransport
 	}
 	return &http.Client{
 		Transport:     bearer{key, transport},
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -37,7 +37,7 @@
 	Addresses []string
 	// Key is the operator key or the cluster key.
 	Key string
-	// Transport sends the calls; nil means http.DefaultTransport.
+	// Transport sends the calls; nil means direct connections.
 	Transport http.RoundTripper
 	// Timeout bounds a call with all its attempts if its context has no deadline.
 	Timeout time.Duration
--- /dev/null
+++ b/pkg/serving/fleet/engine.go
@@ -0,0 +1,17 @@
+package fleet
+
+import "slices"
+
+// inService reports whether an engine takes work.
+func (e *Engine) inService() bool { return e.State == Ready && !e.Out }
+
+func (e *Engine) carries(m ModelVersion) bool { return slices.Contains(e.Models, m) }
+
+func (e *Engine) hasAdapter(a string) bool { return slices.Contains(e.Adapters, a) }
+
+func (e *Engine) maxModels() int { return max(1, e.MaxModels) }
+
+// otherVersion reports whether an engine carries the model at another version too.
+func (e *Engine) otherVersion(m ModelVersion) bool {
+	return slices.ContainsFunc(e.Models, func(o ModelVersion) bool { return o.Model == m.Model && o != m })
+}
--- a/pkg/serving/registry/bench_test.go
+++ b/pkg/serving/registry/bench_test.go
@@ -50,6 +50,11 @@
 			}
 			b.ReportMetric(float64(len(snapshot)), "snapshot-B")
 		})
+		b.Run(fmt.Sprintf("locked part of save/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				m.save()
+			}
+		})
 		b.Run(fmt.Sprintf("restore/%d", n), func(b *testing.B) {
 			for b.Loop() {
 				assert.NilError(b, m.Restore(snapshot))
--- a/pkg/serving/registry/claims.go
+++ b/pkg/serving/registry/claims.go
@@ -63,6 +63,9 @@
 			m.grant(c, r)
 		}
 	case inProgress, unknown:
+		if c.attempt == r.GetAttemptId() && c.holder == r.GetHolder() {
+			break
+		}
 		c.remember(r.GetHolder(), r.GetAttemptId(), state)
 	}
 	return c.result(state)
@@ -71,10 +74,11 @@
 // stateFor returns what an attempt is told of a claim in the effective state.
 func (c *claim) stateFor(holder, id string, effective schema.ClaimState) schema.ClaimState {
 	if c.attempt == id && c.holder == holder {
-		if effective == done || effective == notRun {
-			return effective
+		if c.state != inProgress {
+			return c.state
 		}
-		// Nobody else was granted the claim since, so its one holder may still send.
+		// Nobody else was granted the claim since, so its one holder may still send,
+		// even past the time-out.
 		return granted
 	}
 	for _, a := range c.others {
--- a/pkg/serving/registry/claims_test.go
+++ b/pkg/serving/registry/claims_test.go
@@ -31,6 +31,8 @@
 			[]schema.ClaimState{granted, unknown, done}},
 		{"unknown stays unknown for not_run", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "a", unknown, false), settleAt(startMS, "a", notRun, false), settleAt(startMS, "a", done, false)},
 			[]schema.ClaimState{granted, unknown, unknown, done}},
+		{"resent claim after the holder settled it as unknown", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "a", unknown, false), claimAt(startMS, "a", "x"), settleAt(startMS, "a", done, false), claimAt(startMS, "a", "x")},
+			[]schema.ClaimState{granted, unknown, unknown, done, done}},
 		{"foreign settlement", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "b", notRun, false), settleAt(startMS, "b", done, false)},
 			[]schema.ClaimState{granted, inProgress, inProgress}},
 		{"settlement after done", []*schema.Command{claimAt(startMS, "a", "x"), settleAt(startMS, "a", done, false), settleAt(startMS, "a", notRun, false)},
--- a/pkg/serving/registry/snapshot.go
+++ b/pkg/serving/registry/snapshot.go
@@ -12,7 +12,20 @@
 )
 
 // Snapshot returns the whole state as a deterministic schema.RegistrySnapshot.
+// Commands can be applied again before it is encoded, because stored messages
+// never change.
 func (m *Machine) Snapshot() ([]byte, error) {
+	s := m.save()
+	sortObjects(s.Objects)
+	sortAliases(s.Aliases)
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		return nil, serving.WrapError(err, serving.KindInternal, "encode registry snapshot")
+	}
+	return b, nil
+}
+
+func (m *Machine) save() *schema.RegistrySnapshot {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	s := &schema.RegistrySnapshot{
@@ -20,20 +33,14 @@
 		Revision: m.revision,
 		Objects:  slices.Collect(maps.Values(m.objects)),
 		Aliases:  slices.Collect(maps.Values(m.aliases)),
-		History:  m.history,
-		Results:  m.results.queue,
+		History:  slices.Clone(m.history),
+		Results:  slices.Clone(m.results.queue),
 	}
 	if m.hooks.loseResults {
 		s.Results = nil
 	}
-	sortObjects(s.Objects)
-	sortAliases(s.Aliases)
 	s.Claims, s.ExpiredKeys = m.claims.save()
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
-	if err != nil {
-		return nil, serving.WrapError(err, serving.KindInternal, "encode registry snapshot")
-	}
-	return b, nil
+	return s
 }
 
 // Restore replaces the state by that of a snapshot. On an error the state is unchanged.
