Keep the list of entries in the replicated log

Cause: two entries must agree on the owner of an engine without an election per engine, and a dead owner must be replaced without an operator. Change: the leader notes which entries poll it, puts changes of the list into the log with an epoch, and views carry the list; a new leader removes nobody before it could have heard from all. Ruled out: gossip membership for ownership, which has no moment after which two owners are impossible.

--- /dev/null
+++ b/internal/control/entries.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+const (
+	// entrySilence is the time without polls after which an entry is taken off the
+	// list; an entry polls every 500 ms.
+	entrySilence = 3 * time.Second
+	// entryCheck is the time between comparisons of the list with the polls.
+	entryCheck = 250 * time.Millisecond
+)
+
+// entryPolls remembers which entries poll this replica. It decides from them what
+// the entry list should be.
+type entryPolls struct {
+	mu    sync.Mutex
+	polls map[string]entryPoll
+	// leadingSince is when this replica became leader, and leading whether it is.
+	leadingSince time.Duration
+	leading      bool
+}
+
+type entryPoll struct {
+	entry *schema.ListedEntry
+	at    time.Duration
+}
+
+// heard records a poll.
+func (p *entryPolls) heard(now time.Duration, r *schema.ViewRequest) {
+	if r.GetEntry() == "" || r.GetAddress() == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.polls == nil {
+		p.polls = map[string]entryPoll{}
+	}
+	if r.GetLeaving() {
+		delete(p.polls, r.GetEntry())
+		return
+	}
+	p.polls[r.GetEntry()] = entryPoll{at: now, entry: &schema.ListedEntry{
+		Host: r.GetEntry(), Address: r.GetAddress(), DataCentre: r.GetDataCentre(),
+		Region: r.GetRegion(), Incarnation: r.GetIncarnation(),
+	}}
+}
+
+// wanted returns the list that should replace the current one, or nil. A new
+// leader removes no entry before it could have heard from all.
+func (p *entryPolls) wanted(now time.Duration, leader bool, current *schema.EntryList) []*schema.ListedEntry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if leader && !p.leading {
+		p.leadingSince = now
+	}
+	p.leading = leader
+	if !leader {
+		return nil
+	}
+	list := map[string]*schema.ListedEntry{}
+	if now-p.leadingSince < entrySilence {
+		for _, e := range current.GetEntries() {
+			list[e.GetHost()] = e
+		}
+	}
+	for host, poll := range p.polls {
+		if now-poll.at > entrySilence {
+			delete(p.polls, host)
+			continue
+		}
+		list[host] = poll.entry
+	}
+	if sameEntries(list, current.GetEntries()) {
+		return nil
+	}
+	return slices.Collect(maps.Values(list))
+}
+
+func sameEntries(list map[string]*schema.ListedEntry, current []*schema.ListedEntry) bool {
+	if len(list) != len(current) {
+		return false
+	}
+	for _, e := range current {
+		if !proto.Equal(list[e.GetHost()], e) {
+			return false
+		}
+	}
+	return true
+}
+
+// maintainEntries keeps the entry list equal to the entries that poll, while this
+// replica leads.
+func (s *Server) maintainEntries(ctx context.Context) {
+	ticker := time.NewTicker(entryCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		_, leader := s.Log.Leader()
+		current := s.Machine.Entries()
+		list := s.polls.wanted(s.Clock.Now(), leader, current)
+		if list == nil {
+			continue
+		}
+		s.setEntries(ctx, &schema.SetEntries{ExpectedEpoch: current.GetEpoch(), Entries: list})
+	}
+}
+
+func (s *Server) setEntries(ctx context.Context, c *schema.SetEntries) {
+	ctx, cancel := context.WithTimeout(ctx, entrySilence)
+	defer cancel()
+	res, err := s.propose(ctx, &schema.Command{Body: &schema.Command_SetEntries{SetEntries: c}})
+	if err != nil && serving.KindOf(err) != serving.KindNotLeader {
+		klog.InfoS("Entry list not changed", "err", err)
+		return
+	}
+	klog.InfoS("Entry list changed", "entries", len(c.GetEntries()), "outcome", res.GetChange().GetOutcome(), "epoch", res.GetChange().GetRevision())
+}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -105,6 +105,7 @@
 		Replica:    node,
 		Messages:   schema.NewLogServer(node),
 		Machine:    machine,
+		Clock:      p.Clock,
 		ClusterKey: rpc.HashKey(p.Settings.ClusterKey),
 		Bootstrap:  rpc.KeyHash(hash),
 	}, nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -52,7 +52,10 @@
 	ClusterKey rpc.KeyHash
 	// Bootstrap is the hash of the operator key of the settings; the zero value means none.
 	Bootstrap rpc.KeyHash
+	// Clock measures the silence of entries; nil means the monotonic clock.
+	Clock serving.Clock
 
+	polls entryPolls
 	// whole is the whole configuration at the last revision that was asked for.
 	whole atomic.Pointer[schema.ConfigView]
 }
@@ -62,6 +65,9 @@
 	if s.WallClock == nil {
 		s.WallClock = time.Now
 	}
+	if s.Clock == nil {
+		s.Clock = serving.NewMonotonicClock()
+	}
 	mapErrors := twirp.WithServerInterceptors(rpc.MapErrors)
 	o := schema.NewOperatorsServer(operators{s}, mapErrors)
 	v := schema.NewViewsServer(views{s}, mapErrors)
@@ -97,6 +103,9 @@
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 	}
+	background, stop := context.WithCancel(ctx)
+	defer stop()
+	go s.maintainEntries(background)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(l) }()
 	select {
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -13,12 +13,25 @@
 
 var _ schema.Views = views{}
 
-// GetView returns the configuration, what changed since the one that the entry
-// holds, or that nothing changed.
+// GetView notes which entry asks and returns its view with the entry list.
 func (s views) GetView(ctx context.Context, r *schema.ViewRequest) (*schema.ViewResult, error) {
 	if err := s.Log.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
+	s.polls.heard(s.Clock.Now(), r)
+	res, err := s.view(r)
+	if err != nil {
+		return nil, err
+	}
+	if list := s.Machine.Entries(); list.GetEpoch() != r.GetEntriesEpoch() {
+		res.Entries = list
+	}
+	return res, nil
+}
+
+// view returns the configuration, what changed since the one that the entry
+// holds, or that nothing changed.
+func (s views) view(r *schema.ViewRequest) (*schema.ViewResult, error) {
 	revision := uint64(s.Machine.Revision())
 	if revision < r.GetHaveRevision() || revision < r.GetConfigRevision() {
 		return nil, serving.NewError(serving.KindViewExpired,
--- /dev/null
+++ b/pkg/serving/registry/entries.go
@@ -0,0 +1,33 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+)
+
+// applyEntries replaces the list of entries that may own engines, unless it
+// changed since the leader decided.
+func (m *Machine) applyEntries(c *schema.SetEntries) *schema.ChangeResult {
+	if c.GetExpectedEpoch() != m.entries.GetEpoch() {
+		return &schema.ChangeResult{Outcome: schema.Outcome_OUTCOME_CONFLICT, Revision: m.entries.GetEpoch(), Message: "the entry list has changed"}
+	}
+	entries := slices.Clone(c.GetEntries())
+	slices.SortFunc(entries, func(a, b *schema.ListedEntry) int { return strings.Compare(a.GetHost(), b.GetHost()) })
+	for i, e := range entries {
+		if e.GetHost() == "" || e.GetAddress() == "" || (i > 0 && entries[i-1].GetHost() == e.GetHost()) {
+			return &schema.ChangeResult{Outcome: schema.Outcome_OUTCOME_INVALID, Message: "an entry has no host or address, or is listed twice"}
+		}
+	}
+	m.entries = &schema.EntryList{Epoch: m.entries.GetEpoch() + 1, Entries: entries}
+	return &schema.ChangeResult{Outcome: schema.Outcome_OUTCOME_ACCEPTED, Revision: m.entries.GetEpoch()}
+}
+
+// Entries returns the list of entries that may own engines. The caller must not
+// modify it.
+func (m *Machine) Entries() *schema.EntryList {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.entries
+}
--- a/pkg/serving/registry/machine.go
+++ b/pkg/serving/registry/machine.go
@@ -37,6 +37,7 @@
 	history  []*schema.HistoryEntry
 	results  results
 	claims   claims
+	entries  *schema.EntryList
 	// keyOwners maps the hash of an account's key to the account; derived.
 	keyOwners map[string]string
 }
@@ -58,6 +59,7 @@
 		aliases:   map[aliasKey]*schema.Alias{},
 		results:   newResults(),
 		claims:    newClaims(),
+		entries:   &schema.EntryList{},
 		keyOwners: map[string]string{},
 	}
 }
@@ -91,6 +93,9 @@
 	case *schema.Command_Settle:
 		res := m.applySettle(body.Settle)
 		return marshalResult(&schema.CommandResult{Body: &schema.CommandResult_Claim{Claim: res}})
+	case *schema.Command_SetEntries:
+		res := m.applyEntries(body.SetEntries)
+		return marshalResult(&schema.CommandResult{Body: &schema.CommandResult_Change{Change: res}})
 	default:
 		return marshalResult(&schema.CommandResult{Error: "the command has no body that this version knows"})
 	}
--- a/pkg/serving/registry/snapshot.go
+++ b/pkg/serving/registry/snapshot.go
@@ -35,6 +35,7 @@
 		Aliases:  slices.Collect(maps.Values(m.aliases)),
 		History:  slices.Clone(m.history),
 		Results:  slices.Clone(m.results.queue),
+		Entries:  m.entries,
 	}
 	if m.hooks.loseResults {
 		s.Results = nil
@@ -50,6 +51,9 @@
 		return serving.WrapError(err, serving.KindDamaged, "decode registry snapshot")
 	}
 	st := newState()
+	if s.GetEntries() != nil {
+		st.entries = s.GetEntries()
+	}
 	st.nowMS, st.revision, st.history = s.GetNowMs(), s.GetRevision(), s.GetHistory()
 	if msg := st.load(&s); msg != "" {
 		return serving.NewError(serving.KindDamaged, "registry snapshot: "+msg)
