Speed up the reconciler at the target size

Cause: Reconcile took 239 ms with 10,000 engines and 37 models, most of it in map lookups by engine id. Ruled out: reconciling only changed models, because floors and rollouts depend on all engines and the plain pass is fast enough. Change: a plan holds its engines as a sorted list of nodes.

--- a/pkg/serving/fleet/engine.go
+++ b/pkg/serving/fleet/engine.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
 
 // inService reports whether an engine takes work.
 func (e *Engine) inService() bool { return e.State == Ready && !e.Out }
@@ -15,3 +19,12 @@
 func (e *Engine) otherVersion(m ModelVersion) bool {
 	return slices.ContainsFunc(e.Models, func(o ModelVersion) bool { return o.Model == m.Model && o != m })
 }
+
+func has(list []ModelVersion, model serving.ModelID) bool {
+	for i := range list {
+		if list[i].Model == model {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/serving/fleet/plan.go
+++ b/pkg/serving/fleet/plan.go
@@ -26,71 +26,94 @@
 // plan is the state of one Reconcile call.
 type plan struct {
 	want    Want
-	engines map[serving.EngineID]*Engine
-	ids     []serving.EngineID
-	// coming are the models that engines will carry by orders in flight and wishes.
-	coming map[serving.EngineID][]ModelVersion
+	engines map[serving.EngineID]*node
+	// nodes are the engines in the order of their ids.
+	nodes []*node
+	// serving are the nodes in service.
+	serving []*node
+	// pins count the engines that operators want to carry a model, including
+	// those that are gone or out, whose part others take over.
+	pins map[serving.ModelID]int
 	// warm counts the ready engines in service that carry a model.
 	warm   map[serving.ModelID]int
 	wishes []wish
-	// failures counts the attempts of orders that had no effect in time.
-	failures map[serving.EngineID]int
 }
 
+// node is an engine and what will become of it.
+type node struct {
+	*Engine
+	// pinned is true if operators want certain models there.
+	pinned bool
+	// coming are the models that the engine will carry by orders in flight and wishes.
+	coming []ModelVersion
+	// failures counts the attempts of an order that had no effect in time.
+	failures int
+}
+
+// willCarry reports whether the engine carries a model or will.
+func (n *node) willCarry(model serving.ModelID) bool {
+	return has(n.Models, model) || has(n.coming, model)
+}
+
+// load is the number of models that the engine carries or will.
+func (n *node) load() int { return len(n.Models) + len(n.coming) }
+
+func (n *node) hasRoom() bool { return n.load() < n.maxModels() }
+
 func newPlan(want Want, engines []Engine) *plan {
 	p := &plan{
 		want:    want,
-		engines: make(map[serving.EngineID]*Engine, len(engines)),
-		coming:  map[serving.EngineID][]ModelVersion{},
+		engines: make(map[serving.EngineID]*node, len(engines)),
+		nodes:   make([]*node, 0, len(engines)),
+		pins:    map[serving.ModelID]int{},
 		warm:    map[serving.ModelID]int{},
-
-		failures: map[serving.EngineID]int{},
 	}
 	for i := range engines {
-		p.engines[engines[i].ID] = &engines[i]
-	}
-	p.ids = slices.Sorted(maps.Keys(p.engines))
-	for _, id := range p.ids {
-		e := p.engines[id]
-		if e.inService() {
-			for model := range modelsOf(e.Models) {
-				p.warm[model]++
-			}
+		e := &engines[i]
+		n := &node{Engine: e, pinned: len(want.Engines[e.ID].Models) > 0}
+		p.engines[e.ID] = n
+		p.nodes = append(p.nodes, n)
+	}
+	slices.SortFunc(p.nodes, func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
+	for _, n := range p.nodes {
+		if n.inService() {
+			p.serving = append(p.serving, n)
+			countModels(p.warm, n.Models)
 		}
 	}
+	for _, w := range want.Engines {
+		countModels(p.pins, w.Models)
+	}
 	return p
 }
 
+// countModels counts each model of a list once.
+func countModels(counts map[serving.ModelID]int, list []ModelVersion) {
+	for i, m := range list {
+		if !has(list[:i], m.Model) {
+			counts[m.Model]++
+		}
+	}
+}
+
 // addPending adds the models of orders in flight. An order past its time-out no
 // longer counts; its engine is chosen after the others.
 func (p *plan) addPending(now time.Duration, r *Reconciler) {
 	for id, pend := range r.pending {
 		switch o := pend.order; {
 		case now >= pend.deadline(r.cfg.OrderTimeout):
-			p.failures[id] = pend.attempts + 1
+			p.engines[id].failures = pend.attempts + 1
 		case o.Command == LoadModel && !p.engines[id].carries(o.Model):
-			p.coming[id] = append(p.coming[id], o.Model)
+			p.engines[id].coming = append(p.engines[id].coming, o.Model)
 		}
 	}
 }
 
-func has(list []ModelVersion, model serving.ModelID) bool {
-	return slices.ContainsFunc(list, func(m ModelVersion) bool { return m.Model == model })
-}
-
-func modelsOf(list []ModelVersion) map[serving.ModelID]bool {
-	set := map[serving.ModelID]bool{}
-	for _, m := range list {
-		set[m.Model] = true
-	}
-	return set
-}
-
 // build collects the wishes.
 func (p *plan) build(r *Reconciler) {
-	for _, id := range p.ids {
-		if want, ok := p.want.Engines[id]; ok && p.engines[id].inService() {
-			p.pinned(p.engines[id], want)
+	for _, n := range p.serving {
+		if want, ok := p.want.Engines[n.ID]; ok {
+			p.pin(n, want)
 		}
 	}
 	p.noteLeaving(r)
@@ -100,20 +123,20 @@
 	}
 }
 
-// pinned brings an engine to what operators want of it. A model that is not
+// pin brings an engine to what operators want of it. A model that is not
 // wanted makes room for one that is, unless too few engines would stay warm.
-func (p *plan) pinned(e *Engine, want EngineWant) {
+func (p *plan) pin(e *node, want EngineWant) {
 	if want.Role != "" && e.Role != want.Role {
 		p.wish(urgentWanted, Order{Engine: e.ID, Command: SetRole, Role: want.Role})
 	}
 	missing := slices.DeleteFunc(slices.Clone(want.Models), e.carries)
 	for _, m := range missing {
-		if p.load(e) < e.maxModels() {
+		if e.hasRoom() {
 			p.wishLoad(e, m)
 		}
 	}
 	for _, m := range e.Models {
-		if len(want.Models) > 0 && !slices.Contains(want.Models, m) && (p.load(e) >= e.maxModels() || len(missing) == 0) {
+		if len(want.Models) > 0 && !slices.Contains(want.Models, m) && (!e.hasRoom() || len(missing) == 0) {
 			p.wishUnload(e, m)
 		}
 	}
@@ -128,15 +151,14 @@
 // engine when it starts to leave, so that they move elsewhere before it is gone.
 func (p *plan) noteLeaving(r *Reconciler) {
 	leaving := map[serving.ModelID]int{}
-	for _, id := range p.ids {
-		e := p.engines[id]
+	for _, e := range p.nodes {
 		if e.State != Leaving {
 			continue
 		}
-		for model := range modelsOf(e.Models) {
-			if m := (move{id, e.Incarnation, model}); !r.moved[m] {
+		for _, v := range e.Models {
+			if m := (move{e.ID, e.Incarnation, v.Model}); !r.moved[m] {
 				r.moved[m] = true
-				leaving[model]++
+				leaving[v.Model]++
 			}
 		}
 	}
@@ -148,7 +170,7 @@
 
 // fill loads a model on free engines until enough carry it.
 func (p *plan) fill(r *Reconciler, model serving.ModelID) {
-	need := max(p.want.Models[model].MinWarm, p.pins(model), r.floors[model], r.rollouts[model])
+	need := max(p.want.Models[model].MinWarm, p.pins[model], r.floors[model], r.rollouts[model])
 	have := p.carriers(model)
 	if have >= r.floors[model] && p.warm[model] >= r.floors[model] {
 		delete(r.floors, model)
@@ -163,62 +185,43 @@
 	}
 }
 
-// pins counts the engines that operators want to carry a model, including those
-// that are gone or out, whose part others take over.
-func (p *plan) pins(model serving.ModelID) int {
-	n := 0
-	for _, want := range p.want.Engines {
-		if has(want.Models, model) {
-			n++
-		}
-	}
-	return n
-}
-
 // carriers counts the engines in service that carry a model or will.
 func (p *plan) carriers(model serving.ModelID) int {
-	n := 0
-	for _, id := range p.ids {
-		if e := p.engines[id]; e.inService() && (has(e.Models, model) || has(p.coming[id], model)) {
-			n++
+	count := 0
+	for _, n := range p.serving {
+		if n.willCarry(model) {
+			count++
 		}
 	}
-	return n
+	return count
 }
 
-// load is the number of models that an engine carries or will.
-func (p *plan) load(e *Engine) int { return len(e.Models) + len(p.coming[e.ID]) }
-
 // freeEngine chooses an engine with room for a model: in the data centre with
 // the fewest carriers, then the least loaded one. One that ignored an order
 // comes last.
-func (p *plan) freeEngine(model serving.ModelID) *Engine {
+func (p *plan) freeEngine(model serving.ModelID) *node {
 	inDC := map[serving.DataCentreID]int{}
-	var free []*Engine
-	for _, id := range p.ids {
-		e := p.engines[id]
-		if !e.inService() {
-			continue
-		}
-		if has(e.Models, model) || has(p.coming[id], model) {
-			inDC[e.DataCentre]++
-			continue
-		}
-		if len(p.want.Engines[id].Models) == 0 && p.load(e) < e.maxModels() {
-			free = append(free, e)
+	var free []*node
+	for _, n := range p.serving {
+		switch {
+		case n.willCarry(model):
+			inDC[n.DataCentre]++
+		case !n.pinned && n.hasRoom():
+			free = append(free, n)
 		}
 	}
 	if len(free) == 0 {
 		return nil
 	}
-	return slices.MinFunc(free, func(a, b *Engine) int {
-		return cmp.Or(cmp.Compare(p.failures[a.ID], p.failures[b.ID]), cmp.Compare(inDC[a.DataCentre], inDC[b.DataCentre]), cmp.Compare(p.load(a), p.load(b)), cmp.Compare(a.ID, b.ID))
+	return slices.MinFunc(free, func(a, b *node) int {
+		return cmp.Or(cmp.Compare(a.failures, b.failures), cmp.Compare(inDC[a.DataCentre], inDC[b.DataCentre]),
+			cmp.Compare(a.load(), b.load()), cmp.Compare(a.ID, b.ID))
 	})
 }
 
 func (p *plan) wish(urgency int, o Order) { p.wishes = append(p.wishes, wish{o, urgency}) }
 
-func (p *plan) wishLoad(e *Engine, m ModelVersion) {
+func (p *plan) wishLoad(e *node, m ModelVersion) {
 	urgency := urgentWanted
 	if minWarm := p.want.Models[m.Model].MinWarm; p.warm[m.Model] < minWarm {
 		urgency = urgentBelowMin
@@ -226,14 +229,14 @@
 			urgency = urgentNoneWarm
 		}
 	}
-	if !slices.Contains(p.coming[e.ID], m) {
-		p.coming[e.ID] = append(p.coming[e.ID], m)
+	if !slices.Contains(e.coming, m) {
+		e.coming = append(e.coming, m)
 	}
 	p.wish(urgency, Order{Engine: e.ID, Command: LoadModel, Model: m})
 }
 
 // wishUnload unloads a version unless fewer engines than min_warm would be left.
-func (p *plan) wishUnload(e *Engine, m ModelVersion) {
+func (p *plan) wishUnload(e *node, m ModelVersion) {
 	if !e.otherVersion(m) {
 		if p.warm[m.Model] <= p.want.Models[m.Model].MinWarm {
 			return
--- a/pkg/serving/fleet/reconciler.go
+++ b/pkg/serving/fleet/reconciler.go
@@ -141,7 +141,7 @@
 	slices.SortStableFunc(p.wishes, func(a, b wish) int { return cmp.Compare(a.urgency, b.urgency) })
 	var orders []Order
 	for _, w := range p.wishes {
-		if o, ok := r.issue(now, p.engines[w.order.Engine], w.order); ok {
+		if o, ok := r.issue(now, p.engines[w.order.Engine].Engine, w.order); ok {
 			orders = append(orders, o)
 		}
 	}
@@ -157,7 +157,7 @@
 func (r *Reconciler) readBack(p *plan) {
 	for id, pend := range r.pending {
 		e := p.engines[id]
-		if e == nil || e.Incarnation != pend.order.Incarnation || e.ReadAt > pend.order.IssuedAt && pend.order.visible(e) {
+		if e == nil || e.Incarnation != pend.order.Incarnation || e.ReadAt > pend.order.IssuedAt && pend.order.visible(e.Engine) {
 			delete(r.pending, id)
 		}
 	}
--- a/pkg/serving/fleet/reconciler_test.go
+++ b/pkg/serving/fleet/reconciler_test.go
@@ -48,7 +48,7 @@
 			s.run(r, want, 300, func() {
 				n := 0
 				for _, e := range s.engines {
-					if modelsOf(e.Models)["a"] {
+					if has(e.Models, "a") {
 						n++
 					}
 				}
--- a/pkg/serving/fleet/versions.go
+++ b/pkg/serving/fleet/versions.go
@@ -32,14 +32,12 @@
 // counts returns how many engines in service carry or will carry each version.
 func (p *plan) counts(model serving.ModelID) map[serving.Version]int {
 	out := map[serving.Version]int{}
-	for _, id := range p.ids {
-		e := p.engines[id]
-		if !e.inService() {
-			continue
-		}
-		for _, m := range slices.Concat(e.Models, p.coming[id]) {
-			if m.Model == model {
-				out[m.Version]++
+	for _, n := range p.serving {
+		for _, list := range [][]ModelVersion{n.Models, n.coming} {
+			for _, m := range list {
+				if m.Model == model {
+					out[m.Version]++
+				}
 			}
 		}
 	}
@@ -84,7 +82,7 @@
 		return
 	}
 	m := ModelVersion{model, shares[lacking].Version}
-	if p.load(e) < e.maxModels() {
+	if e.hasRoom() {
 		p.wishLoad(e, m)
 		return
 	}
@@ -97,12 +95,11 @@
 
 // surplus returns an engine that is not pinned and carries a version of which
 // there are too many, preferably one that carries another version as well.
-func (p *plan) surplus(model serving.ModelID, have, target map[serving.Version]int) (*Engine, ModelVersion) {
-	var found *Engine
+func (p *plan) surplus(model serving.ModelID, have, target map[serving.Version]int) (*node, ModelVersion) {
+	var found *node
 	var version ModelVersion
-	for _, id := range p.ids {
-		e := p.engines[id]
-		if !e.inService() || len(p.want.Engines[id].Models) > 0 {
+	for _, e := range p.serving {
+		if e.pinned {
 			continue
 		}
 		for _, m := range e.Models {
