--- a/internal/standin/batch_test.go
+++ b/internal/standin/batch_test.go
@@ -276,3 +276,37 @@
 		assert.Assert(t, a.CacheEvents[n-1].Seq > uint64(n))
 	})
 }
+
+// Guards against a leaving engine that exits before an answer whose reader was
+// cut off can be resumed, never exits, or ignores its deadline.
+func TestLeaveWaits(t *testing.T) {
+	tests := []struct {
+		name           string
+		length         int
+		disconnected   bool
+		deadline, wait time.Duration
+		drained        bool
+	}{
+		{"undelivered answer within grace", 10, true, 0, 3 * time.Second, false},
+		{"undelivered answer after grace", 10, true, 0, 6 * time.Second, true},
+		{"running answer", 100000, false, 0, time.Minute, false},
+		{"running answer before the deadline", 100000, false, 2 * time.Second, time.Second, false},
+		{"running answer after the deadline", 100000, false, 2 * time.Second, 3 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &Engine{Models: testModels, ColdFor: -1, Grace: 5 * time.Second}
+			virtual(t, e, func() {
+				g := give(e, "1", tt.length)
+				if tt.disconnected {
+					e.leaveStream(g)
+				}
+				e.Leave(tt.deadline)
+				time.Sleep(tt.wait)
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				assert.Equal(t, e.drained(time.Now()), tt.drained)
+			})
+		})
+	}
+}
