--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -4,49 +4,49 @@
 //
 //	turmericdrum entry --settings entry.yaml
 //	turmericdrum control --settings control.yaml
+//	turmericdrum admin --server 10.0.0.1:7200 --key KEY list models
 //	turmericdrum check FILE...
+//	turmericdrum timeline FILE...
+//
+// The exit status is 0 on success, 1 on failure and 2 on a wrong command line.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 	"k8s.io/klog/v2"
 
-	"turmericdrum.org/turmericdrum/internal/control"
-	"turmericdrum.org/turmericdrum/internal/entry"
+	"turmericdrum.org/turmericdrum/internal/admin"
 	"turmericdrum.org/turmericdrum/internal/settings"
-	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/internal/timelines"
 )
 
-type processCommand struct {
-	Settings string `arg:"--settings,required" help:"settings file of this process (YAML)"`
+type arguments struct {
+	Entry    *entryCommand      `arg:"subcommand:entry" help:"run an entry process"`
+	Control  *controlCommand    `arg:"subcommand:control" help:"run a control replica, or work on its data folder"`
+	Admin    *admin.Command     `arg:"subcommand:admin" help:"operate the system"`
+	Check    *checkCommand      `arg:"subcommand:check" help:"check settings files without starting"`
+	Timeline *timelines.Command `arg:"subcommand:timeline" help:"merge event logs into one time line"`
 }
 
 type checkCommand struct {
 	Files []string `arg:"positional,required" help:"settings files to check"`
 }
 
-type arguments struct {
-	Entry   *processCommand `arg:"subcommand:entry" help:"run an entry process"`
-	Control *processCommand `arg:"subcommand:control" help:"run a control replica"`
-	Check   *checkCommand   `arg:"subcommand:check" help:"check settings files without starting"`
-}
-
 func main() {
 	var args arguments
 	p := arg.MustParse(&args)
 	if p.Subcommand() == nil {
 		p.Fail("name a subcommand")
 	}
-	defer klog.Flush()
-	if err := run(&args); err != nil {
+	err := run(&args)
+	klog.Flush()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		klog.Flush()
 		os.Exit(1)
 	}
 }
@@ -54,55 +54,31 @@
 func run(args *arguments) error {
 	switch {
 	case args.Entry != nil:
-		return runEntry(args.Entry)
+		return args.Entry.run()
 	case args.Control != nil:
-		return runControl(args.Control)
+		return args.Control.run()
+	case args.Admin != nil:
+		return args.Admin.Run(context.Background(), os.Stdout)
+	case args.Timeline != nil:
+		return args.Timeline.Run(os.Stdout)
 	default:
-		return check(args.Check)
-	}
-}
-
-// terminated returns a context that ends at the first SIGTERM or SIGINT; a
-// second signal ends the process.
-func terminated() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		cancel()
-		<-signals
-		klog.InfoS("Second signal: streams in progress are cut")
-		klog.Flush()
-		os.Exit(1)
-	}()
-	return ctx
-}
-
-func runEntry(c *processCommand) error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
+		return args.Check.run()
 	}
-	e := &entry.Entry{Settings: s, Clock: serving.NewMonotonicClock()}
-	return e.Run(terminated())
 }
 
-func runControl(c *processCommand) error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	n := &control.Control{Settings: s, Clock: serving.NewMonotonicClock()}
-	return n.Run(terminated())
-}
+var errInvalidSettings = errors.New("some settings are invalid")
 
-func check(c *checkCommand) error {
+// run checks every file, so that one run shows the first fault of each.
+func (c *checkCommand) run() error {
+	var failed error
 	for _, path := range c.Files {
-		if _, err := settings.Load(path); err != nil {
-			return fmt.Errorf("%s: %w", path, err)
+		_, err := settings.Load(path)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", path, err)
+			failed = errInvalidSettings
+			continue
 		}
 		fmt.Println(path + ": ok")
 	}
-	return nil
+	return failed
 }
