Hold an engine's limit for all entries together by slots

Cause: each entry placed on its own counts, so several entries together could give a cold engine more than it can carry. Change: the owner of an engine, by the leased entry list, grants expiring slots over twirp; entries run a generation only under a slot; the owner ramps cold engines and engines of a data centre that was brought back. Ownership starts anew when lists were missed. Ruled out: no wait at a new owner when nothing runs, unless it was the owner under every list of the settle time.

--- a/internal/entry/blackboard.go
+++ b/internal/entry/blackboard.go
@@ -17,6 +17,7 @@
 type Engine struct {
 	*engine.Announcement
 	State      engine.State
+	Region     serving.RegionID
 	ReceivedAt time.Duration
 	counters   *engineCounters
 }
@@ -34,6 +35,14 @@
 	Engines map[serving.EngineID]*Engine
 	// Entries are the other entries, with their states.
 	Entries []Peer
+	// EntryList has the entries that may own engines, as the view gave them.
+	EntryList *EntryList
+}
+
+// EntryList is the list of entries that may own engines, at one epoch.
+type EntryList struct {
+	Epoch   uint64
+	Entries []engine.Entry
 }
 
 // Peer is another entry.
@@ -112,11 +121,11 @@
 func (b *board) publish() {
 	now := b.clock.Now()
 	s := b.state
-	c := &Blackboard{View: s.View, Engines: map[serving.EngineID]*Engine{}}
+	c := &Blackboard{View: s.View, EntryList: s.EntryList, Engines: map[serving.EngineID]*Engine{}}
 	for _, m := range s.directory.Members(engine.MemberEngine) {
 		if state := s.directory.State(now, m.ID); state != engine.StateDead {
 			id := m.Announcement.Engine
-			c.Engines[id] = &Engine{Announcement: m.Announcement, State: state, ReceivedAt: m.HeardAt, counters: s.countersOf(id)}
+			c.Engines[id] = &Engine{Announcement: m.Announcement, State: state, Region: m.Region, ReceivedAt: m.HeardAt, counters: s.countersOf(id)}
 		}
 	}
 	for _, m := range s.directory.Members(engine.MemberEntry) {
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -14,7 +14,6 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
-	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
@@ -135,9 +134,7 @@
 		a := &attempt{request: request, generation: serving.GenerationID(newID()), engine: n, body: body}
 		a.sequencer = generation.NewSequencer(request.ID, a.generation, 0)
 		out.begin(a)
-		n.counters.inFlight.Add(1)
-		err = e.runAttempt(ctx, a, out)
-		n.counters.inFlight.Add(-1)
+		err = e.runInSlot(ctx, a, out)
 		if err == nil || ctx.Err() != nil || !out.canRestart() {
 			return err
 		}
@@ -156,6 +153,20 @@
 	return nil
 }
 
+// runInSlot runs an attempt under a slot of its engine.
+func (e *Entry) runInSlot(ctx context.Context, a *attempt, out answerWriter) error {
+	wait, cancel := context.WithTimeout(ctx, e.Settings.Entry.QueueTimeout.Duration)
+	slot, err := e.slots.acquire(wait, a.engine.Engine)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer e.slots.release(slot)
+	a.engine.counters.inFlight.Add(1)
+	defer a.engine.counters.inFlight.Add(-1)
+	return e.runAttempt(ctx, a, out)
+}
+
 // runAttempt relays one generation, and resumes it by index while the engine still has it.
 func (e *Entry) runAttempt(ctx context.Context, a *attempt, out answerWriter) error {
 	stream, err := e.startGeneration(ctx, a.engine, a)
@@ -223,7 +234,7 @@
 func (e *Entry) place(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (*Engine, error) {
 	var best *Engine
 	for _, n := range b.Engines {
-		if tried[n.Engine] || n.State != engine.StateAlive || n.Announcement.State != engine.PhaseReady || b.View.out[string(n.DataCentre)] || !n.Carries(r.Model) {
+		if tried[n.Engine] || !e.inService(b, n) || !n.Carries(r.Model) {
 			continue
 		}
 		if best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,13 +33,19 @@
 	upstream      *http.Client
 	clusterClient *http.Client
 	viewSource    int
-	draining      atomic.Bool
+	slots         *slotController
+	// incarnation is the wall-clock time at the start in nanoseconds, since an
+	// entry keeps no state on disk.
+	incarnation serving.Incarnation
+	draining    atomic.Bool
 }
 
 // Run serves until ctx ends, then drains: it turns not ready, takes no new work
 // and returns when every stream in progress has ended.
 func (e *Entry) Run(ctx context.Context) error {
+	e.incarnation = serving.Incarnation(time.Now().UnixNano())
 	e.board = newBoard(e.Clock, e.self())
+	e.slots = newSlotController(e, e.incarnation)
 	e.signer = generation.NewSigner(e.Settings.Entry.ResumeKey)
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second}
 	e.upstream = &http.Client{Transport: transport}
@@ -51,6 +57,7 @@
 	g.Go(func() error { e.board.run(background); return nil })
 	g.Go(func() error { e.pollViews(background); return nil })
 	g.Go(func() error { e.exchangeMembership(background); return nil })
+	g.Go(func() error { e.slots.run(background); return nil })
 
 	server := &http.Server{
 		Addr:              string(e.Settings.Listen),
@@ -72,13 +79,12 @@
 	return g.Wait()
 }
 
-// self is the membership record of this entry. The wall clock at the start serves
-// as incarnation, since an entry keeps no state on disk.
+// self is the membership record of this entry.
 func (e *Entry) self() engine.Member {
 	return engine.Member{
 		ID: string(e.Settings.Host), Address: string(e.Settings.Advertise),
 		DataCentre: e.Settings.DataCentre, Region: e.Settings.Region,
-		Incarnation: serving.Incarnation(time.Now().UnixNano()),
+		Incarnation: e.incarnation,
 	}
 }
 
@@ -106,6 +112,7 @@
 	mux.Handle("/v1/", container)
 	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e)))
 	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
+	mux.Handle(schema.SlotsPathPrefix, e.requireCluster(schema.NewSlotsServer(e.slots)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
 	mux.Handle("/debug/vars", expvar.Handler())
--- /dev/null
+++ b/internal/entry/slots_owner.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/dispatch"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
+)
+
+// ownedEngine is an engine whose slots this entry grants.
+type ownedEngine struct {
+	owner *dispatch.Owner
+	ramp  *dispatch.Ramp
+	// reportAt is the time of the last report that was taken in.
+	reportAt time.Duration
+}
+
+// updateOwned follows the entry list, the engines and their reports.
+func (s *slotController) updateOwned(b *Blackboard) {
+	if b.View == nil || b.EntryList == nil {
+		return
+	}
+	now := s.entry.Clock.Now()
+	if !s.ownership.Update(now, b.EntryList.Epoch, b.EntryList.Entries) {
+		clear(s.owned)
+	}
+	returned := s.returnedDataCentres(b)
+	for id, o := range s.owned {
+		n := b.Engines[id]
+		if n == nil || !s.owns(n) {
+			delete(s.owned, id)
+			continue
+		}
+		o.owner.ViewConfirmed(b.View.ConfirmedAt)
+	}
+	for id, n := range b.Engines {
+		if !s.owns(n) {
+			continue
+		}
+		o := s.owned[id]
+		if o == nil {
+			o = s.newOwned(now, n)
+			o.owner.ViewConfirmed(b.View.ConfirmedAt)
+			s.owned[id] = o
+		}
+		if returned[n.DataCentre] {
+			o.ramp.TurnCold(now)
+		}
+		o.update(now, n, !s.entry.inService(b, n))
+	}
+}
+
+func (s *slotController) owns(n *Engine) bool {
+	owner, ok := s.ownerOf(n)
+	return ok && owner.Host == s.self.Host
+}
+
+// newOwned returns the owner of an engine. It waits for the slots of earlier
+// owners to expire, unless there cannot be any.
+func (s *slotController) newOwned(now time.Duration, n *Engine) *ownedEngine {
+	term := dispatch.OwnerTerm{Epoch: s.ownership.Epoch(), Owner: s.self}
+	var from *dispatch.Handover
+	idle := n.Load.Running+n.Load.Queued == 0
+	if idle && s.ownership.Settled(now, n.Engine, n.DataCentre, n.Region) {
+		from = &dispatch.Handover{}
+	}
+	klog.V(1).InfoS("Engine owned", "engine", n.Engine, "epoch", term.Epoch, "wait", from == nil)
+	return &ownedEngine{
+		owner: dispatch.NewOwner(s.cfg, n.Engine, term, now, from),
+		ramp:  dispatch.NewRamp(dispatch.RampConfig{}),
+	}
+}
+
+// update takes in what the engine announced.
+func (o *ownedEngine) update(now time.Duration, n *Engine, noNewWork bool) {
+	o.ramp.Announce(now, n.Incarnation, n.Capacity)
+	if n.ReceivedAt > o.reportAt {
+		o.reportAt = n.ReceivedAt
+		o.owner.Report(now, n.Incarnation, n.Load)
+		if n.Load.StepMS > 0 && n.Load.Running > 0 {
+			step := time.Duration(n.Load.StepMS * float64(time.Millisecond))
+			o.ramp.Step(now, step, n.Load.Running)
+		}
+	}
+	o.owner.SetNoNewWork(noNewWork)
+	o.owner.SetLimit(o.ramp.Limit())
+}
+
+// returnedDataCentres returns the data centres that operators have just brought back.
+func (s *slotController) returnedDataCentres(b *Blackboard) map[serving.DataCentreID]bool {
+	returned := map[serving.DataCentreID]bool{}
+	for _, n := range b.Engines {
+		out := s.entry.dataCentreOut(b, n.DataCentre)
+		if s.wasOut[n.DataCentre] && !out {
+			returned[n.DataCentre] = true
+		}
+	}
+	for _, n := range b.Engines {
+		s.wasOut[n.DataCentre] = s.entry.dataCentreOut(b, n.DataCentre)
+	}
+	return returned
+}
+
+// grant answers a request for an engine that this entry owns.
+func (s *slotController) grant(q dispatch.SlotRequest) (dispatch.SlotReply, bool) {
+	s.updateOwned(s.entry.board.load())
+	o := s.owned[q.Engine]
+	if o == nil {
+		return dispatch.SlotReply{}, false
+	}
+	return o.owner.Grant(s.entry.Clock.Now(), q)
+}
+
+// inService tells whether an engine may be given new work.
+func (e *Entry) inService(b *Blackboard, n *Engine) bool {
+	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady && !e.dataCentreOut(b, n.DataCentre)
+}
+
+// dataCentreOut tells whether operators have taken a data centre out.
+func (e *Entry) dataCentreOut(b *Blackboard, id serving.DataCentreID) bool {
+	return b.View.out[string(id)]
+}
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // View is a configuration at one revision, and when the leader confirmed it.
@@ -62,9 +64,14 @@
 	// confirms is the revision that an answer without configuration confirms.
 	confirms uint64
 	at       time.Duration
+	// list is the entry list if it changed.
+	list *schema.EntryList
 }
 
 func (ev viewReceived) apply(b *controlState, _ time.Duration) bool {
+	if ev.list != nil && (b.EntryList == nil || ev.list.Epoch > b.EntryList.Epoch) {
+		b.EntryList = decodeEntryList(ev.list)
+	}
 	if ev.view == nil {
 		if b.View == nil || b.View.Config.Revision != ev.confirms || ev.at <= b.View.ConfirmedAt {
 			return false
@@ -81,6 +88,27 @@
 	return true
 }
 
+func decodeEntryList(l *schema.EntryList) *EntryList {
+	list := &EntryList{Epoch: l.Epoch}
+	for _, e := range l.Entries {
+		list.Entries = append(list.Entries, engine.Entry{
+			Host: serving.HostID(e.Host), Address: e.Address,
+			DataCentre: serving.DataCentreID(e.DataCentre), Region: serving.RegionID(e.Region),
+		})
+	}
+	return list
+}
+
+func encodeEntryList(l *EntryList) *schema.EntryList {
+	list := &schema.EntryList{Epoch: l.Epoch}
+	for _, e := range l.Entries {
+		list.Entries = append(list.Entries, &schema.ListedEntry{
+			Host: string(e.Host), Address: e.Address, DataCentre: string(e.DataCentre), Region: string(e.Region),
+		})
+	}
+	return list
+}
+
 // viewFresh tells whether new work may start under the view of a snapshot.
 func (e *Entry) viewFresh(b *Blackboard) bool {
 	if b.View == nil {
@@ -131,9 +159,17 @@
 	ctx, cancel := context.WithTimeout(ctx, e.Settings.Entry.ViewPoll.Duration)
 	defer cancel()
 	sentAt := e.Clock.Now()
-	req := &schema.ViewRequest{Entry: string(e.Settings.Host), Address: string(e.Settings.Advertise)}
-	if v := e.board.load().View; v != nil {
-		req.HaveRevision = v.Config.Revision
+	req := &schema.ViewRequest{
+		Entry: string(e.Settings.Host), Address: string(e.Settings.Advertise),
+		DataCentre: string(e.Settings.DataCentre), Region: string(e.Settings.Region),
+		Incarnation: strconv.FormatUint(uint64(e.incarnation), 10), Leaving: e.draining.Load(),
+	}
+	b := e.board.load()
+	if b.View != nil {
+		req.HaveRevision = b.View.Config.Revision
+	}
+	if b.EntryList != nil {
+		req.EntriesEpoch = b.EntryList.Epoch
 	}
 	res, err := schema.NewViewsProtobufClient("http://"+address, e.clusterClient).GetView(ctx, req)
 	if err != nil {
@@ -141,10 +177,10 @@
 	}
 	confirmedAt := sentAt - time.Duration(res.AgeMs)*time.Millisecond
 	if res.Unchanged {
-		e.board.send(ctx, viewReceived{confirms: res.Revision, at: confirmedAt})
+		e.board.send(ctx, viewReceived{confirms: res.Revision, at: confirmedAt, list: res.Entries})
 		return nil
 	}
-	e.board.send(ctx, viewReceived{view: newView(res.Config, confirmedAt)})
+	e.board.send(ctx, viewReceived{view: newView(res.Config, confirmedAt), list: res.Entries})
 	return nil
 }
 
@@ -159,6 +195,9 @@
 	if res.Unchanged = res.Revision == req.HaveRevision; !res.Unchanged {
 		res.Config = b.View.Config
 	}
+	if b.EntryList != nil && b.EntryList.Epoch != req.EntriesEpoch {
+		res.Entries = encodeEntryList(b.EntryList)
+	}
 	return res, nil
 }
 
--- a/pkg/serving/engine/ownership.go
+++ b/pkg/serving/engine/ownership.go
@@ -29,15 +29,30 @@
 	from time.Duration
 }
 
-// Update takes over the list of entries of a view.
-func (o *Ownership) Update(now time.Duration, epoch uint64, entries []Entry) {
-	if n := len(o.lists); n > 0 && o.lists[n-1].epoch == epoch {
-		return
+// Update takes over the list of entries of a view. It returns false if lists were
+// missed in between, under which another entry may have been the owner.
+func (o *Ownership) Update(now time.Duration, epoch uint64, entries []Entry) bool {
+	n := len(o.lists)
+	if n > 0 && o.lists[n-1].epoch >= epoch {
+		return true
+	}
+	complete := n > 0 && o.lists[n-1].epoch+1 == epoch
+	if !complete {
+		o.lists = nil
 	}
 	o.lists = append(o.lists, entryList{epoch: epoch, entries: entries, from: now})
 	for len(o.lists) > 1 && now-o.lists[1].from > o.Settle {
 		o.lists = o.lists[1:]
 	}
+	return complete
+}
+
+// Epoch returns the epoch of the current list, 0 if there is none.
+func (o *Ownership) Epoch() uint64 {
+	if len(o.lists) == 0 {
+		return 0
+	}
+	return o.lists[len(o.lists)-1].epoch
 }
 
 // Owner returns the owner of an engine under the current list.
--- a/pkg/serving/engine/ownership_test.go
+++ b/pkg/serving/engine/ownership_test.go
@@ -53,4 +53,8 @@
 	o.Update(21*time.Second, 4, hosts("a", "c"))
 	assert.Assert(t, !o.Settled(25*time.Second, ofB, "dc", ""))
 	assert.Assert(t, o.Settled(27*time.Second, ofB, "dc", ""))
+
+	assert.Assert(t, !o.Update(30*time.Second, 6, all), "list 5 was missed")
+	assert.Assert(t, !o.Settled(34*time.Second, ofA, "dc", ""), "another entry may have been the owner under list 5")
+	assert.Assert(t, o.Settled(35*time.Second, ofA, "dc", ""))
 }
