entry: add resume and cancel, recover streams from gaps, stalls, crossed answers

Cause: the thin path resumed only on broken connections. A stalled link, a gap or another request's frames held an answer until the caller gave up, and a caller could not resume.

Ruled out: cancelling a generation when its caller's connection breaks, since the caller may resume at another entry; the engine's own grace time ends it. A caller that cannot resume (not streaming, or no token sent) has its generation cancelled at once. Signing each resume token over the whole position was replaced by a per-stream key and a MAC over the index.

One write for all frames that are ready.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -72,7 +72,7 @@
 	if old != nil && a.Incarnation < old.Incarnation {
 		return false
 	}
-	n := &Engine{Announcement: a.Announcement, ReceivedAt: now, counters: &engineCounters{}}
+	n := &Engine{Announcement: a.Announcement, ReceivedAt: now, counters: newEngineCounters()}
 	if old == nil {
 		b.Engines[a.Engine] = n
 		return true
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -3,21 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
-	"math"
 	"net/http"
-	"strconv"
 	"strings"
 
-	"github.com/emicklei/go-restful/v3"
-
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
-// errCallerGone means that the caller's connection failed.
-var errCallerGone = errors.New("caller is gone")
-
 // answerWriter gives an answer to a caller.
 type answerWriter interface {
 	// begin starts an attempt; what an earlier attempt wrote must not be out yet.
@@ -25,72 +17,72 @@
 	write(a *attempt, frames []generation.Frame) error
 	// canRestart tells whether another generation could still answer the caller.
 	canRestart() bool
-	// fail ends the answer with an error, or whole if err is nil.
-	fail(err error)
+	// canResume tells whether the caller has what it needs to resume the generation.
+	canResume() bool
+	// end ends the answer with an error, or whole if err is nil.
+	end(err error)
 }
 
 // streamedAnswer sends server-sent events.
 type streamedAnswer struct {
-	w       *restful.Response
-	entry   *Entry
+	w       *callerWriter
+	signer  *generation.Signer
+	stream  *generation.StreamSigner
+	buf     []byte
 	started bool
 }
 
-func (s *streamedAnswer) begin(*attempt) {}
+// begin makes the signer of the attempt's stream; the index is not part of what it encodes.
+func (s *streamedAnswer) begin(a *attempt) {
+	s.stream = s.signer.Stream(generation.Position{
+		Account: a.request.Account, RequestID: a.request.ID, GenerationID: a.generation,
+		Engine: a.engine.Engine, Incarnation: a.engine.Incarnation, Address: a.engine.Address,
+	})
+}
+
+func (s *streamedAnswer) start(id serving.RequestID) {
+	s.started = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+	s.w.Header().Set("X-Request-Id", string(id))
+	s.w.WriteHeader(http.StatusOK)
+}
 
 func (s *streamedAnswer) write(a *attempt, frames []generation.Frame) error {
-	if len(frames) == 0 {
-		return nil
-	}
 	if !s.started {
-		s.started = true
-		s.w.Header().Set("Content-Type", "text/event-stream")
-		s.w.Header().Set("Cache-Control", "no-store")
-		s.w.Header().Set("X-Request-Id", string(a.request.ID))
-		s.w.WriteHeader(http.StatusOK)
+		s.start(a.request.ID)
 	}
-	for _, f := range frames {
-		data, err := json.Marshal(f)
-		if err != nil {
-			return err
-		}
-		if _, err := fmt.Fprintf(s.w, "id: %s\ndata: %s\n\n", s.resumeToken(a, f), data); err != nil {
-			return errCallerGone
-		}
+	s.buf = s.buf[:0]
+	for i := range frames {
+		s.buf = appendEvent(s.buf, s.stream, &frames[i])
 	}
-	s.w.Flush()
-	return nil
-}
-
-func (s *streamedAnswer) resumeToken(a *attempt, f generation.Frame) string {
-	return s.entry.signer.Sign(generation.Position{
-		Account: a.request.Account, RequestID: a.request.ID, GenerationID: a.generation,
-		Engine: a.engine.Engine, Incarnation: a.engine.Incarnation, Address: a.engine.Address,
-		Next: f.Index + 1,
-	})
+	return s.w.send(s.buf)
 }
 
 func (s *streamedAnswer) canRestart() bool { return !s.started }
 
-func (s *streamedAnswer) fail(err error) {
-	if !s.started {
-		if err != nil {
-			writeError(s.w, err)
-		}
-		return
+func (s *streamedAnswer) canResume() bool { return s.started }
+
+func (s *streamedAnswer) end(err error) {
+	if errors.Is(err, errSlowReader) || errors.Is(err, errCallerGone) {
+		// Ending the response normally could look like a clean end.
+		panic(http.ErrAbortHandler)
 	}
-	if err == nil {
-		fmt.Fprint(s.w, "data: [DONE]\n\n")
-	} else {
+	defer s.w.end()
+	switch {
+	case err == nil:
+		_ = s.w.send([]byte("data: [DONE]\n\n"))
+	case !s.started:
+		writeError(s.w, err)
+	default:
 		data, _ := json.Marshal(errorBody(err))
-		fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", data)
+		_ = s.w.send([]byte("event: error\ndata: " + string(data) + "\n\n"))
 	}
-	s.w.Flush()
 }
 
 // wholeAnswer collects the answer and sends it at once.
 type wholeAnswer struct {
-	w      *restful.Response
+	w      *callerWriter
 	tokens strings.Builder
 	last   generation.Frame
 	n      int
@@ -102,16 +94,18 @@
 }
 
 func (s *wholeAnswer) write(_ *attempt, frames []generation.Frame) error {
-	for _, f := range frames {
-		s.tokens.WriteString(f.Token)
-		s.last = f
-		s.n++
+	for i := range frames {
+		s.tokens.WriteString(frames[i].Token)
 	}
+	s.last = frames[len(frames)-1]
+	s.n += len(frames)
 	return nil
 }
 
 func (s *wholeAnswer) canRestart() bool { return true }
 
+func (s *wholeAnswer) canResume() bool { return false }
+
 // completionAnswer is the answer that is not streamed.
 type completionAnswer struct {
 	RequestID    serving.RequestID    `json:"request_id"`
@@ -121,73 +115,19 @@
 	FinishReason string               `json:"finish_reason"`
 }
 
-func (s *wholeAnswer) fail(err error) {
+func (s *wholeAnswer) end(err error) {
+	defer s.w.end()
 	if err != nil {
 		writeError(s.w, err)
 		return
 	}
-	writeJSON(s.w, http.StatusOK, completionAnswer{
+	b, _ := json.Marshal(completionAnswer{
 		RequestID: s.last.RequestID, GenerationID: s.last.GenerationID,
 		Text: s.tokens.String(), Tokens: s.n, FinishReason: s.last.FinishReason,
 	})
-}
-
-// errorAnswer is the body of a refusal.
-type errorAnswer struct {
-	Error struct {
-		Kind         serving.Kind `json:"kind"`
-		Message      string       `json:"message"`
-		Remedy       string       `json:"remedy"`
-		Ran          serving.Ran  `json:"ran"`
-		RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
-	} `json:"error"`
-}
-
-func errorBody(err error) errorAnswer {
-	e := serving.AsError(err)
-	var a errorAnswer
-	a.Error.Kind = e.Kind
-	a.Error.Message = e.Message
-	a.Error.Remedy = e.Remedy
-	a.Error.Ran = e.Ran
-	a.Error.RetryAfterMS = e.RetryAfter.Milliseconds()
-	return a
-}
-
-var kindStatus = map[serving.Kind]int{
-	serving.KindInvalid:          http.StatusBadRequest,
-	serving.KindUnauthenticated:  http.StatusUnauthorized,
-	serving.KindForbidden:        http.StatusForbidden,
-	serving.KindNotFound:         http.StatusNotFound,
-	serving.KindUnknownModel:     http.StatusNotFound,
-	serving.KindTooLarge:         http.StatusRequestEntityTooLarge,
-	serving.KindConflict:         http.StatusConflict,
-	serving.KindKeyReused:        http.StatusUnprocessableEntity,
-	serving.KindInProgress:       http.StatusConflict,
-	serving.KindExpired:          http.StatusGone,
-	serving.KindRateLimited:      http.StatusTooManyRequests,
-	serving.KindResumeTokenWrong: http.StatusBadRequest,
-	serving.KindGenerationLost:   http.StatusBadGateway,
-	serving.KindEngineFailed:     http.StatusBadGateway,
-	serving.KindOutcomeUnknown:   http.StatusBadGateway,
-	serving.KindDeadline:         http.StatusGatewayTimeout,
-	serving.KindInternal:         http.StatusInternalServerError,
-}
-
-func writeError(w http.ResponseWriter, err error) {
-	e := serving.AsError(err)
-	if e.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	s.w.Header().Set("Content-Type", "application/json")
+	s.w.Header().Set("X-Request-Id", string(s.last.RequestID))
+	if errors.Is(s.w.send(append(b, '\n')), errSlowReader) {
+		panic(http.ErrAbortHandler)
 	}
-	status, ok := kindStatus[e.Kind]
-	if !ok {
-		status = http.StatusServiceUnavailable
-	}
-	writeJSON(w, status, errorBody(e))
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
 }
--- /dev/null
+++ b/internal/entry/answers_test.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// Guards against answers with missing, repeated, foreign or spliced tokens, and
+// against streams that end short without an error.
+func TestStreamSurvivesFaultsOfTheEngine(t *testing.T) {
+	const length = 40
+	tests := []struct {
+		name  string
+		fault func(o *opening)
+		// lost means that the generation is gone after the fault.
+		lost bool
+	}{
+		{"cut", func(o *opening) { o.upTo(7); o.cut() }, false},
+		{"end without last frame", func(o *opening) { o.upTo(7); o.done() }, false},
+		{"gap", func(o *opening) { o.upTo(7); o.frames(9, 10, 11, 12, 13, 14); o.wait() }, false},
+		{"gap at the end", func(o *opening) { o.upTo(length - 2); o.frames(length - 1); o.done() }, false},
+		{"reordered and repeated", func(o *opening) { o.frames(1, 0, 0, 1, 3, 2); o.from = 2; o.whole() }, false},
+		{"crossed", func(o *opening) {
+			for i := range length {
+				o.frame("foreign", "foreign", i)
+			}
+			o.wait()
+		}, false},
+		{"earlier attempt's frames", func(o *opening) {
+			for i := range length {
+				o.frame(o.request, "earlier", i)
+			}
+			o.done()
+		}, false},
+		{"lost", func(o *opening) { o.upTo(7); o.cut() }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newScriptedEngine(t, "engine-1", length, tt.fault)
+			if tt.lost {
+				n.script = append(n.script, (*opening).gone)
+			}
+			begin := time.Now()
+			got := newTestEntry(t, n.Engine).stream(t)
+			// Without history a stall is detected after 5 s only.
+			assert.Assert(t, time.Since(begin) < 3*time.Second)
+			if tt.lost {
+				got.checkFrames(t, 0, 7)
+				assert.Equal(t, got.err.Error.Kind, serving.KindGenerationLost)
+				assert.Equal(t, got.err.Error.Ran, serving.DidRun)
+				assert.Assert(t, !got.done)
+				return
+			}
+			got.checkFrames(t, 0, length)
+			assert.Assert(t, got.done)
+			assert.Assert(t, got.frames[0].GenerationID != "earlier")
+			_, starts, _ := n.count()
+			assert.Equal(t, starts, 1)
+		})
+	}
+}
+
+// Guards against a stalled link that holds an answer until the caller gives up.
+func TestStalledStreamIsResumed(t *testing.T) {
+	n := newScriptedEngine(t, "engine-1", 20, func(o *opening) { o.upTo(5); o.wait() })
+	for range 128 {
+		n.counters.observeGap(10 * time.Millisecond)
+	}
+	begin := time.Now()
+	got := newTestEntry(t, n.Engine).stream(t)
+	got.checkFrames(t, 0, 20)
+	assert.Assert(t, got.done)
+	assert.Assert(t, time.Since(begin) < 2*time.Second, time.Since(begin))
+}
+
+// Guards against a non-streaming answer that fails with its engine, or that has
+// tokens of both generations.
+func TestWholeAnswerRestartsUnseen(t *testing.T) {
+	bad := newScriptedEngine(t, "engine-1", 20, func(o *opening) { o.upTo(5); o.cut() }, (*opening).gone)
+	good := newScriptedEngine(t, "engine-2", 20)
+	good.counters.inFlight.Store(1)
+	got := newTestEntry(t, bad.Engine, good.Engine).do(t, http.MethodPost, "/v1/completions", testKey, nil, `{"model":"guide"}`)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.whole.Tokens, 20)
+	var want strings.Builder
+	for i := range 20 {
+		want.WriteString(token(string(got.whole.GenerationID), i))
+	}
+	assert.Equal(t, got.whole.Text, want.String())
+}
+
+// Guards against a refusal that says not_run although the engine had the request.
+func TestRefusalTellsTruthOfRun(t *testing.T) {
+	unreachable := newScriptedEngine(t, "engine-1", 1)
+	unreachable.server.Close()
+	refuse := func(o *opening) { o.w.WriteHeader(http.StatusServiceUnavailable) }
+	tests := []struct {
+		name   string
+		engine *scriptedEngine
+		ran    serving.Ran
+	}{
+		{"dial failed", unreachable, serving.NotRun},
+		{"cut before the first token", newScriptedEngine(t, "engine-1", 9, (*opening).cut, (*opening).cut, (*opening).cut), serving.RanUnknown},
+		{"engine refused", newScriptedEngine(t, "engine-1", 9, refuse, refuse, refuse), serving.RanUnknown},
+	}
+	for _, tt := range tests {
+		got := newTestEntry(t, tt.engine.Engine).stream(t)
+		assert.Equal(t, got.err.Error.Ran, tt.ran, tt.name)
+		assert.Equal(t, got.status/100, 5, tt.name)
+	}
+}
+
+// Guards against a stream that cannot go on at another entry, and against a
+// generation that is cancelled as soon as its caller's connection breaks.
+func TestCallerResumesAtAnotherEntry(t *testing.T) {
+	n := newScriptedEngine(t, "engine-1", 30, func(o *opening) { o.upTo(10); o.wait() })
+	first, second := newTestEntry(t, n.Engine), newTestEntry(t)
+	ctx, hangUp := context.WithCancel(context.Background())
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, first.server.URL+"/v1/completions", strings.NewReader(`{"model":"guide","stream":true}`))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	id := make([]byte, 4096)
+	read, err := res.Body.Read(id)
+	assert.NilError(t, err)
+	hangUp()
+	res.Body.Close()
+	token, _, _ := strings.Cut(strings.TrimPrefix(string(id[:read]), "id: "), "\n")
+
+	resume := func(key, token string) *received {
+		return second.do(t, http.MethodGet, "/v1/generations/resume", key, map[string]string{"Last-Event-ID": token}, "")
+	}
+	assert.Equal(t, resume(otherKey, token).err.Error.Kind, serving.KindForbidden)
+	assert.Equal(t, resume(operatorKey, token).err.Error.Kind, serving.KindUnauthenticated)
+	assert.Equal(t, resume(testKey, token+"x").err.Error.Kind, serving.KindResumeTokenWrong)
+	got := resume(testKey, token)
+	got.checkFrames(t, 1, 30)
+	assert.Assert(t, got.done)
+	last := resume(testKey, got.ids[len(got.ids)-1])
+	assert.Assert(t, last.done && len(last.frames) == 0)
+	_, _, cancelled := n.count()
+	assert.Equal(t, cancelled, 0)
+
+	restarted := *n.Engine
+	restarted.Incarnation = 2
+	second.setBoard(testConfig(), &restarted)
+	lost := resume(testKey, token)
+	assert.Equal(t, lost.err.Error.Kind, serving.KindGenerationLost)
+	assert.Equal(t, lost.err.Error.Ran, serving.DidRun)
+	assert.Equal(t, first.do(t, http.MethodDelete, "/v1/generations/resume", testKey, map[string]string{"Last-Event-ID": token}, "").status, http.StatusOK)
+	_, _, cancelled = n.count()
+	assert.Equal(t, cancelled, 1)
+}
+
+// Guards against work that goes on for a caller who can neither wait nor resume.
+func TestWholeAnswerIsCancelledWithItsCaller(t *testing.T) {
+	began := make(chan struct{})
+	n := newScriptedEngine(t, "engine-1", 30, func(o *opening) { o.upTo(3); close(began); o.wait() })
+	e := newTestEntry(t, n.Engine)
+	ctx, hangUp := context.WithCancel(context.Background())
+	go func() { <-began; hangUp() }()
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL+"/v1/completions", strings.NewReader(`{"model":"guide"}`))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	_, err := http.DefaultClient.Do(r) //nolint:bodyclose // There is no response.
+	assert.Assert(t, err != nil)
+	e.server.Close()
+	e.background.Wait()
+	_, _, cancelled := n.count()
+	assert.Equal(t, cancelled, 1)
+}
--- a/internal/entry/blackboard.go
+++ b/internal/entry/blackboard.go
@@ -20,11 +20,6 @@
 	counters   *engineCounters
 }
 
-// engineCounters are shared by traffic goroutines across snapshots.
-type engineCounters struct {
-	inFlight atomic.Int64
-}
-
 // Blackboard is the state that controllers read and write. A published
 // blackboard is immutable.
 type Blackboard struct {
--- /dev/null
+++ b/internal/entry/caller.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// errCallerGone means that the caller's connection failed.
+var errCallerGone = errors.New("caller is gone")
+
+// errSlowReader means that the caller did not read within the write timeout.
+var errSlowReader = serving.NewError(serving.KindSlowReader, "the caller read too slowly").WithRan(serving.DidRun)
+
+// isCallerError tells whether an error comes from the caller's side, so that
+// neither resuming nor another engine helps.
+func isCallerError(err error) bool {
+	var p permanent
+	return errors.Is(err, errCallerGone) || errors.Is(err, errSlowReader) || errors.As(err, &p)
+}
+
+// callerWriter writes to a caller with a deadline for each write.
+type callerWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+	setAt   time.Time
+}
+
+func newCallerWriter(w http.ResponseWriter, timeout time.Duration) *callerWriter {
+	return &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), timeout: timeout}
+}
+
+// send writes and flushes. The deadline moves at most four times per timeout,
+// since moving it costs as much as a small write.
+func (c *callerWriter) send(b []byte) error {
+	if now := time.Now(); now.Sub(c.setAt) > c.timeout/4 {
+		_ = c.control.SetWriteDeadline(now.Add(c.timeout))
+		c.setAt = now
+	}
+	_, err := c.Write(b)
+	if err == nil {
+		err = c.control.Flush()
+	}
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errSlowReader
+	default:
+		return errCallerGone
+	}
+}
+
+// end clears the deadline for the next request of the connection.
+func (c *callerWriter) end() { _ = c.control.SetWriteDeadline(time.Time{}) }
+
+// readBody reads a request's body of bounded size within a bounded time.
+func readBody(w http.ResponseWriter, r *http.Request, limit serving.Bytes, timeout time.Duration) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, serving.WrapError(err, serving.KindTooLarge, "read request")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, serving.WrapError(err, serving.KindDeadline, "read request")
+	case err != nil:
+		return nil, serving.WrapError(err, serving.KindInvalid, "read request")
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return b, nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"errors"
 	"expvar"
+	"net"
 	"net/http"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +20,10 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
+// dialTimeout bounds a connection to an engine or process; the one-way latency
+// between regions is about 10 ms.
+const dialTimeout = 2 * time.Second
+
 // Entry is an entry process. Its exported fields are set before Run.
 type Entry struct {
 	Settings *settings.Settings
@@ -33,17 +37,15 @@
 	clusterClient *http.Client
 	viewSource    int
 	draining      atomic.Bool
+	retries       *retryBudget
+	// background counts calls that go on after their caller has left.
+	background sync.WaitGroup
 }
 
 // Run serves until ctx ends, then drains: it turns not ready, takes no new work
 // and returns when every stream in progress has ended.
 func (e *Entry) Run(ctx context.Context) error {
-	e.board = newBoard(e.Clock)
-	e.signer = generation.NewSigner(e.Settings.Entry.ResumeKey)
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second}
-	e.upstream = &http.Client{Transport: transport}
-	e.clusterClient = &http.Client{Transport: keyTransport{key: e.Settings.ClusterKey, next: transport}}
-
+	e.prepare()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, _ := errgroup.WithContext(background)
@@ -66,10 +68,28 @@
 	klog.InfoS("Entry started", "host", e.Settings.Host, "listen", e.Settings.Listen)
 	<-ctx.Done()
 	e.drain(server)
+	e.background.Wait()
 	stop()
 	return g.Wait()
 }
 
+// prepare makes what the handlers need.
+func (e *Entry) prepare() {
+	e.board = newBoard(e.Clock)
+	e.signer = generation.NewSigner(e.Settings.Entry.ResumeKey)
+	e.retries = newRetryBudget()
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second,
+		DisableCompression: true,
+	}
+	e.upstream = &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	e.clusterClient = &http.Client{Transport: keyTransport{key: e.Settings.ClusterKey, next: transport}, CheckRedirect: noRedirect}
+}
+
+// noRedirect keeps the client from sending a call a second time to another place.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // drain waits for the balancer to notice, then for every stream to end.
 func (e *Entry) drain(server *http.Server) {
 	klog.InfoS("Entry draining", "host", e.Settings.Host)
@@ -87,6 +107,8 @@
 	ws := new(restful.WebService)
 	ws.Path("/v1").Consumes("*/*").Produces(restful.MIME_JSON, "text/event-stream")
 	ws.Route(ws.POST("/completions").To(e.completions))
+	ws.Route(ws.GET("/generations/resume").To(e.resume))
+	ws.Route(ws.DELETE("/generations/resume").To(e.cancel))
 	ws.Route(ws.POST("/engines/announce").To(e.announce))
 	container.Add(ws)
 
@@ -107,23 +129,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// isCluster tells whether a request carries the cluster key.
-func (e *Entry) isCluster(r *http.Request) bool {
-	return subtle.ConstantTimeCompare([]byte(bearer(r)), []byte(e.Settings.ClusterKey)) == 1
-}
-
-func (e *Entry) requireCluster(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !e.isCluster(r) {
-			http.Error(w, "the cluster key is missing or wrong", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-func bearer(r *http.Request) string {
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	return key
-}
--- /dev/null
+++ b/internal/entry/helpers_test.go
@@ -0,0 +1,269 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/generation"
+)
+
+const (
+	testKey     = "caller-key"
+	otherKey    = "other-key"
+	operatorKey = "operator-key"
+)
+
+func testSettings(t testing.TB) *settings.Settings {
+	t.Helper()
+	s, err := settings.Decode([]byte("{host: entry-1, data_centre: dc-a, region: r, listen: 127.0.0.1:1, cluster_key: cluster-key, entry: {control: [127.0.0.1:2]}}"))
+	assert.NilError(t, err)
+	return s
+}
+
+func accountObject(id, key string, operator bool) *schema.Object {
+	hash := sha256.Sum256([]byte(key))
+	return &schema.Object{
+		Kind: schema.ObjectKind_OBJECT_KIND_CLIENT_ACCOUNT, Id: id,
+		Spec: &schema.Object_ClientAccount{ClientAccount: &schema.ClientAccount{KeyHashes: [][]byte{hash[:]}, Operator: operator}},
+	}
+}
+
+func testConfig() *schema.ConfigView {
+	return &schema.ConfigView{Revision: 1, Objects: []*schema.Object{
+		accountObject("bench", testKey, false), accountObject("other", otherKey, false), accountObject("op", operatorKey, true),
+		{Kind: schema.ObjectKind_OBJECT_KIND_MODEL, Id: "guide", Spec: &schema.Object_Model{Model: &schema.Model{}}},
+	}}
+}
+
+// testEntry is an entry whose handler runs in a test server and whose
+// blackboard the test sets.
+type testEntry struct {
+	*Entry
+	server *httptest.Server
+}
+
+func newTestEntry(t testing.TB, engines ...*Engine) *testEntry {
+	t.Helper()
+	e := &testEntry{Entry: &Entry{Settings: testSettings(t), Clock: serving.NewMonotonicClock()}}
+	e.prepare()
+	e.setBoard(testConfig(), engines...)
+	e.server = httptest.NewServer(e.handler())
+	t.Cleanup(func() {
+		e.server.Close()
+		e.background.Wait()
+		e.upstream.CloseIdleConnections()
+	})
+	return e
+}
+
+func (e *testEntry) setBoard(c *schema.ConfigView, engines ...*Engine) {
+	b := &Blackboard{View: newView(c, e.Clock.Now()+time.Hour), Engines: map[serving.EngineID]*Engine{}}
+	for _, n := range engines {
+		b.Engines[n.Engine] = n
+	}
+	e.board.snapshot.Store(b)
+}
+
+func (e *testEntry) do(t testing.TB, method, path, key string, header map[string]string, body string) *received {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), method, e.server.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	return readAll(t, res)
+}
+
+func (e *testEntry) stream(t testing.TB) *received {
+	t.Helper()
+	return e.do(t, http.MethodPost, "/v1/completions", testKey, nil, `{"model":"guide","prompt":"p","stream":true}`)
+}
+
+// received is what a caller got.
+type received struct {
+	status int
+	frames []generation.Frame
+	ids    []string
+	done   bool
+	err    errorAnswer
+	whole  completionAnswer
+}
+
+func readAll(t testing.TB, res *http.Response) *received {
+	t.Helper()
+	got := &received{status: res.StatusCode}
+	if res.Header.Get("Content-Type") != "text/event-stream" {
+		b, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
+		_ = json.Unmarshal(b, &got.err)
+		_ = json.Unmarshal(b, &got.whole)
+		return got
+	}
+	scanner, isError := bufio.NewScanner(res.Body), false
+	for scanner.Scan() {
+		line := scanner.Text()
+		isError = isError || line == "event: error"
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			got.ids = append(got.ids, id)
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			got.done = true
+		case isError:
+			assert.NilError(t, json.Unmarshal([]byte(data), &got.err))
+		default:
+			var f generation.Frame
+			assert.NilError(t, json.Unmarshal([]byte(data), &f))
+			got.frames = append(got.frames, f)
+		}
+	}
+	return got
+}
+
+// checkFrames checks that the frames from an index on are complete, in order and of one generation.
+func (r *received) checkFrames(t testing.TB, from, to int) {
+	t.Helper()
+	assert.Equal(t, len(r.frames), to-from, "%+v", r)
+	for i, f := range r.frames {
+		assert.Equal(t, int(f.Index), from+i)
+		assert.Equal(t, f.Token, token(string(f.GenerationID), from+i))
+		assert.Equal(t, f.GenerationID, r.frames[0].GenerationID)
+	}
+}
+
+func token(id string, i int) string { return fmt.Sprintf("%s-%d ", id, i) }
+
+// scriptedEngine answers each opening of a stream by the next step of its script.
+type scriptedEngine struct {
+	*Engine
+	server *httptest.Server
+	length int
+
+	mu        sync.Mutex
+	script    []func(o *opening)
+	opened    int
+	starts    int
+	cancelled []string
+}
+
+// opening is one opened stream of a scripted engine.
+type opening struct {
+	w            http.ResponseWriter
+	r            *http.Request
+	engine       *scriptedEngine
+	request, id  string
+	from, length int
+}
+
+// newScriptedEngine returns an engine; openings beyond its script are answered whole.
+func newScriptedEngine(t testing.TB, name string, length int, script ...func(*opening)) *scriptedEngine {
+	t.Helper()
+	s := &scriptedEngine{length: length, script: script}
+	requests := map[string]string{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("X-Generation-Id")
+		s.mu.Lock()
+		requests[id] = r.Header.Get("X-Request-Id")
+		s.starts++
+		s.mu.Unlock()
+		s.open(&opening{w: w, r: r, engine: s, request: r.Header.Get("X-Request-Id"), id: id, length: length})
+	})
+	mux.HandleFunc("GET /v1/generations/{id}", func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		request := requests[r.PathValue("id")]
+		s.mu.Unlock()
+		o := &opening{w: w, r: r, engine: s, request: request, id: r.PathValue("id"), length: length}
+		_, _ = fmt.Sscan(r.FormValue("from"), &o.from)
+		s.open(o)
+	})
+	mux.HandleFunc("DELETE /v1/generations/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.cancelled = append(s.cancelled, r.PathValue("id"))
+	})
+	s.server = httptest.NewServer(mux)
+	t.Cleanup(s.server.Close)
+	s.Engine = &Engine{Announcement: Announcement{
+		Engine: serving.EngineID(name), Address: s.server.Listener.Addr().String(), DataCentre: "dc-a",
+		Incarnation: 1, State: EngineReady, Models: []ModelRef{{Model: "guide"}},
+	}, counters: newEngineCounters()}
+	return s
+}
+
+func (s *scriptedEngine) open(o *opening) {
+	s.mu.Lock()
+	step := (*opening).whole
+	if s.opened < len(s.script) {
+		step = s.script[s.opened]
+	}
+	s.opened++
+	s.mu.Unlock()
+	step(o)
+}
+
+func (s *scriptedEngine) count() (opened, starts, cancelled int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened, s.starts, len(s.cancelled)
+}
+
+func (o *opening) frame(request, id string, i int) {
+	f := generation.Frame{RequestID: serving.RequestID(request), GenerationID: serving.GenerationID(id), Index: serving.TokenIndex(i), Token: token(id, i)}
+	if i == o.length-1 {
+		f.FinishReason = "stop"
+	}
+	b, _ := json.Marshal(f)
+	fmt.Fprintf(o.w, "data: %s\n\n", b)
+	_ = http.NewResponseController(o.w).Flush()
+}
+
+// frames sends the frames of some indexes.
+func (o *opening) frames(indexes ...int) {
+	for _, i := range indexes {
+		o.frame(o.request, o.id, i)
+	}
+}
+
+func (o *opening) upTo(n int) {
+	for i := o.from; i < n; i++ {
+		o.frames(i)
+	}
+}
+
+func (o *opening) done() { fmt.Fprint(o.w, "data: [DONE]\n\n") }
+
+func (o *opening) whole() {
+	o.upTo(o.length)
+	o.done()
+}
+
+func (o *opening) gone() { o.w.WriteHeader(http.StatusNotFound) }
+
+// break ends the connection without an end of the response.
+func (o *opening) cut() { panic(http.ErrAbortHandler) }
+
+// wait blocks until the reader leaves.
+func (o *opening) wait() { <-o.r.Context().Done() }
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -40,7 +40,13 @@
 	for _, o := range c.Objects {
 		v.names[objectName{o.Kind, o.Id}] = o.Id
 		v.out[o.Id] = v.out[o.Id] || o.GetDataCentre().GetOut()
+		if o.GetClientAccount().GetOperator() {
+			continue
+		}
 		for _, hash := range o.GetClientAccount().GetKeyHashes() {
+			if len(hash) != sha256.Size {
+				continue
+			}
 			v.accounts[[sha256.Size]byte(hash)] = serving.ClientAccountID(o.Id)
 		}
 	}
--- a/pkg/serving/generation/doc.go
+++ b/pkg/serving/generation/doc.go
@@ -16,4 +16,9 @@
 //	signer := generation.NewSigner(key)
 //	token := signer.Sign(generation.Position{Engine: "engine-1", Next: 1})
 //	position, err := signer.Verify(token)
+//
+// For many tokens of one stream a [StreamSigner] encodes the position only once:
+//
+//	stream := signer.Stream(generation.Position{Engine: "engine-1"})
+//	buf = stream.Append(buf, 1, false)
 package generation
--- a/pkg/serving/generation/generation_test.go
+++ b/pkg/serving/generation/generation_test.go
@@ -75,7 +75,13 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got, want)
 
-	tests := []string{"", ".", "x", token + "x", strings.Replace(token, ".", "..", 1), "A" + token, strings.Repeat("a", 5000)}
+	last, err := s.Verify(string(s.Stream(want).Append(nil, 9, true)))
+	assert.NilError(t, err)
+	assert.Assert(t, last.Finished && last.Next == 9)
+
+	other := s.Sign(generation.Position{Account: "bench", Next: 8})
+	spliced := token[:strings.Index(token, ".")] + other[strings.Index(other, "."):]
+	tests := []string{"", ".", "x", "..", spliced, strings.Replace(token, ".7.", ".8.", 1), strings.Replace(token, ".7.", ".7e.", 1), token + "x", strings.Replace(token, ".", "..", 1), "A" + token, strings.Repeat("a", 5000)}
 	for _, tt := range tests {
 		_, err := s.Verify(tt)
 		assert.Equal(t, serving.KindOf(err), serving.KindResumeTokenWrong, tt)
@@ -88,7 +94,7 @@
 func FuzzVerify(f *testing.F) {
 	s := generation.NewSigner("key")
 	f.Add(s.Sign(generation.Position{Next: 1}))
-	f.Add("e30.AAAAAAAAAAAAAAAAAAAAAA")
+	f.Add("e30.1.AAAAAAAAAAAAAAAAAAAAAA")
 	f.Fuzz(func(_ *testing.T, token string) {
 		_, _ = s.Verify(token)
 	})
--- a/pkg/serving/generation/resume.go
+++ b/pkg/serving/generation/resume.go
@@ -5,13 +5,21 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
+	"hash"
+	"strconv"
 	"strings"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
-// maxResumeToken bounds the length of a resume token that is looked at.
-const maxResumeToken = 2048
+const (
+	// maxResumeToken bounds the length of a resume token that is looked at.
+	maxResumeToken = 2048
+	// macBytes is the length of the truncated MAC of a resume token.
+	macBytes = 16
+	// finishedMark follows the index in the token of the last frame.
+	finishedMark = "e"
+)
 
 // Position is a place in a stream from which a caller can resume it.
 type Position struct {
@@ -24,7 +32,9 @@
 	// Address lets an entry that does not know the engine yet reach it.
 	Address string `json:"h"`
 	// Next is the index of the next token that the caller needs.
-	Next serving.TokenIndex `json:"n"`
+	Next serving.TokenIndex `json:"-"`
+	// Finished is true if the caller has got the last token.
+	Finished bool `json:"-"`
 }
 
 // Signer signs and verifies resume tokens with a key that all entries share.
@@ -40,33 +50,79 @@
 
 // Sign returns the resume token of a position.
 func (s *Signer) Sign(p Position) string {
+	return string(s.Stream(p).Append(nil, p.Next, p.Finished))
+}
+
+// Stream returns a signer for the positions of one stream, which differ in Next
+// and Finished only. It is not safe for concurrent use.
+func (s *Signer) Stream(p Position) *StreamSigner {
 	b, err := json.Marshal(p)
 	if err != nil {
 		panic(err) // Position has no field that fails to marshal.
 	}
 	body := base64.RawURLEncoding.EncodeToString(b)
-	return body + "." + s.mac(body)
+	return &StreamSigner{body: body, mac: s.streamMAC(body)}
+}
+
+// streamMAC returns a MAC under a key that is derived for one stream, so that
+// the MAC of an index covers the body without hashing it again.
+func (s *Signer) streamMAC(body string) hash.Hash {
+	m := hmac.New(sha256.New, s.key)
+	m.Write([]byte(body))
+	return hmac.New(sha256.New, m.Sum(nil))
 }
 
 // Verify returns the position of a resume token.
 func (s *Signer) Verify(token string) (Position, error) {
 	var p Position
-	body, mac, ok := strings.Cut(token, ".")
-	if !ok || len(token) > maxResumeToken || !hmac.Equal([]byte(mac), []byte(s.mac(body))) {
-		return p, serving.NewError(serving.KindResumeTokenWrong, "the resume token is damaged or was signed with another key")
+	wrong := serving.NewError(serving.KindResumeTokenWrong, "the resume token is damaged or was signed with another key")
+	parts := strings.Split(token, ".")
+	if len(token) > maxResumeToken || len(parts) != 3 {
+		return p, wrong
 	}
-	b, err := base64.RawURLEncoding.DecodeString(body)
+	want := appendMAC(nil, s.streamMAC(parts[0]), []byte(parts[1]))
+	if !hmac.Equal([]byte(parts[2]), want) {
+		return p, wrong
+	}
+	b, err := base64.RawURLEncoding.DecodeString(parts[0])
 	if err != nil {
 		return p, serving.WrapError(err, serving.KindResumeTokenWrong, "decode resume token")
 	}
 	if err := json.Unmarshal(b, &p); err != nil {
 		return p, serving.WrapError(err, serving.KindResumeTokenWrong, "decode resume token")
 	}
+	index, finished := strings.CutSuffix(parts[1], finishedMark)
+	n, err := strconv.ParseInt(index, 10, 64)
+	if err != nil {
+		return p, serving.WrapError(err, serving.KindResumeTokenWrong, "decode resume token")
+	}
+	p.Next, p.Finished = serving.TokenIndex(n), finished
 	return p, nil
 }
 
-func (s *Signer) mac(body string) string {
-	m := hmac.New(sha256.New, s.key)
-	m.Write([]byte(body))
-	return base64.RawURLEncoding.EncodeToString(m.Sum(nil)[:16])
+// StreamSigner signs the resume tokens of one stream.
+type StreamSigner struct {
+	body string
+	mac  hash.Hash
+}
+
+// Append appends the resume token of an index; finished marks the end of the answer.
+func (s *StreamSigner) Append(dst []byte, next serving.TokenIndex, finished bool) []byte {
+	dst = append(dst, s.body...)
+	dst = append(dst, '.')
+	start := len(dst)
+	dst = strconv.AppendInt(dst, int64(next), 10)
+	if finished {
+		dst = append(dst, finishedMark...)
+	}
+	index := dst[start:]
+	dst = append(dst, '.')
+	return appendMAC(dst, s.mac, index)
+}
+
+func appendMAC(dst []byte, m hash.Hash, index []byte) []byte {
+	var sum [sha256.Size]byte
+	m.Reset()
+	m.Write(index)
+	return base64.RawURLEncoding.AppendEncode(dst, m.Sum(sum[:0])[:macBytes])
 }
--- a/pkg/serving/generation/sequencer.go
+++ b/pkg/serving/generation/sequencer.go
@@ -17,6 +17,9 @@
 	Token        string               `json:"token"`
 	// FinishReason is set on the last frame only.
 	FinishReason string `json:"finish_reason,omitempty"`
+	// Data is the encoded frame if it arrived in the canonical encoding, which is
+	// passed on as it is; else it is empty.
+	Data string `json:"-"`
 }
 
 // Sequencer lets the frames of one generation through once and in order.
@@ -39,19 +42,22 @@
 // Repeated frames are dropped. A frame of another request or generation is
 // counted and dropped; it says nothing about this answer. Too many frames behind
 // a gap are an error.
-func (s *Sequencer) Accept(f Frame) ([]Frame, error) {
+func (s *Sequencer) Accept(f Frame) ([]Frame, error) { return s.Append(nil, f) }
+
+// Append is like Accept but appends the frames to ready.
+func (s *Sequencer) Append(ready []Frame, f Frame) ([]Frame, error) {
 	if f.RequestID != s.request || f.GenerationID != s.generation {
 		s.foreign++
-		return nil, nil
+		return ready, nil
 	}
 	if s.finished || f.Index < s.next {
 		s.dropped++
-		return nil, nil
+		return ready, nil
 	}
 	if f.Index > s.next {
-		return nil, s.hold(f)
+		return ready, s.hold(f)
 	}
-	return s.release(f), nil
+	return s.release(ready, f), nil
 }
 
 func (s *Sequencer) hold(f Frame) error {
@@ -69,9 +75,9 @@
 	return nil
 }
 
-// release returns f and the held frames that follow it without a gap.
-func (s *Sequencer) release(f Frame) []Frame {
-	ready := []Frame{f}
+// release appends f and the held frames that follow it without a gap.
+func (s *Sequencer) release(ready []Frame, f Frame) []Frame {
+	ready = append(ready, f)
 	s.next++
 	s.finished = f.FinishReason != ""
 	for len(s.pending) > 0 && !s.finished {
@@ -93,6 +99,9 @@
 // Finished tells whether the last token went through.
 func (s *Sequencer) Finished() bool { return s.finished }
 
+// Held returns the number of frames that are held back behind a gap.
+func (s *Sequencer) Held() int { return len(s.pending) }
+
 // Missing tells whether frames are held back behind a gap.
 func (s *Sequencer) Missing() bool { return len(s.pending) > 0 && !s.finished }
 
