entry: refuse malformed requests, cut slow readers, type panics

Ruled out: http.Server's ReadTimeout and WriteTimeout, since the length of an answer is not known; each body read and each write has a deadline instead.

Found on the way: a write that failed by its deadline was counted as caller_gone, because the failed write also ends the request's context.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// begin records the start, from which the time to the first token counts.
+func (a *attempt) begin(now time.Duration) { a.lastFrame = now }
+
 // produced tells whether a token has arrived.
 func (a *attempt) produced() bool { return a.sequencer.Next() > a.firstIndex }
 
@@ -87,7 +90,7 @@
 
 // run starts a generation and follows it.
 func (e *Entry) run(ctx context.Context, a *attempt, out answerWriter) error {
-	a.lastFrame = e.Clock.Now()
+	a.begin(e.Clock.Now())
 	stream, err := e.startGeneration(ctx, a)
 	if err == nil {
 		return e.follow(ctx, a, stream, out)
@@ -141,6 +144,7 @@
 			return nil, errGenerationGone
 		}
 		a.resumes++
+		e.metrics.resumes.Add(1)
 		stream, err := e.resumeGeneration(ctx, a)
 		if err == nil || errors.Is(err, errGenerationGone) || ctx.Err() != nil {
 			return stream, err
@@ -219,8 +223,13 @@
 // progress records n tokens that have just arrived.
 func (e *Entry) progress(a *attempt, n int64) {
 	now := e.Clock.Now()
+	e.metrics.tokens.Add(n)
 	if a.sequencer.Next() > a.firstIndex+serving.TokenIndex(n) {
-		a.engine.counters.observeGap((now - a.lastFrame) / time.Duration(n))
+		gap := (now - a.lastFrame) / time.Duration(n)
+		a.engine.counters.observeGap(gap)
+		e.metrics.interToken.observe(gap, n)
+	} else if a.firstIndex == 0 {
+		e.metrics.firstToken.observe(now-a.lastFrame, 1)
 	}
 	a.lastFrame, a.failing, a.resumes = now, false, 0
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -14,17 +15,9 @@
 
 // completions handles POST /v1/completions.
 func (e *Entry) completions(r *restful.Request, w *restful.Response) {
-	b := e.board.load()
-	account, err := e.authenticate(b, r.Request)
-	if err == nil {
-		err = e.mayStart(b)
-	}
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	call, err := e.decodeCompletion(b.View, account, w, r.Request)
+	call, err := e.acceptCompletion(w, r.Request)
 	if err != nil {
+		e.metrics.outcome(err)
 		writeError(w, err)
 		return
 	}
@@ -33,7 +26,26 @@
 	if call.stream {
 		out = &streamedAnswer{w: caller, signer: e.signer}
 	}
-	out.end(e.answer(r.Request.Context(), call, out))
+	e.finish(out, e.answer(r.Request.Context(), call, out))
+}
+
+// finish ends an answer and counts its outcome.
+func (e *Entry) finish(out answerWriter, err error) {
+	e.metrics.outcome(err)
+	out.end(err)
+}
+
+// acceptCompletion authenticates and decodes a call, if new work may start now.
+func (e *Entry) acceptCompletion(w http.ResponseWriter, r *http.Request) (*completionCall, error) {
+	b := e.board.load()
+	account, err := e.authenticate(b, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.mayStart(b); err != nil {
+		return nil, err
+	}
+	return e.decodeCompletion(b.View, account, w, r)
 }
 
 // mayStart tells whether new work may start now.
@@ -74,10 +86,13 @@
 		if !out.canResume() {
 			e.abandon(a)
 		}
+		if isCallerError(err) {
+			break
+		}
 		if ctx.Err() != nil {
 			return errCallerGone
 		}
-		if isCallerError(err) || !out.canRestart() {
+		if !out.canRestart() {
 			break
 		}
 		klog.InfoS("Attempt failed", "request", a.request.ID, "generation", a.generation, "engine", a.engine.Engine, "err", err)
@@ -107,11 +122,24 @@
 }
 
 func (e *Entry) runCounted(ctx context.Context, a *attempt, out answerWriter) error {
-	a.engine.counters.inFlight.Add(1)
-	defer a.engine.counters.inFlight.Add(-1)
+	defer e.count(a)()
 	return e.run(ctx, a, out)
 }
 
+// count counts an attempt as in flight until the returned function is called.
+func (e *Entry) count(a *attempt) (done func()) {
+	a.engine.counters.inFlight.Add(1)
+	e.metrics.inFlight.Add(1)
+	e.metrics.attempts.Add(1)
+	return func() {
+		a.engine.counters.inFlight.Add(-1)
+		e.metrics.inFlight.Add(-1)
+		repeated, foreign := a.sequencer.Dropped()
+		e.metrics.repeated.Add(int64(repeated))
+		e.metrics.foreign.Add(int64(foreign))
+	}
+}
+
 // failed records the outcome of an attempt.
 func (s *answering) failed(a *attempt, err error) {
 	s.last = err
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -62,7 +62,9 @@
 	e := &testEntry{Entry: &Entry{Settings: testSettings(t), Clock: serving.NewMonotonicClock()}}
 	e.prepare()
 	e.setBoard(testConfig(), engines...)
-	e.server = httptest.NewServer(e.handler())
+	e.server = httptest.NewUnstartedServer(nil)
+	e.server.Config = e.newServer()
+	e.server.Start()
 	t.Cleanup(func() {
 		e.server.Close()
 		e.background.Wait()
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -1,10 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 	"unicode/utf8"
@@ -54,17 +51,13 @@
 	if !utf8.Valid(body) {
 		return nil, serving.NewError(serving.KindInvalid, "the body is not valid UTF-8")
 	}
-	d := json.NewDecoder(bytes.NewReader(body))
 	var fields map[string]json.RawMessage
-	if err := d.Decode(&fields); err != nil {
+	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, serving.WrapError(err, serving.KindInvalid, "decode request")
 	}
 	if fields == nil {
 		return nil, serving.NewError(serving.KindInvalid, "the body is not a JSON object")
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, serving.NewError(serving.KindInvalid, "the body goes on after the JSON object")
-	}
 	return fields, nil
 }
 
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -16,6 +16,7 @@
 func (e *Entry) resume(r *restful.Request, w *restful.Response) {
 	a, position, err := e.resumed(r.Request)
 	if err != nil {
+		e.metrics.outcome(err)
 		writeError(w, err)
 		return
 	}
@@ -27,13 +28,12 @@
 		return
 	}
 	out.begin(a)
-	out.end(e.followResumed(r.Request.Context(), a, out))
+	e.finish(out, e.followResumed(r.Request.Context(), a, out))
 }
 
 func (e *Entry) followResumed(ctx context.Context, a *attempt, out answerWriter) error {
-	a.engine.counters.inFlight.Add(1)
-	defer a.engine.counters.inFlight.Add(-1)
-	a.lastFrame = e.Clock.Now()
+	defer e.count(a)()
+	a.begin(e.Clock.Now())
 	err := e.follow(ctx, a, nil, out)
 	switch {
 	case err == nil || isCallerError(err):
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller must send its header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout bounds the time between two requests of a connection.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds the header of a request; a resume token has up to 2 KiB.
+	maxHeader = 32 << 10
+)
+
+// newServer returns the server of the process. It has no overall read or write
+// timeout, since the length of an answer is not known; handlers set a deadline
+// for each read of a body and each write.
+func (e *Entry) newServer() *http.Server {
+	return &http.Server{
+		Addr: string(e.Settings.Listen), Handler: e.handler(),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+}
+
+// handler returns the routes of the process.
+func (e *Entry) handler() http.Handler {
+	container := restful.NewContainer()
+	container.ServiceErrorHandler(routeError)
+	ws := new(restful.WebService)
+	ws.Path("/v1").Consumes("*/*").Produces(restful.MIME_JSON, "text/event-stream")
+	ws.Route(ws.POST("/completions").To(e.completions))
+	ws.Route(ws.GET("/generations/resume").To(e.resume))
+	ws.Route(ws.DELETE("/generations/resume").To(e.cancel))
+	ws.Route(ws.POST("/engines/announce").To(e.announce))
+	container.Add(ws)
+
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", container)
+	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e)))
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/readyz", e.ready)
+	mux.HandleFunc("/debug/vars", e.vars)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		writeError(w, serving.NewError(serving.KindNotFound, "no such path"))
+	})
+	return recoverPanics(mux)
+}
+
+// routeError answers a request that no route takes.
+func routeError(err restful.ServiceError, _ *restful.Request, w *restful.Response) {
+	kind := serving.KindInvalid
+	if err.Code == http.StatusNotFound {
+		kind = serving.KindNotFound
+	}
+	writeError(w, serving.NewError(kind, err.Message))
+}
+
+// ready tells the balancer whether this entry takes new work.
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if e.notReady.Load() || !e.viewFresh(e.board.load()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// headerWatch tells whether the header of a response was written.
+type headerWatch struct {
+	http.ResponseWriter
+	wrote bool
+}
+
+// WriteHeader writes the header.
+func (w *headerWatch) WriteHeader(status int) {
+	w.wrote = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body.
+func (w *headerWatch) Write(b []byte) (int, error) {
+	w.wrote = true
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap gives http.ResponseController the underlying writer.
+func (w *headerWatch) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// recoverPanics answers a request whose handler panicked with a typed error, or
+// aborts a response that has begun, so that it does not look whole.
+func recoverPanics(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		watch := &headerWatch{ResponseWriter: w}
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			if v == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value itself.
+				panic(v)
+			}
+			klog.ErrorS(nil, "Handler panicked", "path", r.URL.Path, "panic", v, "stack", string(debug.Stack()))
+			if watch.wrote {
+				panic(http.ErrAbortHandler)
+			}
+			writeError(watch, serving.NewError(serving.KindInternal, "the handler failed").WithRan(serving.RanUnknown))
+		}()
+		next.ServeHTTP(watch, r)
+	})
+}
