--- a/internal/control/controltest/log.go
+++ b/internal/control/controltest/log.go
@@ -85,8 +85,13 @@
 		Members: []*schema.Member{{Replica: "memory/1", Voter: true, MatchIndex: l.index}}}
 }
 
-// ChangeMember returns MemberError.
-func (l *Log) ChangeMember(context.Context, *schema.MemberChange) error { return l.MemberError }
+// ChangeMember accepts the change unless MemberError is set.
+func (l *Log) ChangeMember(context.Context, *schema.MemberChange) (*schema.MemberChangeResult, error) {
+	if l.MemberError != nil {
+		return nil, l.MemberError
+	}
+	return &schema.MemberChangeResult{Accepted: true}, nil
+}
 
 func notLeader(address string) error {
 	return serving.NewError(serving.KindNotLeader, "the leader is "+address).WithDetail(address)
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -97,9 +97,9 @@
 	if s.Replica == nil {
 		return nil, serving.NewError(serving.KindInternal, "this process has no replica of its own")
 	}
-	err := s.Replica.ChangeMember(ctx, c)
+	res, err := s.Replica.ChangeMember(ctx, c)
 	if err == nil {
-		return &schema.MemberChangeResult{Accepted: true}, nil
+		return res, nil
 	}
 	switch e := serving.AsError(err); e.Kind {
 	case serving.KindInvalid, serving.KindConflict, serving.KindNotFound:
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 const (
 	// maxBody bounds a request. The largest is a settlement with its answer.
 	maxBody = 1 << 20
+	// maxMessages bounds a batch of messages of another replica.
+	maxMessages = 16 << 20
 	// Slow callers are cut off after these times.
 	readTimeout  = 10 * time.Second
 	writeTimeout = 60 * time.Second
@@ -31,23 +34,28 @@
 // Replica gives the state and the membership of the replicated log.
 type Replica interface {
 	Status() *schema.ReplicaStatus
-	// ChangeMember returns once the change is committed. A KindNotLeader error
-	// names the leader's address in its detail.
-	ChangeMember(ctx context.Context, c *schema.MemberChange) error
+	// ChangeMember returns once the change is committed or refused. A
+	// KindNotLeader error names the leader's address in its detail.
+	ChangeMember(ctx context.Context, c *schema.MemberChange) (*schema.MemberChangeResult, error)
 }
 
 // Server answers operators and entries. Its fields are set before Run or Handler.
 type Server struct {
 	Log     serving.ReplicatedLog
 	Replica Replica
-	Machine *registry.Machine
+	// Messages takes the messages of other replicas; nil means that there are none.
+	Messages http.Handler
+	Machine  *registry.Machine
 	// WallClock sets the time of commands; nil means time.Now.
 	WallClock func() time.Time
 	// ClusterKey is the hash of the key that entries and replicas share.
 	ClusterKey rpc.KeyHash
 	// Bootstrap is the hash of the operator key of the settings; the zero value means none.
 	Bootstrap rpc.KeyHash
+	// Clock measures the silence of entries; nil means the monotonic clock.
+	Clock serving.Clock
 
+	polls entryPolls
 	// whole is the whole configuration at the last revision that was asked for.
 	whole atomic.Pointer[schema.ConfigView]
 }
@@ -57,6 +65,9 @@
 	if s.WallClock == nil {
 		s.WallClock = time.Now
 	}
+	if s.Clock == nil {
+		s.Clock = serving.NewMonotonicClock()
+	}
 	mapErrors := twirp.WithServerInterceptors(rpc.MapErrors)
 	o := schema.NewOperatorsServer(operators{s}, mapErrors)
 	v := schema.NewViewsServer(views{s}, mapErrors)
@@ -65,7 +76,22 @@
 	mux.Handle(o.PathPrefix(), rpc.ReadKey(o))
 	mux.Handle(v.PathPrefix(), rpc.RequireKey(s.ClusterKey, v))
 	mux.Handle(c.PathPrefix(), rpc.RequireKey(s.ClusterKey, c))
-	return http.MaxBytesHandler(mux, maxBody)
+	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/readyz", s.ready)
+	mux.Handle("/debug/vars", expvar.Handler())
+	root := http.NewServeMux()
+	root.Handle("/", http.MaxBytesHandler(mux, maxBody))
+	if s.Messages != nil {
+		root.Handle(schema.LogPathPrefix, rpc.RequireKey(s.ClusterKey, http.MaxBytesHandler(s.Messages, maxMessages)))
+	}
+	return root
+}
+
+// ready tells whether this replica knows a leader.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if address, self := s.Log.Leader(); address == "" && !self {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 // Run serves until the context ends, then lets calls in progress finish.
@@ -77,6 +103,9 @@
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 	}
+	background, stop := context.WithCancel(ctx)
+	defer stop()
+	go s.maintainEntries(background)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(l) }()
 	select {
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -148,8 +148,9 @@
 	_, _, cancelled := n.count()
 	assert.Equal(t, cancelled, 0)
 
-	restarted := *n.Engine
-	restarted.Incarnation = 2
+	restarted, announcement := *n.Engine, *n.Announcement
+	announcement.Incarnation = 2
+	restarted.Announcement = &announcement
 	second.setBoard(testConfig(), &restarted)
 	lost := resume(testKey, token)
 	assert.Equal(t, lost.err.Error.Kind, serving.KindGenerationLost)
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // completions handles POST /v1/completions.
@@ -179,7 +180,7 @@
 func (e *Entry) place(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (*Engine, error) {
 	var best *Engine
 	for _, n := range b.Engines {
-		if tried[n.Engine] || n.State != EngineReady || b.View.out[string(n.DataCentre)] || !n.carries(r.Model) {
+		if tried[n.Engine] || !n.takesWork(b.View) || !n.Carries(r.Model) {
 			continue
 		}
 		if best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load() {
@@ -192,13 +193,10 @@
 	return best, nil
 }
 
-func (n *Engine) carries(m serving.ModelID) bool {
-	for _, ref := range n.Models {
-		if ref.Model == m {
-			return true
-		}
-	}
-	return false
+// takesWork tells whether new work may go to an engine: it is reachable, ready,
+// and operators have not taken its data centre out.
+func (n *Engine) takesWork(v *View) bool {
+	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady && !v.out[string(n.DataCentre)]
 }
 
 func newID() string { return rand.Text() }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
@@ -50,6 +51,7 @@
 	g, _ := errgroup.WithContext(background)
 	g.Go(func() error { e.board.run(background); return nil })
 	g.Go(func() error { e.pollViews(background); return nil })
+	g.Go(func() error { e.exchangeMembership(background); return nil })
 
 	server := e.newServer()
 	g.Go(func() error {
@@ -68,7 +70,7 @@
 
 // prepare makes what the handlers need.
 func (e *Entry) prepare() {
-	e.board = newBoard(e.Clock)
+	e.board = newBoard(e.Clock, e.self())
 	e.signer = generation.NewSigner(e.Settings.Entry.ResumeKey)
 	e.retries = newRetryBudget()
 	e.metrics = newMetrics()
@@ -84,6 +86,16 @@
 // noRedirect keeps the client from sending a call a second time to another place.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// self is the membership record of this entry. The wall clock at the start serves
+// as incarnation, since an entry keeps no state on disk.
+func (e *Entry) self() engine.Member {
+	return engine.Member{
+		ID: string(e.Settings.Host), Address: string(e.Settings.Advertise),
+		DataCentre: e.Settings.DataCentre, Region: e.Settings.Region,
+		Incarnation: serving.Incarnation(time.Now().UnixNano()),
+	}
+}
+
 // drain waits for the balancer to notice, then for every stream to end.
 func (e *Entry) drain(server *http.Server) {
 	klog.InfoS("Entry draining", "host", e.Settings.Host)
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -19,6 +19,7 @@
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
@@ -208,10 +209,10 @@
 	})
 	s.server = httptest.NewServer(mux)
 	t.Cleanup(s.server.Close)
-	s.Engine = &Engine{Announcement: Announcement{
+	s.Engine = &Engine{Announcement: &engine.Announcement{
 		Engine: serving.EngineID(name), Address: s.server.Listener.Addr().String(), DataCentre: "dc-a",
-		Incarnation: 1, State: EngineReady, Models: []ModelRef{{Model: "guide"}},
-	}, counters: newEngineCounters()}
+		Incarnation: 1, State: engine.PhaseReady, Models: []engine.ModelRef{{Model: "guide"}},
+	}, State: engine.StateAlive, counters: newEngineCounters()}
 	return s
 }
 
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -8,6 +8,7 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
@@ -97,7 +98,7 @@
 		return n, nil
 	}
 	return &Engine{
-		Announcement: Announcement{Engine: p.Engine, Incarnation: p.Incarnation, Address: p.Address},
+		Announcement: &engine.Announcement{Engine: p.Engine, Incarnation: p.Incarnation, Address: p.Address},
 		counters:     newEngineCounters(),
 	}, nil
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -46,6 +46,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", container)
 	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e)))
+	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
 	mux.HandleFunc("/debug/vars", e.vars)
