--- a/internal/entry/slots_holder.go
+++ b/internal/entry/slots_holder.go
@@ -14,6 +14,14 @@
 // heldIdle is the time after which an engine that is no longer used is forgotten.
 const heldIdle = time.Minute
 
+// slotSource gives the right to run generations on engines.
+type slotSource interface {
+	// acquire waits for a slot of an engine until ctx ends.
+	acquire(ctx context.Context, id serving.EngineID) (dispatch.Slot, error)
+	// release ends the use of a slot.
+	release(slot dispatch.Slot)
+}
+
 // heldEngine is an engine of which this entry holds slots.
 type heldEngine struct {
 	holder  *dispatch.Holder
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -42,7 +42,13 @@
 	for _, o := range c.Objects {
 		v.names[objectName{o.Kind, o.Id}] = o.Id
 		v.out[o.Id] = v.out[o.Id] || o.GetDataCentre().GetOut()
+		if o.GetClientAccount().GetOperator() {
+			continue
+		}
 		for _, hash := range o.GetClientAccount().GetKeyHashes() {
+			if len(hash) != sha256.Size {
+				continue
+			}
 			v.accounts[[sha256.Size]byte(hash)] = serving.ClientAccountID(o.Id)
 		}
 	}
@@ -69,8 +75,8 @@
 }
 
 func (ev viewReceived) apply(b *controlState, _ time.Duration) bool {
-	if ev.list != nil && (b.EntryList == nil || ev.list.Epoch > b.EntryList.Epoch) {
-		b.EntryList = decodeEntryList(ev.list)
+	if ev.list != nil && (b.Owners == nil || ev.list.Epoch > b.Owners.Epoch) {
+		b.Owners = decodeEntryList(ev.list)
 	}
 	if ev.view == nil {
 		if b.View == nil || b.View.Config.Revision != ev.confirms || ev.at <= b.View.ConfirmedAt {
@@ -88,8 +94,8 @@
 	return true
 }
 
-func decodeEntryList(l *schema.EntryList) *EntryList {
-	list := &EntryList{Epoch: l.Epoch}
+func decodeEntryList(l *schema.EntryList) *OwnerList {
+	list := &OwnerList{Epoch: l.Epoch}
 	for _, e := range l.Entries {
 		list.Entries = append(list.Entries, engine.Entry{
 			Host: serving.HostID(e.Host), Address: e.Address,
@@ -99,7 +105,7 @@
 	return list
 }
 
-func encodeEntryList(l *EntryList) *schema.EntryList {
+func encodeEntryList(l *OwnerList) *schema.EntryList {
 	list := &schema.EntryList{Epoch: l.Epoch}
 	for _, e := range l.Entries {
 		list.Entries = append(list.Entries, &schema.ListedEntry{
@@ -168,8 +174,8 @@
 	if b.View != nil {
 		req.HaveRevision = b.View.Config.Revision
 	}
-	if b.EntryList != nil {
-		req.EntriesEpoch = b.EntryList.Epoch
+	if b.Owners != nil {
+		req.EntriesEpoch = b.Owners.Epoch
 	}
 	res, err := schema.NewViewsProtobufClient("http://"+address, e.clusterClient).GetView(ctx, req)
 	if err != nil {
@@ -195,8 +201,8 @@
 	if res.Unchanged = res.Revision == req.HaveRevision; !res.Unchanged {
 		res.Config = b.View.Config
 	}
-	if b.EntryList != nil && b.EntryList.Epoch != req.EntriesEpoch {
-		res.Entries = encodeEntryList(b.EntryList)
+	if b.Owners != nil && b.Owners.Epoch != req.EntriesEpoch {
+		res.Entries = encodeEntryList(b.Owners)
 	}
 	return res, nil
 }
