--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -151,7 +151,7 @@
 	restarted, announcement := *n.Engine, *n.Announcement
 	announcement.Incarnation = 2
 	restarted.Announcement = &announcement
-	second.setBoard(testConfig(), &restarted)
+	second.setBoard(t, testConfig(), &restarted)
 	lost := resume(testKey, token)
 	assert.Equal(t, lost.err.Error.Kind, serving.KindGenerationLost)
 	assert.Equal(t, lost.err.Error.Ran, serving.DidRun)
--- a/internal/entry/authentication.go
+++ b/internal/entry/authentication.go
@@ -16,8 +16,8 @@
 	if b.View == nil {
 		return "", serving.NewError(serving.KindViewExpired, "this entry has no confirmed configuration yet").WithRetryAfter(time.Second)
 	}
-	account, ok := b.View.accounts[sha256.Sum256([]byte(bearer(r)))]
-	if !ok {
+	account, spec, ok := b.View.AccountByKey(bearer(r))
+	if !ok || spec.GetOperator() {
 		return "", serving.NewError(serving.KindUnauthenticated, "the key is missing or unknown")
 	}
 	return account, nil
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -10,6 +10,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
@@ -180,7 +181,7 @@
 func (e *Entry) place(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (*Engine, error) {
 	var best *Engine
 	for _, n := range b.Engines {
-		if tried[n.Engine] || !n.takesWork(b.View) || !n.Carries(r.Model) {
+		if tried[n.Engine] || !n.takesWork(b.View) || !n.carries(b.View, r.Model) {
 			continue
 		}
 		if best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load() {
@@ -194,9 +195,20 @@
 }
 
 // takesWork tells whether new work may go to an engine: it is reachable, ready,
-// and operators have not taken its data centre out.
+// and operators have taken neither it nor its data centre out.
 func (n *Engine) takesWork(v *View) bool {
-	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady && !v.out[string(n.DataCentre)]
+	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady &&
+		!v.DataCentreOut(string(n.DataCentre)) && !v.EngineOut(string(n.Engine))
+}
+
+// carries tells whether the engine has announced a model, under any of its names.
+func (n *Engine) carries(v *View, m serving.ModelID) bool {
+	for _, ref := range n.Models {
+		if id, ok := v.Resolve(schema.ObjectKind_OBJECT_KIND_MODEL, string(ref.Model)); ok && id == string(m) {
+			return true
+		}
+	}
+	return false
 }
 
 func newID() string { return rand.Text() }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,7 +33,7 @@
 	signer        *generation.Signer
 	upstream      *http.Client
 	clusterClient *http.Client
-	viewSource    int
+	viewSource    string
 	metrics       *metrics
 	notReady      atomic.Bool
 	draining      atomic.Bool
@@ -46,6 +46,7 @@
 // and returns when every stream in progress has ended.
 func (e *Entry) Run(ctx context.Context) error {
 	e.prepare()
+	e.warnOfExpiredViews()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, _ := errgroup.WithContext(background)
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -21,6 +21,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
+	"turmericdrum.org/turmericdrum/pkg/serving/registry"
 )
 
 const (
@@ -40,14 +41,14 @@
 	hash := sha256.Sum256([]byte(key))
 	return &schema.Object{
 		Kind: schema.ObjectKind_OBJECT_KIND_CLIENT_ACCOUNT, Id: id,
-		Spec: &schema.Object_ClientAccount{ClientAccount: &schema.ClientAccount{KeyHashes: [][]byte{hash[:]}, Operator: operator}},
+		Spec: &schema.Object_ClientAccount{ClientAccount: &schema.ClientAccount{Weight: 1, KeyHashes: [][]byte{hash[:]}, Operator: operator}},
 	}
 }
 
 func testConfig() *schema.ConfigView {
 	return &schema.ConfigView{Revision: 1, Objects: []*schema.Object{
 		accountObject("bench", testKey, false), accountObject("other", otherKey, false), accountObject("op", operatorKey, true),
-		{Kind: schema.ObjectKind_OBJECT_KIND_MODEL, Id: "guide", Spec: &schema.Object_Model{Model: &schema.Model{}}},
+		{Kind: schema.ObjectKind_OBJECT_KIND_MODEL, Id: "guide", Spec: &schema.Object_Model{Model: &schema.Model{Versions: []*schema.ModelVersion{{Version: "1", Share: 1}}}}},
 	}}
 }
 
@@ -62,7 +63,7 @@
 	t.Helper()
 	e := &testEntry{Entry: &Entry{Settings: testSettings(t), Clock: serving.NewMonotonicClock()}}
 	e.prepare()
-	e.setBoard(testConfig(), engines...)
+	e.setBoard(t, testConfig(), engines...)
 	e.server = httptest.NewUnstartedServer(nil)
 	e.server.Config = e.newServer()
 	e.server.Start()
@@ -74,8 +75,11 @@
 	return e
 }
 
-func (e *testEntry) setBoard(c *schema.ConfigView, engines ...*Engine) {
-	b := &Blackboard{View: newView(c, e.Clock.Now()+time.Hour), Engines: map[serving.EngineID]*Engine{}}
+func (e *testEntry) setBoard(t testing.TB, c *schema.ConfigView, engines ...*Engine) {
+	t.Helper()
+	v, err := registry.NewView(c)
+	assert.NilError(t, err)
+	b := &Blackboard{View: &View{View: v, ConfirmedAt: e.Clock.Now() + time.Hour}, Engines: map[serving.EngineID]*Engine{}}
 	for _, n := range engines {
 		b.Engines[n.Engine] = n
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -94,7 +94,7 @@
 	b := e.board.load()
 	age, revision := int64(-1), uint64(0)
 	if b.View != nil {
-		age, revision = (e.Clock.Now() - b.View.ConfirmedAt).Milliseconds(), b.View.Config.Revision
+		age, revision = e.viewAge(b).Milliseconds(), uint64(b.View.Revision())
 	}
 	fmt.Fprintf(w, `"entry": {"requests": %s, "tokens": %s, "in_flight": %s, "attempts": %s, "resumes": %s,
 "dropped_repeated": %s, "dropped_foreign": %s, "claims_settled": %s, "first_token": %s, "inter_token": %s,
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -77,7 +77,7 @@
 	if err := c.check(); err != nil {
 		return nil, err
 	}
-	model, ok := v.resolve(schema.ObjectKind_OBJECT_KIND_MODEL, c.Model)
+	model, ok := v.Resolve(schema.ObjectKind_OBJECT_KIND_MODEL, c.Model)
 	if !ok {
 		return nil, serving.NewError(serving.KindUnknownModel, "the model "+c.Model+" is not configured")
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
+	"github.com/twitchtv/twirp"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -45,7 +47,7 @@
 
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", container)
-	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e)))
+	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e, twirp.WithServerInterceptors(rpc.MapErrors))))
 	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
