entry: add plain services with claims and orders that run at most once

Cause: the entry served generations only.

Change: POST /v1/services/{service}/{path} and GET /v1/orders/{service}/{key}. Unknown outcomes are looked up at lookup_path, with the key in the place of {key} or at its end.

Ruled out: the pooled connections of the other calls, because net/http itself sends a request with an Idempotency-Key again when a reused connection breaks; each order has a connection of its own. Passing the caller's key to the service as it is, because a lookup would take an equal key of another account for this one; the service gets account:key. Counting server errors, 408 and 429 without a word on whether the call ran as not run; they are unknown.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -12,7 +13,9 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
@@ -38,6 +41,12 @@
 	notReady      atomic.Bool
 	draining      atomic.Bool
 	retries       *retryBudget
+	// orderClient sends calls that must not be repeated.
+	orderClient *http.Client
+	claims      schema.Claims
+	settler     *settler
+	// holder identifies this run of the process as holder of claims.
+	holder string
 	// background counts calls that go on after their caller has left.
 	background sync.WaitGroup
 }
@@ -65,6 +74,7 @@
 	<-ctx.Done()
 	e.drain(server)
 	e.background.Wait()
+	e.settler.drain(drainSettle)
 	stop()
 	return g.Wait()
 }
@@ -81,6 +91,14 @@
 		DisableCompression: true,
 	}
 	e.upstream = &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	// net/http repeats a call with an Idempotency-Key if a reused connection breaks;
+	// a connection of its own for each call excludes that.
+	once := transport.Clone()
+	once.DisableKeepAlives = true
+	e.orderClient = &http.Client{Transport: once, CheckRedirect: noRedirect}
+	e.claims = &rpc.Client{Addresses: e.controlAddresses(), Key: e.Settings.ClusterKey, Transport: transport}
+	e.settler = newSettler()
+	e.holder = fmt.Sprintf("%s/%d", e.Settings.Host, e.self().Incarnation)
 	e.clusterClient = &http.Client{Transport: keyTransport{key: e.Settings.ClusterKey, next: transport}, CheckRedirect: noRedirect}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,6 +42,8 @@
 	ws.Route(ws.POST("/completions").To(e.completions))
 	ws.Route(ws.GET("/generations/resume").To(e.resume))
 	ws.Route(ws.DELETE("/generations/resume").To(e.cancel))
+	ws.Route(ws.POST("/services/{service}/{path:*}").To(e.callService))
+	ws.Route(ws.GET("/orders/{service}/{key}").To(e.getOrder))
 	ws.Route(ws.POST("/engines/announce").To(e.announce))
 	container.Add(ws)
 
--- /dev/null
+++ b/internal/entry/servicecall.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// maxAnswer bounds the answer of a plain service.
+const maxAnswer = 4 << 20
+
+// callResult is what became of one sending of a call.
+type callResult struct {
+	// answer is nil if there was no whole answer.
+	answer *schema.Answer
+	// sent is true once a byte may have left.
+	sent bool
+	// refused is true if the service said that the call did not run.
+	refused bool
+	err     error
+}
+
+// definite tells whether the answer shows that the call ran to its end, be it
+// with an error of the caller. Server errors and timeouts leave it open.
+func (r *callResult) definite() bool {
+	if r.answer == nil || r.refused {
+		return false
+	}
+	switch s := r.answer.Status; {
+	case s == http.StatusRequestTimeout, s == http.StatusTooManyRequests, s >= 500:
+		return false
+	}
+	return true
+}
+
+// failure is the error of a result that is not definite.
+func (r *callResult) failure() error {
+	if r.err != nil {
+		return serving.WrapError(r.err, serving.KindEngineFailed, "call service")
+	}
+	if r.refused {
+		return serving.NewError(serving.KindOverloaded, "the service refused the call").WithRetryAfter(minServiceRetry)
+	}
+	return serving.NewError(serving.KindEngineFailed, fmt.Sprintf("the service answered %d", r.answer.Status))
+}
+
+// serviceKey is the key that the service sees. Keys of different client accounts
+// may be equal, and a lookup must not take one account's order for another's.
+func (c *serviceCall) serviceKey() string { return serviceKey(c.account, c.key) }
+
+func serviceKey(account serving.ClientAccountID, key string) string {
+	return string(account) + ":" + key
+}
+
+// sendCall sends a call to an engine once.
+func (e *Entry) sendCall(ctx context.Context, client *http.Client, n *Engine, c *serviceCall) *callResult {
+	n.counters.inFlight.Add(1)
+	defer n.counters.inFlight.Add(-1)
+	e.metrics.attempts.Add(1)
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	target := url.URL{Scheme: "http", Host: n.Address, Path: "/v1/call" + c.path, RawQuery: c.query}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, target.String(), bytes.NewReader(c.body))
+	if err != nil {
+		return &callResult{err: err}
+	}
+	r.Header.Set("X-Request-Id", string(c.id))
+	r.Header.Set("Content-Type", c.contentType)
+	if c.key != "" {
+		r.Header.Set(headerIdempotencyKey, c.serviceKey())
+	}
+	res, err := client.Do(r)
+	if err != nil {
+		return &callResult{err: err, sent: sent.Load()}
+	}
+	defer res.Body.Close()
+	answer, err := readAnswer(res)
+	return &callResult{answer: answer, sent: true, err: err, refused: answer != nil && saysNotRun(answer)}
+}
+
+func readAnswer(res *http.Response) (*schema.Answer, error) {
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		err = serving.NewError(serving.KindTooLarge, "the answer of the service is too large")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &schema.Answer{Status: int32(res.StatusCode), ContentType: res.Header.Get("Content-Type"), Body: b}, nil
+}
+
+// saysNotRun tells whether a refusal of the service says that nothing ran.
+func saysNotRun(a *schema.Answer) bool {
+	if a.Status < http.StatusBadRequest {
+		return false
+	}
+	var body errorAnswer
+	return json.Unmarshal(a.Body, &body) == nil && body.Error.Ran == serving.NotRun
+}
+
+// lookupResult is the answer of a service to the lookup of a key.
+type lookupResult struct {
+	Status string `json:"status"`
+}
+
+// Values of the status of a lookup; any other leaves the outcome open.
+const (
+	lookupRan        = "ran"
+	lookupInProgress = "in_progress"
+)
+
+// lookUpAt asks an engine for the outcome of a key.
+func (e *Entry) lookUpAt(ctx context.Context, n *Engine, path, key string) (string, *schema.Answer, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Address+lookupPath(path, key), nil)
+	if err != nil {
+		return "", nil, err
+	}
+	res, err := e.upstream.Do(r)
+	if err != nil {
+		return "", nil, err
+	}
+	defer res.Body.Close()
+	answer, err := readAnswer(res)
+	if err != nil || answer.Status != http.StatusOK {
+		return "", nil, err
+	}
+	var l lookupResult
+	if err := json.Unmarshal(answer.Body, &l); err != nil {
+		return "", nil, err
+	}
+	return l.Status, answer, nil
+}
+
+// lookupPath puts a key in the place of {key}, or at the end of a path without it.
+func lookupPath(path, key string) string {
+	escaped := url.PathEscape(key)
+	if strings.Contains(path, "{key}") {
+		return strings.ReplaceAll(path, "{key}", escaped)
+	}
+	return strings.TrimSuffix(path, "/") + "/" + escaped
+}
