--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -18,6 +18,9 @@
 	if err := s.Log.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
+	if id, ok := s.Machine.Resolve(schema.ObjectKind_OBJECT_KIND_DATA_CENTRE, r.GetDataCentre()); ok {
+		r.DataCentre = id
+	}
 	s.polls.heard(s.Clock.Now(), r)
 	res, err := s.view(r)
 	if err != nil {
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -10,6 +10,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
@@ -146,20 +147,11 @@
 	return &t
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // place chooses an engine that carries the model and is in service.
 func (e *Entry) place(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (*Engine, error) {
 	var best *Engine
 	for _, n := range b.Engines {
-		if tried[n.Engine] || !n.takesWork(b.View) || !n.Carries(r.Model) {
+		if tried[n.Engine] || !n.takesWork(b.View) || !n.carries(b.View, r.Model) {
 			continue
 		}
 		if best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load() {
@@ -172,4 +164,14 @@
 	return best, nil
 }
 
+// carries tells whether the engine has announced a model, under any of its names.
+func (n *Engine) carries(v *View, m serving.ModelID) bool {
+	for _, ref := range n.Models {
+		if id, ok := v.Resolve(schema.ObjectKind_OBJECT_KIND_MODEL, string(ref.Model)); ok && id == string(m) {
+			return true
+		}
+	}
+	return false
+}
+
 func newID() string { return rand.Text() }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
+	"github.com/twitchtv/twirp"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -40,12 +42,14 @@
 	ws.Route(ws.POST("/completions").To(e.completions))
 	ws.Route(ws.GET("/generations/resume").To(e.resume))
 	ws.Route(ws.DELETE("/generations/resume").To(e.cancel))
+	ws.Route(ws.POST("/services/{service}/{path:*}").To(e.callService))
+	ws.Route(ws.GET("/orders/{service}/{key}").To(e.getOrder))
 	ws.Route(ws.POST("/engines/announce").To(e.announce))
 	container.Add(ws)
 
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", container)
-	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e)))
+	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e, twirp.WithServerInterceptors(rpc.MapErrors))))
 	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
 	mux.Handle(schema.SlotsPathPrefix, e.requireCluster(schema.NewSlotsServer(e.controller)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -115,12 +115,13 @@
 }
 
 // takesWork tells whether new work may go to an engine: it is reachable, ready,
-// and operators have not taken its data centre out.
+// and operators have taken neither it nor its data centre out.
 func (n *Engine) takesWork(v *View) bool {
-	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady && !v.out[string(n.DataCentre)]
+	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady &&
+		!v.DataCentreOut(string(n.DataCentre)) && !v.EngineOut(string(n.Engine))
 }
 
 // dataCentreOut tells whether operators have taken a data centre out.
 func (e *Entry) dataCentreOut(b *Blackboard, id serving.DataCentreID) bool {
-	return b.View.out[string(id)]
+	return b.View.DataCentreOut(string(id))
 }
