--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -9,13 +9,14 @@
 # start builds the programs into bin/, writes settings, logs, process ids, keys and
 # records under DIR (default: a fresh folder under ${TMPDIR:-/tmp}) and creates the
 # data centres, the model, the service and one client account. status and stop use
-# the DIR of the last start from this checkout unless one is given.
+# the DIR of the last start from this checkout unless one is given. A start in the
+# DIR of a stopped run continues with its data and keys.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
 last=$root/bin/.local-run
 
-usage() { sed -n '2,12s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+usage() { sed -n '2,13s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 
 command=${1:-}
 [ $# -gt 0 ] && shift
@@ -83,7 +84,7 @@
 				printf '    - {host: control-%s, address: %s}\n' "${regions[j]}" "$(address $((1 + j)))"
 			done
 		} >"$dir/$n.yaml"
-		launch "$n" turmericdrum control --settings "$dir/$n.yaml"
+		launch "$n" turmericdrum control --bootstrap --settings "$dir/$n.yaml"
 	done
 }
 
@@ -120,32 +121,20 @@
 	done
 }
 
-# put ID KIND SPEC: creates an object through whichever control replica leads.
+# put ARGUMENTS...: creates an object; waits for the first leader.
 put() {
-	local try i answer=''
-	for try in $(seq 1 60); do
-		for i in 1 2 3; do
-			answer=$(curl -s -m 2 -H "Authorization: Bearer $operator_key" -H 'Content-Type: application/json' \
-				-d "{\"command_id\":\"local-$1\",\"operator\":\"local\",\"issued_at_ms\":$(date +%s%3N),\"put\":{\"kind\":\"$2\",\"id\":\"$1\",$3}}" \
-				"http://$(address $i)/twirp/turmericdrum.v1.Operators/Apply" || true)
-			case $answer in *OUTCOME_ACCEPTED*) return 0 ;; esac
-		done
-		sleep 0.5
-	done
-	echo "object $1 was not accepted: $answer" >&2
-	return 1
+	TURMERICDRUM_KEY=$operator_key "$root/bin/turmericdrum" admin --timeout 30s \
+		--server "$(address 1),$(address 2),$(address 3)" put "$@" >>"$dir/configure.log" 2>&1
 }
 
 configure() {
-	local r hash
-	put "$model" OBJECT_KIND_MODEL '"model":{"versions":[{"version":"1","share":1}]}'
-	for r in "${regions[@]}"; do
-		put "$r-1" OBJECT_KIND_DATA_CENTRE "\"data_centre\":{\"region\":\"$r\"}"
+	local i
+	put model "$model" --version 1=1 || return 1
+	for i in 0 1 2; do
+		put data-centre "${regions[i]}-1" --region "${regions[i]}" || return 1
 	done
-	put "$service" OBJECT_KIND_SERVICE '"service":{"generates":false,"lookup_path":"/v1/calls/","routes":[{"path_prefix":"/","idempotent":false,"timeout_ms":10000}]}'
-	hash=$(printf %s "$caller_key" | sha256sum | cut -d' ' -f1)
-	hash=$(printf "$(printf %s "$hash" | sed 's/../\\x&/g')" | base64)
-	put "$account" OBJECT_KIND_CLIENT_ACCOUNT "\"client_account\":{\"weight\":1,\"key_hashes\":[\"$hash\"]}"
+	put service "$service" --route /,10s --lookup-path /v1/calls/ || return 1
+	put account "$account" --weight 1 --add-key "$caller_key" || return 1
 	# Entries poll the configuration every 500 ms; without the wait a first call is refused.
 	sleep 1
 }
@@ -162,13 +151,20 @@
 	fi
 	go build -o bin/ ./cmd/turmericdrum ./cmd/standin-engine
 	cluster_key=$(random_key) operator_key=$(random_key) caller_key=$(random_key)
+	# A later start in the same folder keeps the keys, as the control data holds their hashes.
+	# shellcheck disable=SC1091
+	[ ! -e "$dir/keys" ] || . "$dir/keys"
 	(umask 077 && printf 'cluster_key=%s\noperator_key=%s\ncaller_key=%s\nbase=%s\n' "$cluster_key" "$operator_key" "$caller_key" "$base" >"$dir/keys")
 	export CLUSTER_KEY=$cluster_key
 	echo "$dir" >"$last"
 	start_controls
 	start_entries
 	start_engines
-	configure || { echo "the fleet runs without configuration; see $dir/*.log" >&2; status; exit 1; }
+	if ! configure; then
+		tail -n 5 "$dir/configure.log" >&2
+		echo "the fleet runs without configuration; see the logs in $dir" >&2
+		exit 1
+	fi
 	status
 	echo "run folder: $dir"
 	echo "callers: http://$(address 11) with the caller_key in $dir/keys, model $model"
