standin: answer calls in progress before leaving

Cause: a leaving service exited when its calls had run, but before the answers were out; the caller saw the connection end. Change: a call counts as in progress until its answer is written, and the server shuts down within 1 s instead of closing all connections at once.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -227,6 +227,12 @@
 	g.Go(func() error { e.runBatch(ctx); return nil })
 	g.Go(func() error { e.announceLoop(ctx); return nil })
 	<-ctx.Done()
+	if errors.Is(context.Cause(ctx), errLeft) {
+		// The last bytes of delivered answers may still be on their way.
+		last, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = srv.Shutdown(last)
+	}
 	_ = srv.Close()
 	err := g.Wait()
 	if errors.Is(context.Cause(ctx), ErrDied) {
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -359,3 +359,30 @@
 		b.Fatal(err)
 	}
 }
+
+// Guards against a leaving service that ran a call and exits before the answer is out.
+func TestLeaveAnswersCalls(t *testing.T) {
+	e := &Engine{Name: "s1", Kind: engine.KindService, Latency: time.Millisecond, AnnounceEvery: 10 * time.Millisecond}
+	done := start(t, e)
+	assert.NilError(t, e.Inject(Fault{Fault: "late", DelayMS: 500}))
+	left := time.AfterFunc(100*time.Millisecond, func() { e.Leave(0) })
+	defer left.Stop()
+	resp, err := call(t, e, http.MethodPost, "/v1/call/orders", `{}`, "Idempotency-Key", "k")
+	assert.NilError(t, err)
+	var a CallAnswer
+	assert.NilError(t, decode(resp.body, &a))
+	assert.Equal(t, a.Ran, 1)
+	assert.NilError(t, <-done)
+}
+
+// Guards against a crossed stream that carries made-up frames while another
+// request runs, whose frames a caller could mistake for its own.
+func TestCrossedCarriesAnotherAnswer(t *testing.T) {
+	e := &Engine{Name: "e1"}
+	start(t, e)
+	own, _ := frames(t, complete(t, e, "1", `{"test_length":5}`).body)
+	assert.NilError(t, e.Inject(Fault{Fault: "crossed"}))
+	crossed, done := frames(t, complete(t, e, "2", `{"test_length":9}`).body)
+	assert.Assert(t, done)
+	assert.DeepEqual(t, crossed, own)
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -29,7 +29,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	key, path := r.Header.Get("Idempotency-Key"), r.PathValue("path")
-	e.recordCall("call_started", key, path, 1)
+	e.mu.Lock()
+	e.calls++
+	e.mu.Unlock()
+	defer e.endCall()
+	e.recordCall("call_started", key, path)
 	e.mu.Lock()
 	latency := max(0, e.Latency)
 	if f, ok := e.fault("slow"); ok {
@@ -38,7 +42,7 @@
 	e.mu.Unlock()
 	// A call that has begun runs even if its caller leaves.
 	time.Sleep(latency)
-	e.recordCall("call_ran", key, path, -1)
+	e.recordCall("call_ran", key, path)
 	if e.hits("die_after") {
 		e.die()
 		panic(http.ErrAbortHandler)
@@ -49,10 +53,15 @@
 	reply(w, a, nil)
 }
 
-func (e *Engine) recordCall(event, key, path string, running int) {
+func (e *Engine) endCall() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls--
+}
+
+func (e *Engine) recordCall(event, key, path string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.calls += running
 	ev := e.event(event)
 	ev.Key, ev.Path = key, path
 	e.record(ev)
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -146,7 +146,7 @@
 	mkdir -p "$dir" bin
 	dir=$(cd "$dir" && pwd)
 	if [ -e "$dir/processes" ]; then
-		echo "$dir holds an earlier run: stop it and use another folder" >&2
+		echo "$dir holds a run that was not stopped: stop it first" >&2
 		exit 1
 	fi
 	go build -o bin/ ./cmd/turmericdrum ./cmd/standin-engine
