--- a/internal/entry/blackboard.go
+++ b/internal/entry/blackboard.go
@@ -22,11 +22,6 @@
 	counters   *engineCounters
 }
 
-// engineCounters are shared by traffic goroutines across snapshots.
-type engineCounters struct {
-	inFlight atomic.Int64
-}
-
 // Blackboard is the state that controllers read and write. A published
 // blackboard is immutable.
 type Blackboard struct {
@@ -35,12 +30,12 @@
 	Engines map[serving.EngineID]*Engine
 	// Entries are the other entries, with their states.
 	Entries []Peer
-	// EntryList has the entries that may own engines, as the view gave them.
-	EntryList *EntryList
+	// Owners has the entries that may own engines, as the view gave them.
+	Owners *OwnerList
 }
 
-// EntryList is the list of entries that may own engines, at one epoch.
-type EntryList struct {
+// OwnerList is the list of entries that may own engines, at one epoch.
+type OwnerList struct {
 	Epoch   uint64
 	Entries []engine.Entry
 }
@@ -121,7 +116,7 @@
 func (b *board) publish() {
 	now := b.clock.Now()
 	s := b.state
-	c := &Blackboard{View: s.View, EntryList: s.EntryList, Engines: map[serving.EngineID]*Engine{}}
+	c := &Blackboard{View: s.View, Owners: s.Owners, Engines: map[serving.EngineID]*Engine{}}
 	for _, m := range s.directory.Members(engine.MemberEngine) {
 		if state := s.directory.State(now, m.ID); state != engine.StateDead {
 			id := m.Announcement.Engine
@@ -137,7 +132,7 @@
 func (s *controlState) countersOf(id serving.EngineID) *engineCounters {
 	c, ok := s.counters[id]
 	if !ok {
-		c = &engineCounters{}
+		c = newEngineCounters()
 		s.counters[id] = c
 	}
 	return c
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -20,11 +20,11 @@
 
 // updateOwned follows the entry list, the engines and their reports.
 func (s *slotController) updateOwned(b *Blackboard) {
-	if b.View == nil || b.EntryList == nil {
+	if b.View == nil || b.Owners == nil {
 		return
 	}
 	now := s.entry.Clock.Now()
-	if !s.ownership.Update(now, b.EntryList.Epoch, b.EntryList.Entries) {
+	if !s.ownership.Update(now, b.Owners.Epoch, b.Owners.Entries) {
 		clear(s.owned)
 	}
 	returned := s.returnedDataCentres(b)
@@ -49,7 +49,7 @@
 		if returned[n.DataCentre] {
 			o.ramp.TurnCold(now)
 		}
-		o.update(now, n, !s.entry.inService(b, n))
+		o.update(now, n, !n.takesWork(b.View))
 	}
 }
 
@@ -114,9 +114,10 @@
 	return o.owner.Grant(s.entry.Clock.Now(), q)
 }
 
-// inService tells whether an engine may be given new work.
-func (e *Entry) inService(b *Blackboard, n *Engine) bool {
-	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady && !e.dataCentreOut(b, n.DataCentre)
+// takesWork tells whether new work may go to an engine: it is reachable, ready,
+// and operators have not taken its data centre out.
+func (n *Engine) takesWork(v *View) bool {
+	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady && !v.out[string(n.DataCentre)]
 }
 
 // dataCentreOut tells whether operators have taken a data centre out.
