--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -7,6 +7,7 @@
 //	turmericdrum admin --server 10.0.0.1:7200 --key KEY list models
 //	turmericdrum check FILE...
 //	turmericdrum timeline FILE...
+//	turmericdrum demo
 //
 // The exit status is 0 on success, 1 on failure and 2 on a wrong command line.
 package main
@@ -21,6 +22,7 @@
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/internal/admin"
+	"turmericdrum.org/turmericdrum/internal/demo"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/internal/timelines"
 )
@@ -31,6 +33,7 @@
 	Admin    *admin.Command     `arg:"subcommand:admin" help:"operate the system"`
 	Check    *checkCommand      `arg:"subcommand:check" help:"check settings files without starting"`
 	Timeline *timelines.Command `arg:"subcommand:timeline" help:"merge event logs into one time line"`
+	Demo     *demo.Command      `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
 }
 
 type checkCommand struct {
@@ -61,6 +64,8 @@
 		return args.Admin.Run(context.Background(), os.Stdout)
 	case args.Timeline != nil:
 		return args.Timeline.Run(os.Stdout)
+	case args.Demo != nil:
+		return args.Demo.Run(context.Background(), os.Stdout)
 	default:
 		return args.Check.run()
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -32,13 +32,18 @@
 	if err := d.Decode(&s); err != nil {
 		return nil, decodeError(b, err)
 	}
-	s.applyDefaults()
-	if err := s.Check(); err != nil {
+	if err := s.Complete(); err != nil {
 		return nil, err
 	}
 	return &s, nil
 }
 
+// Complete fills in defaults and checks the result.
+func (s *Settings) Complete() error {
+	s.applyDefaults()
+	return s.Check()
+}
+
 func valueError(n *yaml.Node, problem, remedy string) error {
 	e := keyError(strconv.Quote(n.Value), problem, remedy)
 	e.Detail = fmt.Sprintf("%d:%d", n.Line, n.Column)
