Prove the replicated log under seeded faults

Cause: elections, leases and replacements are correct only if no schedule of faults breaks them. Change: simulated cluster in virtual time on journals with memory disks; checks of leaders per term, committed entries, logs, membership steps, agreement after healing and linearizability. Voter sets are derived once per membership, and the quorum check keeps the time until which it holds.

--- /dev/null
+++ b/pkg/serving/ledger/cluster_test.go
@@ -0,0 +1,388 @@
+package ledger_test
+
+import (
+	"bytes"
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// violation is a guarantee that a schedule found broken.
+type violation string
+
+// cluster is a simulated cluster in virtual time with checks of what it commits.
+type cluster struct {
+	random *rand.Rand
+	fault  string
+	now    time.Duration
+	seq    int
+	queue  eventQueue
+	hosts  []*host
+	cfg    ledger.Config
+
+	cut                       map[[2]int]bool
+	loss, duplication, spikes float64
+	churn                     float64
+	onElected                 func(*host)
+	elections                 int
+	leaders                   map[ledger.Term]string
+	committed                 map[ledger.Index]ledger.Entry
+	states                    map[ledger.Index]string
+	last                      ledger.Index
+	membership                ledger.Membership
+	history                   *history
+	stats                     map[string]int
+}
+
+// host is a simulated machine and the replica process on it.
+type host struct {
+	c       *cluster
+	n       int
+	disk    *journal.MemoryDisk
+	journal *journal.Journal
+	replica *ledger.Replica
+	id      serving.ReplicaID
+	boot    int
+	wipes   int
+	up      bool
+	frozen  bool
+	waiting []func()
+	rate    float64
+	offset  time.Duration
+	// crashOnSave makes the next write to the disk the last one of the process.
+	crashOnSave bool
+	// freezeAfterHeartbeat freezes the process for a time at its next heartbeat.
+	freezeAfterHeartbeat time.Duration
+	state                map[string]string
+	applied              ledger.Index
+	compacted            ledger.Index
+	pending              map[ledger.Index]pendingWrite
+	reads                []pendingRead
+}
+
+func newCluster(seed uint64, fault string) *cluster {
+	random := rand.New(rand.NewPCG(seed, 7))
+	c := &cluster{random: random, fault: fault, cut: map[[2]int]bool{}, leaders: map[ledger.Term]string{},
+		committed: map[ledger.Index]ledger.Entry{}, states: map[ledger.Index]string{1: "map[]"}, last: 1, stats: map[string]int{}}
+	c.history = newHistory(c)
+	c.cfg = ledger.Config{MaxBatch: 1 + random.IntN(8), SnapshotChunk: 16 + random.IntN(64), KeepEntries: random.IntN(12) - 1, Random: random}
+	c.loss, c.duplication, c.spikes = random.Float64()*0.1, random.Float64()*0.1, random.Float64()*0.05
+	if random.IntN(3) == 0 {
+		c.churn = 0.5
+		c.cfg.MaxBatch = 1
+	}
+	n := 3
+	if random.IntN(4) == 0 {
+		n = 5
+	}
+	for i := range n {
+		c.membership.Members = append(c.membership.Members, ledger.Member{ID: identity(i, "initial"), Address: fmt.Sprint(i), Voter: true})
+	}
+	for i := range n {
+		// Any two rates differ by less than the default drift of 5%.
+		h := &host{c: c, n: i, rate: 1 + (random.Float64()-0.5)*0.048, offset: time.Duration(random.Int64N(int64(time.Hour)))}
+		c.hosts = append(c.hosts, h)
+		h.disk = journal.NewMemoryDisk()
+		h.start()
+		h.disk.IgnoreSyncs = fault == "vote_without_sync"
+	}
+	return c
+}
+
+func identity(n int, incarnation string) serving.ReplicaID {
+	return serving.ReplicaID{Host: serving.HostID(fmt.Sprintf("h%d", n)), Incarnation: incarnation}
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	panic(violation(fmt.Sprintf(format, args...)))
+}
+
+func (c *cluster) after(d time.Duration, run func()) {
+	c.seq++
+	heap.Push(&c.queue, event{c.now + d, c.seq, run})
+}
+
+func (c *cluster) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(c.random.Int64N(int64(hi-lo)))
+}
+
+// runUntil processes events until a time, or until done returns true.
+func (c *cluster) runUntil(end time.Duration, done func() bool) bool {
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.run()
+		if done != nil && done() {
+			return true
+		}
+	}
+	c.now = end
+	return false
+}
+
+func (h *host) clock() time.Duration { return h.offset + time.Duration(float64(h.c.now)*h.rate) }
+
+func (h *host) start() {
+	h.boot++
+	opts := journal.Options{Host: identity(h.n, "").Host, Incarnation: "initial", SegmentSize: 512}
+	if h.wipes > 0 && h.c.fault != "old_incarnation" {
+		opts.Incarnation = fmt.Sprintf("w%d", h.wipes)
+	} else {
+		opts.Initial = &ledger.Snapshot{Index: 1, Term: 1, Membership: h.c.initial()}
+	}
+	j, state, err := journal.Open(h.disk, opts)
+	if errors.Is(err, journal.ErrDiskFull) {
+		// The host starts again when the disk has space.
+		return
+	}
+	if err != nil {
+		h.c.fail("host %d does not start: %v", h.n, err)
+	}
+	h.journal, h.id = j, j.Self()
+	cfg := h.c.cfg
+	cfg.Self = h.id
+	if h.replica, err = ledger.New(cfg, state, h.clock()); err != nil {
+		h.c.fail("host %d does not start: %v", h.n, err)
+	}
+	h.replica.InjectFault(h.c.fault)
+	h.up, h.frozen, h.waiting, h.crashOnSave = true, false, nil, false
+	h.pending, h.reads = map[ledger.Index]pendingWrite{}, nil
+	h.restore(state.Snapshot)
+	h.tick(h.boot)
+}
+
+func (c *cluster) initial() (m ledger.Membership) {
+	for i := range max(len(c.hosts), len(c.membership.Members)) {
+		m.Members = append(m.Members, ledger.Member{ID: identity(i, "initial"), Address: fmt.Sprint(i), Voter: true})
+	}
+	return m
+}
+
+func (h *host) tick(boot int) {
+	h.c.after(h.c.between(10*time.Millisecond, 30*time.Millisecond), func() {
+		if h.up && h.boot == boot {
+			h.tick(boot)
+			if !h.frozen {
+				h.do(func() { h.replica.Tick(h.clock()) })
+			}
+		}
+	})
+}
+
+// do runs an input of the replica and processes its output; a frozen process
+// does so when it wakes.
+func (h *host) do(input func()) {
+	switch {
+	case !h.up:
+		return
+	case h.frozen:
+		h.waiting = append(h.waiting, input)
+		return
+	}
+	input()
+	h.flush()
+}
+
+func (h *host) flush() {
+	for h.up {
+		rd := h.replica.Ready()
+		if term, ok := h.replica.Leads(); ok {
+			me := fmt.Sprintf("%s boot %d", h.id, h.boot)
+			known, ok := h.c.leaders[term]
+			if ok && known != me {
+				h.c.fail("two leaders in term %d: %s and %s", term, known, me)
+			}
+			if h.c.leaders[term] = me; !ok && h.c.now < faultsEnd {
+				h.c.onElected(h)
+			}
+		}
+		if rd.Empty() {
+			break
+		}
+		h.send(rd.Immediate)
+		if h.crashOnSave && (rd.Hard != nil || len(rd.Entries) > 0 || rd.Snapshot != nil) {
+			if h.c.random.IntN(4) > 0 {
+				h.disk.FailSyncs = true
+			}
+			_ = h.journal.Save(rd)
+			h.disk.FailSyncs = false
+			h.crash()
+			return
+		}
+		err := h.journal.Save(rd)
+		h.replica.Persisted(rd, err)
+		if err != nil {
+			h.crash()
+			return
+		}
+		h.send(rd.Messages)
+		h.apply(rd)
+	}
+	h.settle()
+}
+
+func (h *host) send(messages []ledger.Message) {
+	c := h.c
+	for _, m := range messages {
+		if m.Type == ledger.MsgHeartbeat && h.freezeAfterHeartbeat > 0 {
+			c.after(h.freezeAfterHeartbeat, h.wake)
+			h.freezeAfterHeartbeat, h.frozen = 0, true
+		}
+		for n, to := range c.hosts {
+			if to.id.Host != m.To.Host || c.cut[[2]int{h.n, n}] || c.random.Float64() < c.loss {
+				continue
+			}
+			copies := 1
+			if c.random.Float64() < c.duplication {
+				copies = 2
+			}
+			for range copies {
+				d := c.between(time.Millisecond, 12*time.Millisecond)
+				if c.random.Float64() < c.spikes {
+					d += c.between(0, 900*time.Millisecond)
+				}
+				c.after(d, func() { to.do(func() { to.replica.Step(to.clock(), m) }) })
+			}
+		}
+	}
+}
+
+func (h *host) restore(s ledger.Snapshot) {
+	h.state = map[string]string{}
+	for _, pair := range bytes.Fields(s.Data) {
+		k, v, _ := bytes.Cut(pair, []byte("="))
+		h.state[string(k)] = string(v)
+	}
+	h.applied, h.compacted = s.Index, s.Index
+	if want, ok := h.c.states[s.Index]; s.Index > 0 && (!ok || want != fmt.Sprint(h.state)) {
+		h.c.fail("host %d restores a snapshot at %d that differs from the committed state", h.n, s.Index)
+	}
+}
+
+func (h *host) apply(rd ledger.Ready) {
+	if rd.Install {
+		h.c.stats["installs"]++
+		h.restore(*rd.Snapshot)
+	}
+	for _, e := range rd.Committed {
+		if e.Index != h.applied+1 {
+			h.c.fail("host %d applies %d after %d", h.n, e.Index, h.applied)
+		}
+		if k, v, ok := bytes.Cut(e.Data, []byte("=")); ok && e.Type == ledger.EntryCommand {
+			h.state[string(k)] = string(v)
+		}
+		h.applied = e.Index
+		h.c.commit(h, e)
+		h.finishWrite(e)
+	}
+	if h.applied >= h.compacted+15 {
+		h.compacted = h.applied
+		var b []byte
+		for _, k := range keys {
+			if v, ok := h.state[k]; ok {
+				b = fmt.Appendf(b, "%s=%s ", k, v)
+			}
+		}
+		h.replica.Compact(h.applied, b)
+	}
+}
+
+// commit checks an applied entry against what any host applied at its index.
+func (c *cluster) commit(h *host, e ledger.Entry) {
+	known, ok := c.committed[e.Index]
+	if !ok {
+		if e.Index != c.last+1 {
+			c.fail("host %d applies %d, but %d was not committed", h.n, e.Index, e.Index-1)
+		}
+		c.committed[e.Index], c.states[e.Index], c.last = e, fmt.Sprint(h.state), e.Index
+		if e.Type == ledger.EntryMembers {
+			next, err := ledger.DecodeMembership(e.Data)
+			if err != nil {
+				c.fail("committed membership: %v", err)
+			}
+			c.checkStep(next)
+			c.membership = next
+		}
+		return
+	}
+	if known.Term != e.Term || known.Type != e.Type || !bytes.Equal(known.Data, e.Data) {
+		c.fail("host %d applies another entry at %d: term %d, committed was term %d", h.n, e.Index, e.Term, known.Term)
+	}
+}
+
+// checkStep checks that the committed memberships follow each other by one step.
+func (c *cluster) checkStep(next ledger.Membership) {
+	voters := func(m ledger.Membership) (ids []string) {
+		for _, v := range m.Members {
+			if v.Voter {
+				ids = append(ids, v.ID.String())
+			}
+		}
+		return ids
+	}
+	before, after := voters(c.membership), voters(next)
+	switch {
+	case c.membership.Joint():
+		if next.Joint() || fmt.Sprint(before) != fmt.Sprint(after) {
+			c.fail("a membership change began before the previous one ended")
+		}
+	case next.Joint():
+		if fmt.Sprint(voters(ledger.Membership{Members: next.OldVoters})) != fmt.Sprint(before) || len(before) != len(after) {
+			c.fail("a replacement does not start from the committed voters")
+		}
+	case fmt.Sprint(before) != fmt.Sprint(after):
+		c.fail("the voters changed without a joint configuration")
+	}
+}
+
+func (h *host) crash() {
+	if !h.up {
+		return
+	}
+	h.up = false
+	h.abandon()
+	h.disk.Crash(h.c.random)
+}
+
+func (h *host) wake() {
+	if !h.up || !h.frozen {
+		return
+	}
+	h.frozen = false
+	waiting := h.waiting
+	h.waiting = nil
+	if h.c.random.IntN(2) == 0 {
+		h.do(func() { h.replica.Tick(h.clock()) })
+	}
+	for _, input := range waiting {
+		h.do(input)
+	}
+}
--- a/pkg/serving/ledger/election.go
+++ b/pkg/serving/ledger/election.go
@@ -50,7 +50,7 @@
 }
 
 func (r *Replica) countVotes(now time.Duration) {
-	if !r.membership().quorum(func(id serving.ReplicaID) bool { return r.votes[id] }) {
+	if !quorum(r.log.current().voterSets, func(id serving.ReplicaID) bool { return r.votes[id] }) {
 		return
 	}
 	if r.role == PreCandidate {
@@ -112,7 +112,7 @@
 	r.progress = map[serving.ReplicaID]*progress{}
 	r.promotion = map[serving.ReplicaID]Index{}
 	r.rounds = map[uint64]time.Duration{}
-	r.round, r.elected = 0, now
+	r.round, r.elected, r.quorumUntil = 0, now, 0
 	r.syncProgress(r.log.last() + 1)
 	r.appendEntry(EntryEmpty, nil)
 	r.broadcastHeartbeat(now)
@@ -121,14 +121,9 @@
 
 // eachPeer calls f for each other member, in the order of the membership.
 func (r *Replica) eachPeer(f func(Member)) {
-	seen := map[serving.ReplicaID]bool{r.cfg.Self: true}
-	m := r.membership()
-	for _, set := range [][]Member{m.Members, m.OldVoters} {
-		for _, member := range set {
-			if !seen[member.ID] {
-				seen[member.ID] = true
-				f(member)
-			}
+	for _, member := range r.log.current().all {
+		if member.ID != r.cfg.Self {
+			f(member)
 		}
 	}
 }
--- a/pkg/serving/ledger/lease.go
+++ b/pkg/serving/ledger/lease.go
@@ -43,14 +43,14 @@
 // confirmed returns the send time of the newest round that a quorum
 // acknowledged, and false if there is none.
 func (r *Replica) confirmed() (time.Duration, bool) {
-	ok := r.membership().quorum(func(id serving.ReplicaID) bool {
+	ok := quorum(r.log.current().voterSets, func(id serving.ReplicaID) bool {
 		p := r.progress[id]
 		return id == r.cfg.Self || p != nil && p.hasAcked
 	})
 	if !ok {
 		return 0, false
 	}
-	return quorumValue(r.membership(), func(id serving.ReplicaID) time.Duration {
+	return quorumValue(r.log.current().voterSets, func(id serving.ReplicaID) time.Duration {
 		if id == r.cfg.Self {
 			return 1<<63 - 1
 		}
@@ -75,6 +75,9 @@
 // checkQuorum steps down when no round sent within ElectionMax was acknowledged
 // by a quorum, so that a frozen or partitioned leader stops leading.
 func (r *Replica) checkQuorum(now time.Duration) {
+	if now <= r.quorumUntil {
+		return
+	}
 	since := r.elected
 	if sent, ok := r.confirmed(); ok {
 		since = max(since, min(sent, r.rounds[r.round]))
@@ -82,7 +85,10 @@
 	if now-since > r.cfg.ElectionMax {
 		r.becomeFollower(r.hard.Term, serving.ReplicaID{})
 		r.resetElection(now)
+		return
 	}
+	// Later acknowledgements only extend this, except for a new membership.
+	r.quorumUntil = since + r.cfg.ElectionMax
 }
 
 // ReadIndex returns the index up to which entries must be applied before a read
@@ -92,6 +98,9 @@
 	if r.faults.ignoreLease && r.role == Leader {
 		return r.commit, nil
 	}
+	if r.faults.staleClock {
+		now = r.faults.lastTick
+	}
 	if err := r.leading(now); err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/pkg/serving/ledger/ledger_test.go
@@ -0,0 +1,97 @@
+package ledger_test
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
+)
+
+func newDisk(fault string) *journal.MemoryDisk {
+	d := journal.NewMemoryDisk()
+	d.IgnoreSyncs = fault == "vote_without_sync"
+	return d
+}
+
+// schedules returns the number of schedules, which LEDGER_SCHEDULES overrides.
+func schedules(n int) uint64 {
+	if v, err := strconv.Atoi(os.Getenv("LEDGER_SCHEDULES")); err == nil {
+		n = v
+	}
+	return uint64(n)
+}
+
+// runSchedules runs the schedules with seeds from first on, on a few cores, and
+// returns the violation with the lowest seed and the sum of the statistics.
+func runSchedules(first, n uint64, fault string, stopAtFirst bool) (map[string]int, error) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var found error
+	foundAt := first + n
+	total := map[string]int{}
+	next := first
+	for range min(3, runtime.NumCPU()) {
+		wg.Go(func() {
+			for {
+				mu.Lock()
+				seed := next
+				next++
+				stop := seed >= first+n || stopAtFirst && seed > foundAt
+				mu.Unlock()
+				if stop {
+					return
+				}
+				stats, err := runSchedule(seed, fault)
+				mu.Lock()
+				if err != nil && seed < foundAt {
+					found, foundAt = err, seed
+				}
+				for k, v := range stats {
+					total[k] += v
+				}
+				total["schedules"]++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return total, found
+}
+
+// Guards against two leaders in a term, lost or changed committed entries,
+// reads that miss an accepted write, overlapping membership changes and changes
+// lost with a second host after a repair. LEDGER_SEED repeats one schedule.
+func TestSchedules(t *testing.T) {
+	if seed, err := strconv.ParseUint(os.Getenv("LEDGER_SEED"), 10, 64); err == nil {
+		stats, err := runSchedule(seed, os.Getenv("LEDGER_FAULT"))
+		t.Log(stats)
+		assert.NilError(t, err)
+		return
+	}
+	stats, err := runSchedules(1, schedules(2500), "", true)
+	t.Log(fmt.Sprint(stats))
+	assert.NilError(t, err)
+	for _, k := range []string{"crashes", "torn", "freezes", "cuts", "isolations", "wipes", "full_disks", "replacements", "second_losses", "installs", "reads"} {
+		assert.Assert(t, stats[k] > 0, "no schedule had %s", k)
+	}
+}
+
+// Guards against checks that pass whatever the replica does: the same schedules
+// must find each of these defects.
+func TestSchedulesDetectDefects(t *testing.T) {
+	for _, fault := range []string{"vote_without_sync", "lease_ignored", "lease_from_acknowledgement",
+		"lease_from_before_wake", "old_incarnation",
+		"commit_any_term", "vote_after_heard", "skip_joint"} {
+		t.Run(fault, func(t *testing.T) {
+			stats, err := runSchedules(1, 1500, fault, true)
+			assert.Assert(t, err != nil, "not detected in %d schedules", stats["schedules"])
+			t.Logf("detected after %d schedules: %v", stats["schedules"], err)
+		})
+	}
+}
--- a/pkg/serving/ledger/log.go
+++ b/pkg/serving/ledger/log.go
@@ -13,14 +13,21 @@
 	memberships []membershipAt
 }
 
+// membershipAt is a membership, with values derived from it, from an index on.
 type membershipAt struct {
 	index      Index
 	membership Membership
+	voterSets  [][]Member
+	all        []Member
+}
+
+func newMembershipAt(i Index, m Membership) membershipAt {
+	return membershipAt{i, m, m.voterSets(), m.all()}
 }
 
 func newLog(state Persistent) (*raftLog, error) {
 	l := &raftLog{base: state.Snapshot.Index, baseTerm: state.Snapshot.Term, snapshot: state.Snapshot}
-	l.memberships = []membershipAt{{state.Snapshot.Index, state.Snapshot.Membership}}
+	l.memberships = []membershipAt{newMembershipAt(state.Snapshot.Index, state.Snapshot.Membership)}
 	return l, l.append(slices.Clone(state.Entries))
 }
 
@@ -69,18 +76,16 @@
 		if err != nil {
 			return err
 		}
-		l.memberships = append(l.memberships, membershipAt{e.Index, m})
+		l.memberships = append(l.memberships, newMembershipAt(e.Index, m))
 	}
 	return nil
 }
 
-func (l *raftLog) membership() Membership {
-	return l.memberships[len(l.memberships)-1].membership
-}
+func (l *raftLog) current() *membershipAt { return &l.memberships[len(l.memberships)-1] }
 
-func (l *raftLog) membershipIndex() Index {
-	return l.memberships[len(l.memberships)-1].index
-}
+func (l *raftLog) membership() Membership { return l.current().membership }
+
+func (l *raftLog) membershipIndex() Index { return l.current().index }
 
 func (l *raftLog) membershipBefore(i Index) Membership {
 	m := l.memberships[0].membership
@@ -114,7 +119,7 @@
 		return
 	}
 	*l = raftLog{base: s.Index, baseTerm: s.Term, snapshot: s,
-		memberships: []membershipAt{{s.Index, s.Membership}}}
+		memberships: []membershipAt{newMembershipAt(s.Index, s.Membership)}}
 }
 
 // upToDate tells whether a log that ends with the given entry has all entries
--- a/pkg/serving/ledger/membership.go
+++ b/pkg/serving/ledger/membership.go
@@ -62,9 +62,20 @@
 	return [][]Member{voters}
 }
 
-// quorum tells whether the identities that ok accepts are a quorum.
-func (m Membership) quorum(ok func(serving.ReplicaID) bool) bool {
-	for _, set := range m.voterSets() {
+// all returns all members once, including voters being removed.
+func (m Membership) all() []Member {
+	out := slices.Clone(m.Members)
+	for _, old := range m.OldVoters {
+		if !slices.ContainsFunc(m.Members, func(v Member) bool { return v.ID == old.ID }) {
+			out = append(out, old)
+		}
+	}
+	return out
+}
+
+// quorum tells whether the identities that ok accepts are a majority of each set.
+func quorum(sets [][]Member, ok func(serving.ReplicaID) bool) bool {
+	for _, set := range sets {
 		n := 0
 		for _, v := range set {
 			if ok(v.ID) {
@@ -78,14 +89,15 @@
 	return true
 }
 
-// quorumValue returns the highest value that a quorum has reached.
-func quorumValue[T ~uint64 | ~int64](m Membership, value func(serving.ReplicaID) T) T {
+// quorumValue returns the highest value that a majority of each set has reached.
+func quorumValue[T ~uint64 | ~int64](sets [][]Member, value func(serving.ReplicaID) T) T {
 	var result T
-	for i, set := range m.voterSets() {
+	var buffer [7]T
+	for i, set := range sets {
 		if len(set) == 0 {
 			return 0
 		}
-		values := make([]T, 0, len(set))
+		values := buffer[:0]
 		for _, v := range set {
 			values = append(values, value(v.ID))
 		}
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -66,6 +66,9 @@
 	commitAnyTerm  bool
 	voteAfterHeard bool
 	skipJoint      bool
+	// staleClock lets reads use the time of the last tick.
+	staleClock bool
+	lastTick   time.Duration
 }
 
 // Replica is one replica of the log. It is not safe for concurrent use.
@@ -94,6 +97,8 @@
 	rounds        map[uint64]time.Duration
 	nextHeartbeat time.Duration
 	elected       time.Duration
+	// quorumUntil is a time until which the quorum check holds.
+	quorumUntil time.Duration
 
 	// Output for the next Ready.
 	immediate, messages []Message
@@ -130,6 +135,7 @@
 	if r.err != nil {
 		return
 	}
+	r.faults.lastTick = now
 	if r.role == Leader {
 		r.checkQuorum(now)
 	}
--- a/pkg/serving/ledger/replication.go
+++ b/pkg/serving/ledger/replication.go
@@ -66,6 +66,7 @@
 	r.appendLog([]Entry{e})
 	if t == EntryMembers {
 		r.syncProgress(e.Index)
+		r.quorumUntil = 0
 	}
 	return e
 }
@@ -201,7 +202,7 @@
 // entry of the current term is committed by counting; earlier ones are
 // committed with it, since a later leader could otherwise still replace them.
 func (r *Replica) maybeCommit() {
-	i := quorumValue(r.membership(), func(id serving.ReplicaID) Index {
+	i := quorumValue(r.log.current().voterSets, func(id serving.ReplicaID) Index {
 		if id == r.cfg.Self {
 			return r.stable
 		}
--- /dev/null
+++ b/pkg/serving/ledger/scenario_test.go
@@ -0,0 +1,128 @@
+package ledger_test
+
+import (
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+)
+
+// plan starts the faults of a schedule: half of the seeds have random faults,
+// the others repeat one of two scenarios that random faults rarely form.
+func (c *cluster) plan(seed uint64) {
+	switch seed % 4 {
+	case 0, 1:
+		c.onElected = c.disturbElection
+		c.after(time.Second, c.nextFault)
+		c.after(time.Second, c.operate)
+	case 2:
+		c.onElected = c.hideElection
+		c.after(time.Second, c.deposeLeader)
+	case 3:
+		c.cfg.MaxBatch = 1
+		c.onElected = c.interruptLeader
+	}
+}
+
+// disturbElection cuts off or crashes a new leader shortly after its election,
+// in the schedules with churn: entries then end up on few hosts.
+func (c *cluster) disturbElection(h *host) {
+	if c.random.Float64() >= c.churn {
+		return
+	}
+	c.stats["disturbed_elections"]++
+	for n := range c.hosts {
+		if n != h.n && c.random.IntN(2) == 0 {
+			c.cutLinks(c.between(time.Millisecond, 200*time.Millisecond), [2]int{h.n, n})
+		}
+	}
+	c.crashAfter(h, c.between(0, 60*time.Millisecond))
+	c.after(c.between(100*time.Millisecond, 1500*time.Millisecond), h.restart)
+}
+
+func (c *cluster) crashAfter(h *host, d time.Duration) {
+	boot := h.boot
+	c.after(d, func() {
+		if h.boot == boot && c.now < faultsEnd {
+			h.crash()
+		}
+	})
+}
+
+func (h *host) restart() {
+	if !h.up {
+		h.start()
+	}
+}
+
+// deposeLeader separates the leader from all followers but one, or freezes it
+// while acknowledgements of its last heartbeat are on their way.
+func (c *cluster) deposeLeader() {
+	if c.now >= faultsEnd {
+		return
+	}
+	c.after(c.between(1800*time.Millisecond, 2500*time.Millisecond), c.deposeLeader)
+	for _, h := range c.hosts {
+		if h.frozen || h.replica.Status().Role != ledger.Leader {
+			continue
+		}
+		c.stats["deposed_leaders"]++
+		if c.random.IntN(2) == 0 {
+			h.freezeAfterHeartbeat = c.between(600*time.Millisecond, 950*time.Millisecond)
+			return
+		}
+		c.history.quietUntil = c.now + 1700*time.Millisecond
+		spared := (h.n + 1 + c.random.IntN(len(c.hosts)-1)) % len(c.hosts)
+		c.after(100*time.Millisecond, func() {
+			for n := range c.hosts {
+				if n != spared {
+					c.cutLinks(1600*time.Millisecond, [2]int{h.n, n})
+					c.cutLinks(1600*time.Millisecond, [2]int{n, h.n})
+				}
+			}
+		})
+		return
+	}
+}
+
+// hideElection keeps an election from an earlier leader for a while, and
+// directs writes to the new one.
+func (c *cluster) hideElection(elected *host) {
+	c.history.leader, c.history.quietUntil = elected.n, 0
+	for _, h := range c.hosts {
+		if h != elected && h.replica.Status().Role == ledger.Leader {
+			for n := range c.hosts {
+				c.cutLinks(700*time.Millisecond, [2]int{n, h.n})
+			}
+		}
+	}
+}
+
+// interruptLeader crashes three leaders in turn: one with entries on it alone,
+// one with only its first entry on it alone, and the first one again while it
+// replicates its old entries; then the second one can replace them.
+func (c *cluster) interruptLeader(h *host) {
+	step := c.elections % 3
+	c.elections++
+	c.stats["interrupted_leaders"]++
+	isolate := func(d time.Duration) {
+		for n := range c.hosts {
+			c.cutLinks(d, [2]int{h.n, n})
+		}
+	}
+	c.history.leader = h.n
+	for _, other := range c.hosts {
+		if other != h {
+			other.restart()
+		}
+	}
+	switch step {
+	case 0:
+		c.after(300*time.Millisecond, func() { isolate(150 * time.Millisecond) })
+		c.crashAfter(h, 400*time.Millisecond)
+	case 1:
+		isolate(50 * time.Millisecond)
+		c.crashAfter(h, c.between(5*time.Millisecond, 40*time.Millisecond))
+	case 2:
+		c.crashAfter(h, c.between(10*time.Millisecond, 60*time.Millisecond))
+	}
+}
