--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -63,6 +63,9 @@
 	// addresses holds the address of each identity that sent a message.
 	addresses sync.Map
 
+	// syncEach handles one request per sync, which benchmarks compare with.
+	syncEach bool
+
 	journal  *journal.Journal
 	replica  *ledger.Replica
 	applied  ledger.Index
@@ -99,6 +102,9 @@
 	if n.Transport == nil {
 		n.Transport = NewHTTPTransport()
 	}
+	if n.Config.Heartbeat == 0 {
+		n.Config.Heartbeat = ledger.DefaultHeartbeat
+	}
 	if n.SnapshotEvery == 0 {
 		n.SnapshotEvery = DefaultSnapshotEvery
 	}
@@ -139,10 +145,6 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	n.Config.Heartbeat = max(cfg.Heartbeat, 0)
-	if n.Config.Heartbeat == 0 {
-		n.Config.Heartbeat = ledger.DefaultHeartbeat
-	}
 	n.replica, err = ledger.New(cfg, state, n.Clock.Now())
 	if err != nil {
 		_ = j.Close()
@@ -187,6 +189,9 @@
 			continue
 		default:
 		}
+		if n.syncEach {
+			return
+		}
 		select {
 		case q := <-n.requests:
 			n.handle(q)
@@ -217,7 +222,7 @@
 	}
 	n.publish()
 	n.settleWaiting()
-	return nil
+	return n.replica.Err()
 }
 
 func (n *Node) apply(rd ledger.Ready) error {
@@ -263,7 +268,7 @@
 		return
 	}
 	byAddress := map[string][]*schema.LogMessage{}
-	membership := n.replica.Status().Membership
+	membership := n.replica.Membership()
 	for _, m := range messages {
 		address := ""
 		if member, ok := membership.Find(m.To); ok {
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -59,6 +59,9 @@
 	t.ctx = ctx
 	t.mu.Unlock()
 	<-ctx.Done()
+	// A Send that began before the end has added its goroutines after this.
+	t.mu.Lock()
+	t.mu.Unlock() //nolint:staticcheck // the empty section only waits for Send
 	t.wg.Wait()
 	t.Client.CloseIdleConnections()
 }
--- a/pkg/serving/ledger/election.go
+++ b/pkg/serving/ledger/election.go
@@ -24,7 +24,7 @@
 // partition does not depose a working leader.
 func (r *Replica) startPreVote(now time.Duration) {
 	r.resetElection(now)
-	if !r.membership().IsVoter(r.cfg.Self) {
+	if !r.Membership().IsVoter(r.cfg.Self) {
 		return
 	}
 	r.becomeFollower(r.hard.Term, serving.ReplicaID{})
@@ -42,7 +42,7 @@
 func (r *Replica) requestVotes(now time.Duration, t MessageType, term Term) {
 	r.votes = map[serving.ReplicaID]bool{r.cfg.Self: true}
 	r.eachPeer(func(m Member) {
-		if r.membership().IsVoter(m.ID) {
+		if r.Membership().IsVoter(m.ID) {
 			r.send(Message{Type: t, To: m.ID, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm()})
 		}
 	})
--- a/pkg/serving/ledger/membership.go
+++ b/pkg/serving/ledger/membership.go
@@ -236,13 +236,13 @@
 		return 0, 0, err
 	}
 	latest := r.log.membershipIndex()
-	if r.membership().Joint() || latest > r.commit {
+	if r.Membership().Joint() || latest > r.commit {
 		return 0, 0, serving.NewError(serving.KindConflict, "another membership change is in progress").WithRetryAfter(r.cfg.Heartbeat)
 	}
 	if r.log.term(r.commit) != r.hard.Term {
 		return 0, 0, serving.NewError(serving.KindNoQuorum, "the leader has not yet committed an entry of its term").WithRetryAfter(r.cfg.Heartbeat)
 	}
-	next, err := change.apply(r.membership())
+	next, err := change.apply(r.Membership())
 	if err != nil {
 		return 0, 0, err
 	}
@@ -273,7 +273,7 @@
 
 // finishChange ends a committed joint configuration.
 func (r *Replica) finishChange() {
-	m := r.membership()
+	m := r.Membership()
 	if r.role != Leader || r.log.membershipIndex() > r.commit {
 		return
 	}
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -169,7 +169,7 @@
 
 // onResult processes an answer, which counts only from a current member.
 func (r *Replica) onResult(now time.Duration, m Message) {
-	if _, ok := r.membership().Find(m.From); !ok {
+	if _, ok := r.Membership().Find(m.From); !ok {
 		return
 	}
 	if m.Term > r.hard.Term && (m.Type != MsgPreVoteResult || m.Reject) {
@@ -289,7 +289,7 @@
 // Status returns a copy of the replica's state.
 func (r *Replica) Status() Status {
 	s := Status{Self: r.cfg.Self, Role: r.role, Term: r.hard.Term, Leader: r.leader, LeaderAddress: r.leaderAddress(),
-		Commit: r.commit, Last: r.log.last(), Snapshot: r.log.snapshot.Index, Membership: r.membership(),
+		Commit: r.commit, Last: r.log.last(), Snapshot: r.log.snapshot.Index, Membership: r.Membership(),
 		MembershipCommitted: r.log.membershipIndex() <= r.commit}
 	if r.role == Leader {
 		s.LeaseUntil = r.leaseUntil()
@@ -301,10 +301,15 @@
 	return s
 }
 
-func (r *Replica) membership() Membership { return r.log.membership() }
+// Err returns why the replica does nothing more: an error of persisting, or an
+// entry that cannot be decoded. It is nil while the replica works.
+func (r *Replica) Err() error { return r.err }
+
+// Membership returns the membership in force, which may not be committed yet.
+func (r *Replica) Membership() Membership { return r.log.membership() }
 
 func (r *Replica) leaderAddress() string {
-	m, _ := r.membership().Find(r.leader)
+	m, _ := r.Membership().Find(r.leader)
 	return m.Address
 }
 
