--- a/pkg/serving/ledger/membership.go
+++ b/pkg/serving/ledger/membership.go
@@ -62,9 +62,20 @@
 	return [][]Member{voters}
 }
 
-// quorum tells whether the identities that ok accepts are a quorum.
-func (m Membership) quorum(ok func(serving.ReplicaID) bool) bool {
-	for _, set := range m.voterSets() {
+// all returns all members once, including voters being removed.
+func (m Membership) all() []Member {
+	out := slices.Clone(m.Members)
+	for _, old := range m.OldVoters {
+		if !slices.ContainsFunc(m.Members, func(v Member) bool { return v.ID == old.ID }) {
+			out = append(out, old)
+		}
+	}
+	return out
+}
+
+// quorum tells whether the identities that ok accepts are a majority of each set.
+func quorum(sets [][]Member, ok func(serving.ReplicaID) bool) bool {
+	for _, set := range sets {
 		n := 0
 		for _, v := range set {
 			if ok(v.ID) {
@@ -78,14 +89,15 @@
 	return true
 }
 
-// quorumValue returns the highest value that a quorum has reached.
-func quorumValue[T ~uint64 | ~int64](m Membership, value func(serving.ReplicaID) T) T {
+// quorumValue returns the highest value that a majority of each set has reached.
+func quorumValue[T ~uint64 | ~int64](sets [][]Member, value func(serving.ReplicaID) T) T {
 	var result T
-	for i, set := range m.voterSets() {
+	var buffer [7]T
+	for i, set := range sets {
 		if len(set) == 0 {
 			return 0
 		}
-		values := make([]T, 0, len(set))
+		values := buffer[:0]
 		for _, v := range set {
 			values = append(values, value(v.ID))
 		}
@@ -224,13 +236,13 @@
 		return 0, 0, err
 	}
 	latest := r.log.membershipIndex()
-	if r.membership().Joint() || latest > r.commit {
+	if r.Membership().Joint() || latest > r.commit {
 		return 0, 0, serving.NewError(serving.KindConflict, "another membership change is in progress").WithRetryAfter(r.cfg.Heartbeat)
 	}
 	if r.log.term(r.commit) != r.hard.Term {
 		return 0, 0, serving.NewError(serving.KindNoQuorum, "the leader has not yet committed an entry of its term").WithRetryAfter(r.cfg.Heartbeat)
 	}
-	next, err := change.apply(r.membership())
+	next, err := change.apply(r.Membership())
 	if err != nil {
 		return 0, 0, err
 	}
@@ -261,7 +273,7 @@
 
 // finishChange ends a committed joint configuration.
 func (r *Replica) finishChange() {
-	m := r.membership()
+	m := r.Membership()
 	if r.role != Leader || r.log.membershipIndex() > r.commit {
 		return
 	}
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -66,6 +66,9 @@
 	commitAnyTerm  bool
 	voteAfterHeard bool
 	skipJoint      bool
+	// staleClock lets reads use the time of the last tick.
+	staleClock bool
+	lastTick   time.Duration
 }
 
 // Replica is one replica of the log. It is not safe for concurrent use.
@@ -94,6 +97,8 @@
 	rounds        map[uint64]time.Duration
 	nextHeartbeat time.Duration
 	elected       time.Duration
+	// quorumUntil is a time until which the quorum check holds.
+	quorumUntil time.Duration
 
 	// Output for the next Ready.
 	immediate, messages []Message
@@ -130,6 +135,7 @@
 	if r.err != nil {
 		return
 	}
+	r.faults.lastTick = now
 	if r.role == Leader {
 		r.checkQuorum(now)
 	}
@@ -163,7 +169,7 @@
 
 // onResult processes an answer, which counts only from a current member.
 func (r *Replica) onResult(now time.Duration, m Message) {
-	if _, ok := r.membership().Find(m.From); !ok {
+	if _, ok := r.Membership().Find(m.From); !ok {
 		return
 	}
 	if m.Term > r.hard.Term && (m.Type != MsgPreVoteResult || m.Reject) {
@@ -283,7 +289,7 @@
 // Status returns a copy of the replica's state.
 func (r *Replica) Status() Status {
 	s := Status{Self: r.cfg.Self, Role: r.role, Term: r.hard.Term, Leader: r.leader, LeaderAddress: r.leaderAddress(),
-		Commit: r.commit, Last: r.log.last(), Snapshot: r.log.snapshot.Index, Membership: r.membership(),
+		Commit: r.commit, Last: r.log.last(), Snapshot: r.log.snapshot.Index, Membership: r.Membership(),
 		MembershipCommitted: r.log.membershipIndex() <= r.commit}
 	if r.role == Leader {
 		s.LeaseUntil = r.leaseUntil()
@@ -295,10 +301,15 @@
 	return s
 }
 
-func (r *Replica) membership() Membership { return r.log.membership() }
+// Err returns why the replica does nothing more: an error of persisting, or an
+// entry that cannot be decoded. It is nil while the replica works.
+func (r *Replica) Err() error { return r.err }
+
+// Membership returns the membership in force, which may not be committed yet.
+func (r *Replica) Membership() Membership { return r.log.membership() }
 
 func (r *Replica) leaderAddress() string {
-	m, _ := r.membership().Find(r.leader)
+	m, _ := r.Membership().Find(r.leader)
 	return m.Address
 }
 
