--- a/pkg/serving/dispatch/affinity.go
+++ b/pkg/serving/dispatch/affinity.go
@@ -43,6 +43,10 @@
 	for range p.Reach {
 		best, bestDist := -1, uint64(math.MaxUint64)
 		for i := range candidates {
+			// Affinity serves prefix reuse, which is not worth traffic between regions.
+			if r.Region != "" && candidates[i].Region != r.Region {
+				continue
+			}
 			// Unsigned wrap-around gives the clockwise distance on the ring.
 			if d := candidates[i].Hash - h; d >= after && d < bestDist {
 				best, bestDist = i, d
@@ -60,11 +64,8 @@
 }
 
 func (p *Affinity) permits(now time.Duration, r *serving.Request, c *serving.Candidate, most float64) bool {
-	// Affinity serves prefix reuse, which is not worth traffic between regions.
-	if r.Region != "" && c.Region != r.Region {
-		return false
-	}
-	if c.Room() <= 0 || c.Cold || float64(c.Busy()+1) > math.Ceil(most) {
+	// An engine that is ramped up gets no more than half of its limit this way.
+	if c.Room() <= 0 || c.Cold && 2*(c.Busy()+1) > c.Limit || float64(c.Busy()+1) > math.Ceil(most) {
 		return false
 	}
 	return p.Admitter == nil || p.Admitter.Admit(now, r, c).Admitted
--- a/pkg/serving/dispatch/candidates.go
+++ b/pkg/serving/dispatch/candidates.go
@@ -11,6 +11,10 @@
 // that hash affinity also works when only some engines are considered.
 const affinitySample = 2
 
+// othersTrusted is the age up to which the owner's forecast of the other entries
+// is better than an estimate from load reports.
+const othersTrusted = time.Second
+
 // Candidates appends the engines that may take r to buf. Beyond cfg.Sample
 // engines it takes the request's successors on the hash ring and a random sample.
 func (t *Tracker) Candidates(now time.Duration, r *serving.Request, buf []serving.Candidate) []serving.Candidate {
@@ -56,17 +60,19 @@
 		return buf
 	}
 	e.refresh(now, &t.cfg)
-	limit := e.ramp.Limit()
+	limit, cold := e.ramp.Limit(), e.ramp.Cold()
 	if e.hasLimit {
-		limit = min(limit, e.limit)
+		// The owner sees all of the evidence on the engine, this entry a part.
+		limit, cold = e.limit, e.limit < e.Capacity.MaxRunning
 	}
+
 	load := e.Load
 	load.Running = max(0, load.Running-serving.Slots(len(e.ended)))
 	return append(buf, serving.Candidate{
 		Engine: e.Engine, DataCentre: e.DataCentre, Region: e.Region, Role: e.Role,
 		Capacity: e.Capacity, Load: load,
 		SentSince: e.sinceCount, InFlight: serving.Slots(len(e.running)),
-		Limit: limit, Cold: e.ramp.Cold(),
+		Limit: limit, Cold: cold,
 		CachedPrefix:   e.prefixes.cached(now, r.PrefixHashes, e.Capacity.BlockTokens),
 		ExpectedGrowth: max(0, serving.Tokens(e.forecast.Peak())-e.usedNow),
 		Distance:       e.distance, Version: version, Hash: e.hash,
@@ -108,6 +114,12 @@
 		reported++
 		held += e.ended[i].prompt + e.ended[i].soFar
 	}
+	if e.hasOthers && now-e.othersAt < othersTrusted {
+		e.forecast.Merge(&e.others, 1)
+		e.usedNow += serving.Tokens(e.others.Mean[0])
+		e.busyNow = serving.Slots(len(e.running)) + e.others.Generations
+		return
+	}
 	e.addForeign(now, cfg.Lengths, e.Load.Running+e.Load.Queued-reported,
 		serving.Tokens(e.Load.BlocksUsed)*e.Capacity.BlockTokens-held)
 	e.busyNow = max(serving.Slots(len(e.running)), e.Load.Running+e.Load.Queued+e.sinceCount)
@@ -132,11 +144,15 @@
 }
 
 func (e *engine) addTo(lengths serving.LengthEstimator, g *generation) {
+	e.addGeneration(&e.forecast, lengths, g)
+}
+
+func (e *engine) addGeneration(f *serving.MemoryForecast, lengths serving.LengthEstimator, g *generation) {
 	var survival [serving.ForecastPoints]float64
 	lengths.Survival(g.key, g.soFar, &survival)
 	most := serving.Tokens(0)
 	if g.most > 0 {
 		most = max(1, g.most-g.soFar)
 	}
-	e.forecast.Add(g.prompt+g.soFar+e.Capacity.BlockTokens/2, most, &survival, 1)
+	f.Add(g.prompt+g.soFar+e.Capacity.BlockTokens/2, most, &survival, 1)
 }
--- a/pkg/serving/dispatch/holder.go
+++ b/pkg/serving/dispatch/holder.go
@@ -33,6 +33,9 @@
 	demand      serving.Slots
 	released    bool
 	limit       serving.Slots
+	forecast    serving.MemoryForecast
+	others      serving.MemoryForecast
+	othersAt    time.Duration
 	// uses numbers all generations of this holder, so that a slot that is
 	// released and granted again never shows an earlier number.
 	uses uint32
@@ -57,6 +60,13 @@
 // SetDemand sets the number of requests that wait for a slot at this engine.
 func (h *Holder) SetDemand(n serving.Slots) { h.demand = n }
 
+// SetForecast sets the memory forecast of what this entry runs at the engine.
+func (h *Holder) SetForecast(f serving.MemoryForecast) { h.forecast = f }
+
+// Others returns the memory forecast of the other entries and the time at which
+// the request for it was sent.
+func (h *Holder) Others() (serving.MemoryForecast, time.Duration) { return h.others, h.othersAt }
+
 // SetIncarnation drops the slots of earlier incarnations of the engine.
 func (h *Holder) SetIncarnation(i serving.Incarnation) {
 	h.incarnation = max(h.incarnation, i)
@@ -147,7 +157,7 @@
 	}
 	h.seq++
 	h.sentAt, h.waiting, h.released = now, true, false
-	q := SlotRequest{Engine: h.engine, Entry: h.entry, Seq: h.seq, Ack: h.ack, Want: want}
+	q := SlotRequest{Engine: h.engine, Entry: h.entry, Seq: h.seq, Ack: h.ack, Want: want, Forecast: h.forecast}
 	for id, s := range h.slots {
 		q.Held = append(q.Held, HeldSlot{ID: id, Uses: s.uses, Running: s.running})
 	}
@@ -180,6 +190,7 @@
 		return
 	}
 	h.waiting, h.ack, h.limit = false, p.Seq, p.Limit
+	h.others, h.othersAt = p.Others, h.sentAt
 	h.retryAt = now + p.RetryAfter
 	expires := h.sentAt + time.Duration(float64(p.TTL)*(1-h.cfg.MaxDrift))
 	listed := make(map[serving.SlotID]bool, len(p.Slots))
--- a/pkg/serving/dispatch/owner.go
+++ b/pkg/serving/dispatch/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -31,6 +32,11 @@
 	inheritedAt    time.Duration
 	inheritedKnown bool
 	closed         bool
+	// A slot is granted only if the memory forecast, with a typical generation
+	// for each slot not in use, stays within memory at the quantile.
+	memory   serving.Tokens
+	quantile float64
+	typical  serving.MemoryForecast
 }
 
 type ownedSlot struct {
@@ -51,6 +57,7 @@
 		at  time.Duration
 	}
 	lacking   bool
+	forecast  serving.MemoryForecast
 	heardFrom time.Duration
 }
 
@@ -122,6 +129,14 @@
 // SetLimit sets the engine's limit, as the ramp says.
 func (o *Owner) SetLimit(limit serving.Slots) { o.limit = limit }
 
+// SetMemory makes the grants depend on the engine's memory: the quantile is the
+// probability that it suffices, typical the forecast of one new generation. The
+// entries decide with views of different age, so that without this check several
+// of them would fill the same free memory.
+func (o *Owner) SetMemory(memory serving.Tokens, quantile float64, typical serving.MemoryForecast) {
+	o.memory, o.quantile, o.typical = memory, quantile, typical
+}
+
 // SetNoNewWork stops grants to an engine that is leaving or out of service.
 func (o *Owner) SetNoNewWork(stop bool) { o.noNewWork = stop }
 
@@ -171,7 +186,7 @@
 	if q.Entry.Incarnation < e.id.Incarnation || q.Seq <= e.seq {
 		return SlotReply{}, false
 	}
-	e.seq, e.heardFrom = q.Seq, now
+	e.seq, e.heardFrom, e.forecast = q.Seq, now, q.Forecast
 	o.expire(now)
 	o.settle(now, e, q)
 
@@ -189,6 +204,7 @@
 		}
 	}
 	p.Reclaim = o.othersLack(now, e)
+	p.Others = o.forecast(e)
 	e.replies[1], e.replies[0].seq, e.replies[0].at = e.replies[0], q.Seq, now
 	return p, true
 }
@@ -231,14 +247,23 @@
 // slots, those in use are retired and those not in use are left to expire.
 func (o *Owner) renew(now time.Duration, e *ownerEntry, q SlotRequest, p *SlotReply) {
 	keep := o.mayKeep(now, e)
+	idle := o.idleRoom()
+	for _, s := range o.slots {
+		if s.entry != e.id && !s.lapsed && !s.running {
+			idle--
+		}
+	}
 	for _, h := range q.Held {
 		s := o.slots[h.ID]
 		if s == nil {
 			continue
 		}
 		switch {
-		case keep > 0 && !s.lapsed:
+		case keep > 0 && !s.lapsed && (h.Running || idle > 0):
 			keep--
+			if !h.Running {
+				idle--
+			}
 			p.Slots = append(p.Slots, h.ID)
 		case h.Running:
 			p.Retired = append(p.Retired, h.ID)
@@ -281,7 +306,13 @@
 	if o.othersLack(now, e) {
 		n = min(n, o.fairShare(now)-serving.Slots(len(p.Slots)+len(p.Retired)))
 	}
-	n = max(0, n)
+	idle := o.idleRoom()
+	for _, s := range o.slots {
+		if !s.lapsed && !s.running {
+			idle--
+		}
+	}
+	n = max(0, min(n, idle))
 	for range n {
 		o.nextSlot++
 		id := serving.SlotID(fmt.Sprintf("%s/%d/%d/%d", o.term.Owner.Host, o.term.Owner.Incarnation, o.term.Epoch, o.nextSlot))
@@ -317,7 +348,64 @@
 	return max(1, o.limit/max(1, active))
 }
 
+// forecast returns the memory of what the entries other than e run or may start.
+// A lapsed slot counts by its entry's last forecast.
+func (o *Owner) forecast(e *ownerEntry) serving.MemoryForecast {
+	var f serving.MemoryForecast
+	for _, x := range o.entries {
+		if x != e {
+			f.Merge(&x.forecast, 1)
+		}
+	}
+	var idle serving.Slots
+	for _, s := range o.slots {
+		if !s.lapsed && !s.running && (e == nil || s.entry != e.id) {
+			idle++
+		}
+	}
+	f.Merge(&o.typical, idle)
+	return f
+}
+
+// idleRoom returns how many slots that are not in use the memory permits.
+func (o *Owner) idleRoom() serving.Slots {
+	if o.memory == 0 {
+		return math.MaxInt32
+	}
+	var running serving.MemoryForecast
+	for _, x := range o.entries {
+		running.Merge(&x.forecast, 1)
+	}
+	if running.Generations == 0 {
+		// An idle engine takes at least one generation, whatever its length.
+		return max(1, o.fitting(&running))
+	}
+	return o.fitting(&running)
+}
+
+func (o *Owner) fitting(running *serving.MemoryForecast) serving.Slots {
+	low, high := serving.Slots(0), o.limit
+	for low < high {
+		mid := (low + high + 1) / 2
+		f := *running
+		f.Merge(&o.typical, mid)
+		if excess(&f, o.quantile, float64(o.memory)) <= 0 {
+			low = mid
+		} else {
+			high = mid - 1
+		}
+	}
+	return low
+}
+
 func (o *Owner) expire(now time.Duration) {
+	for _, x := range o.entries {
+		// An entry that is silent for so long is taken as dead; the engine ends
+		// what nobody resumes.
+		if now-x.heardFrom > 10*o.cfg.TTL {
+			x.forecast = serving.MemoryForecast{}
+		}
+	}
 	for id, s := range o.slots {
 		if now >= s.expires {
 			s.lapsed = true
--- a/pkg/serving/dispatch/ramp.go
+++ b/pkg/serving/dispatch/ramp.go
@@ -105,6 +105,19 @@
 	r.busiest = max(r.busiest, busy)
 }
 
+// Report takes in the step time of a load report. An engine whose memory is nearly
+// full is used up to its limit, however few generations that are.
+func (r *Ramp) Report(now time.Duration, l serving.Load) {
+	if l.StepMS <= 0 || l.Running == 0 {
+		return
+	}
+	busy := l.Running
+	if m := r.capacity.MemoryBlocks; m > 0 {
+		busy = max(busy, r.Limit()*serving.Slots(l.BlocksUsed)/serving.Slots(m))
+	}
+	r.Step(now, time.Duration(l.StepMS*float64(time.Millisecond)), busy)
+}
+
 // FirstToken takes in a time to first token per prompt token that was not
 // cached; three consecutive slow ones show a cold engine before steps do.
 func (r *Ramp) FirstToken(now time.Duration, d time.Duration, prompt serving.Tokens) {
--- a/pkg/serving/dispatch/slots.go
+++ b/pkg/serving/dispatch/slots.go
@@ -64,6 +64,8 @@
 	Held []HeldSlot
 	// Want is the number of further slots asked for.
 	Want serving.Slots
+	// Forecast is the memory of the generations that this entry runs there.
+	Forecast serving.MemoryForecast
 }
 
 // SlotReply answers a SlotRequest.
@@ -81,6 +83,8 @@
 	Retired []serving.SlotID
 	// Reclaim asks for slots that are not in use, because another entry lacks some.
 	Reclaim bool
+	// Others is the memory forecast of what the other entries run or may start.
+	Others serving.MemoryForecast
 	// Limit is the engine's limit now, and RetryAfter the time to wait before
 	// asking for more.
 	Limit      serving.Slots
--- a/pkg/serving/dispatch/tracker.go
+++ b/pkg/serving/dispatch/tracker.go
@@ -105,6 +105,9 @@
 	forecast   serving.MemoryForecast
 	forecastAt time.Duration
 	dirty      bool
+	others     serving.MemoryForecast
+	othersAt   time.Duration
+	hasOthers  bool
 	sinceCount serving.Slots
 	busyNow    serving.Slots
 	usedNow    serving.Tokens
@@ -166,9 +169,8 @@
 	e.ramp.SetReference(t.referenceStep(e))
 	e.prefixes.apply(now, a.CacheEvents)
 	e.report(now, a.Load)
-	if a.Load.StepMS > 0 {
-		e.ramp.Step(now, time.Duration(a.Load.StepMS*float64(time.Millisecond)), a.Load.Running)
-	}
+	e.ramp.Report(now, a.Load)
+
 }
 
 // renew creates the state of a new incarnation; what ran at the old one is gone.
@@ -255,6 +257,34 @@
 	e.dirty = true
 }
 
+// SetOthers sets the memory forecast of what the other entries run at an engine,
+// as its owner says. While it is recent it replaces the estimate from reports.
+func (t *Tracker) SetOthers(at time.Duration, id serving.EngineID, f serving.MemoryForecast) {
+	if e := t.engines[id]; e != nil && at >= e.othersAt {
+		e.others, e.othersAt, e.hasOthers, e.dirty = f, at, true, true
+	}
+}
+
+// OwnForecast returns the memory forecast of what this entry runs at an engine.
+func (t *Tracker) OwnForecast(id serving.EngineID) serving.MemoryForecast {
+	var f serving.MemoryForecast
+	if e := t.engines[id]; e != nil {
+		for _, g := range e.running {
+			e.addGeneration(&f, t.cfg.Lengths, g)
+		}
+	}
+	return f
+}
+
+// Typical returns the memory forecast of one new generation of a model.
+func (t *Tracker) Typical(model serving.ModelID, prompt serving.Tokens) serving.MemoryForecast {
+	var f serving.MemoryForecast
+	var survival [serving.ForecastPoints]float64
+	t.cfg.Lengths.Survival(serving.LengthKey{Model: model}, 0, &survival)
+	f.Add(prompt, 0, &survival, 1)
+	return f
+}
+
 // Remove forgets an engine.
 func (t *Tracker) Remove(id serving.EngineID) {
 	if e := t.engines[id]; e != nil {
--- a/pkg/serving/forecast.go
+++ b/pkg/serving/forecast.go
@@ -39,6 +39,15 @@
 	f.Generations += n
 }
 
+// Merge adds n times another forecast.
+func (f *MemoryForecast) Merge(o *MemoryForecast, n Slots) {
+	for i := range ForecastPoints {
+		f.Mean[i] += float64(n) * o.Mean[i]
+		f.Variance[i] += float64(n) * o.Variance[i]
+	}
+	f.Generations += n * o.Generations
+}
+
 // Peak returns the largest expected sum over the horizons.
 func (f *MemoryForecast) Peak() float64 {
 	peak := 0.0
