--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -89,6 +89,25 @@
 	assert.Equal(t, serving.KindOf(err), serving.KindNoQuorum)
 }
 
+// Guards against a client that follows two replicas naming each other without end
+// or without a pause.
+func TestClientEndsWhenReplicasNameEachOther(t *testing.T) {
+	a, b := start(t), start(t)
+	a.log.SetLeader(b.address)
+	b.log.SetLeader(a.address)
+	calls := 0
+	c := client(operatorKey, a.address, b.address)
+	c.Timeout, c.BackoffMin = 300*time.Millisecond, 50*time.Millisecond
+	c.Random = func() float64 { calls++; return 1 }
+	_, err := c.Apply(t.Context(), putDataCentre("norr-1", "c1"))
+	assert.Equal(t, serving.KindOf(err), serving.KindNotLeader)
+	assert.Equal(t, serving.AsError(err).Ran, serving.NotRun)
+	// Pauses of 50, 100 and 200 ms: the third no longer fits.
+	assert.Assert(t, calls <= 3, "%d pauses", calls)
+	_, err = rpc.ParseKeyHash("12")
+	assert.Equal(t, serving.KindOf(err), serving.KindInvalid)
+}
+
 // Guards against keys that open a service they are not for.
 func TestAuthentication(t *testing.T) {
 	r := start(t)
--- a/internal/rpc/auth.go
+++ b/internal/rpc/auth.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +21,15 @@
 // HashKey returns the hash under which a key is stored and compared.
 func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
+// ParseKeyHash parses the hash of a key in hexadecimal, as settings have it.
+func ParseKeyHash(s string) (KeyHash, error) {
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != sha256.Size {
+		return KeyHash{}, serving.NewError(serving.KindInvalid, "a key hash must have 64 hexadecimal digits, the SHA-256 hash of the key")
+	}
+	return KeyHash(b), nil
+}
+
 type keyContext struct{}
 
 // ReadKey puts the hash of a call's bearer key into the context of the call. It
