Fix three faults of the reconciler that a churn test found

Cause: a randomized test with leaving, restarted and taken out engines, changes of leaders and of versions found: an order counted as done by the effect of an earlier one, so that two orders to an engine without fencing checks could cross; a rollout that stopped when min_warm was raised in the middle of it; a model that starved because copies of another filled all engines. Ruled out: bounding copies across leaders by replicated state, since making room for what operators ask for is enough. Change: such an engine is blocked until the order can no longer arrive; the size of a rollout follows the need; min_warm and pins take room from models with engines to spare.

--- a/pkg/serving/fleet/plan.go
+++ b/pkg/serving/fleet/plan.go
@@ -100,6 +100,9 @@
 // longer counts; its engine is chosen after the others.
 func (p *plan) addPending(now time.Duration, r *Reconciler) {
 	for id, pend := range r.pending {
+		if pend.done {
+			continue
+		}
 		switch o := pend.order; {
 		case now >= pend.deadline(r.cfg.OrderTimeout):
 			p.engines[id].failures = pend.attempts + 1
@@ -117,8 +120,17 @@
 		}
 	}
 	p.noteLeaving(r)
-	for _, model := range slices.Sorted(maps.Keys(p.want.Models)) {
-		p.fill(r, model)
+	models := slices.Sorted(maps.Keys(p.want.Models))
+	for _, model := range models {
+		// Only what operators ask for takes room from other models.
+		if n := p.fill(model, max(p.want.Models[model].MinWarm, p.pins[model])); n > 0 {
+			r.shortfall[model] = n
+			p.makeRoom(r, model)
+		}
+	}
+	for _, model := range models {
+		p.fill(model, max(r.floors[model], r.rollouts[model]))
+		p.endFloor(r, model)
 		p.shift(r, model)
 	}
 }
@@ -168,21 +180,50 @@
 	maps.DeleteFunc(r.moved, func(m move, _ bool) bool { return p.engines[m.engine] == nil })
 }
 
-// fill loads a model on free engines until enough carry it.
-func (p *plan) fill(r *Reconciler, model serving.ModelID) {
-	need := max(p.want.Models[model].MinWarm, p.pins[model], r.floors[model], r.rollouts[model])
-	have := p.carriers(model)
-	if have >= r.floors[model] && p.warm[model] >= r.floors[model] {
-		delete(r.floors, model)
-	}
-	for ; have < need; have++ {
+// fill loads a model on free engines until need engines carry it. It reports
+// how many had no room.
+func (p *plan) fill(model serving.ModelID, need int) int {
+	for have := p.carriers(model); have < need; have++ {
 		e := p.freeEngine(model)
 		if e == nil {
-			r.shortfall[model] = need - have
-			return
+			return need - have
 		}
 		p.wishLoad(e, ModelVersion{model, p.scarceVersion(model)})
 	}
+	return 0
+}
+
+// endFloor forgets the raised number of carriers once it is reached.
+func (p *plan) endFloor(r *Reconciler, model serving.ModelID) {
+	if floor := r.floors[model]; p.carriers(model) >= floor && p.warm[model] >= floor {
+		delete(r.floors, model)
+	}
+}
+
+// makeRoom unloads a model that has most engines above its need from an engine
+// without pins. Copies can pile up over changes of leaders.
+func (p *plan) makeRoom(r *Reconciler, starved serving.ModelID) {
+	var victim *node
+	var version ModelVersion
+	most := 0
+	for _, n := range p.serving {
+		if n.pinned || n.willCarry(starved) {
+			continue
+		}
+		for _, m := range n.Models {
+			if spare := p.warm[m.Model] - p.needed(r, m.Model); spare > most {
+				victim, version, most = n, m, spare
+			}
+		}
+	}
+	if victim != nil {
+		p.wishUnload(victim, version)
+	}
+}
+
+// needed returns how many engines should carry a model apart from a rollout.
+func (p *plan) needed(r *Reconciler, model serving.ModelID) int {
+	return max(p.want.Models[model].MinWarm, p.pins[model], r.floors[model])
 }
 
 // carriers counts the engines in service that carry a model or will.
--- a/pkg/serving/fleet/reconciler.go
+++ b/pkg/serving/fleet/reconciler.go
@@ -69,6 +69,8 @@
 type pending struct {
 	order    Order
 	attempts int
+	// done is true once the effect was reported or no longer matters.
+	done bool
 }
 
 // deadline is the time after which the order may be issued again.
@@ -135,7 +137,7 @@
 	}
 	r.shortfall = map[serving.ModelID]int{}
 	p := newPlan(want, engines)
-	r.readBack(p)
+	r.readBack(now, p)
 	p.addPending(now, r)
 	p.build(r)
 	slices.SortStableFunc(p.wishes, func(a, b wish) int { return cmp.Compare(a.urgency, b.urgency) })
@@ -153,11 +155,15 @@
 func (r *Reconciler) Shortfall() map[serving.ModelID]int { return r.shortfall }
 
 // readBack ends orders whose effect is reported, and those of engines that are
-// gone or were restarted.
-func (r *Reconciler) readBack(p *plan) {
+// gone or were restarted. The effect may come from an earlier order, so that an
+// engine that does not check fencing numbers gets the next order only when this
+// one can no longer arrive.
+func (r *Reconciler) readBack(now time.Duration, p *plan) {
 	for id, pend := range r.pending {
-		e := p.engines[id]
-		if e == nil || e.Incarnation != pend.order.Incarnation || e.ReadAt > pend.order.IssuedAt && pend.order.visible(e.Engine) {
+		n := p.engines[id]
+		pend.done = pend.done || n == nil || n.Incarnation != pend.order.Incarnation ||
+			n.ReadAt > pend.order.IssuedAt && pend.order.visible(n.Engine)
+		if pend.done && (n != nil && n.ChecksFencing || now >= pend.order.IssuedAt+r.cfg.MaxFlight) {
 			delete(r.pending, id)
 		}
 	}
@@ -183,7 +189,7 @@
 	r.sequence++
 	o.Fencing = r.epoch<<sequenceBits | r.sequence
 	o.Incarnation, o.IssuedAt = e.Incarnation, now
-	r.pending[e.ID] = &pending{o, attempts}
+	r.pending[e.ID] = &pending{order: o, attempts: attempts}
 	return o, true
 }
 
@@ -199,7 +205,7 @@
 	switch p := r.pending[o.Engine]; {
 	case !r.leading || !leaseValid:
 		return serving.NewError(serving.KindNotLeader, "this replica no longer holds the lease for orders")
-	case p == nil || p.order.Fencing != o.Fencing:
+	case p == nil || p.done || p.order.Fencing != o.Fencing:
 		return serving.NewError(serving.KindExpired, "the order was replaced or is done")
 	case now >= o.IssuedAt+r.cfg.MaxFlight:
 		return serving.NewError(serving.KindDeadline, "the order waited too long to be sent")
--- a/pkg/serving/fleet/versions.go
+++ b/pkg/serving/fleet/versions.go
@@ -68,6 +68,7 @@
 	if !ok {
 		size = p.carriers(model)
 	}
+	size = max(size, p.needed(r, model))
 	have, target := p.counts(model), targets(shares, size)
 	e, surplus := p.surplus(model, have, target)
 	if e == nil {
