Send engine orders from the control leader

Cause: the wanted state reached no engine. Change: a controller reads the wanted state and the engines that entries know of onto a blackboard, asks the reconciler for orders, and sends each after a read-back and a check of the lease; it begins each lead with an entry of its own in the log, so that fencing numbers grow also when a lease returns within a term. Ruled out: the committed index alone as epoch, which did not grow when a lease returned within a term: the controller then never led again (test failed). Conclusion: an engine that announces no model waits for an order and counts as ready for one.

--- /dev/null
+++ b/internal/control/blackboard.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"sync/atomic"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/fleet"
+)
+
+// Blackboard is what the controllers of a control process share: one writes what
+// operators want, one what engines report, one the orders in flight. A published
+// blackboard is immutable.
+type Blackboard struct {
+	// Leading is true while this replica leads under a valid lease.
+	Leading bool
+	// Epoch is the log index from which fencing numbers start.
+	Epoch uint64
+	Want  fleet.Want
+	// Engines are the engines that entries know of.
+	Engines []fleet.Engine
+	// Addresses has the address of each engine, by its id.
+	Addresses map[string]string
+}
+
+// board publishes blackboards. The orders goroutine is its only writer.
+type board struct{ current atomic.Pointer[Blackboard] }
+
+func (b *board) load() *Blackboard {
+	if c := b.current.Load(); c != nil {
+		return c
+	}
+	return &Blackboard{}
+}
--- /dev/null
+++ b/internal/control/engines.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
+	"turmericdrum.org/turmericdrum/pkg/serving/fleet"
+	"turmericdrum.org/turmericdrum/pkg/serving/registry"
+)
+
+const (
+	// membersTimeout bounds the question to an entry which engines it knows.
+	membersTimeout = time.Second
+	// announceInterval is the time between two announcements of an engine.
+	announceInterval = 500 * time.Millisecond
+	// engineSilence is the age of an announcement after which its engine counts as gone.
+	engineSilence = 5 * time.Second
+)
+
+// readEngines asks the listed entries, one after the other until one answers,
+// which engines there are.
+func (o *engineOrders) readEngines(ctx context.Context, v *registry.View) ([]fleet.Engine, map[string]string) {
+	entries := o.server.Machine.Entries().GetEntries()
+	for i := range entries {
+		e := entries[(o.nextEntry+i)%len(entries)]
+		sentAt := o.clock.Now()
+		res, err := o.askMembers(ctx, e.GetAddress())
+		if err != nil {
+			klog.V(1).InfoS("Entry did not list its engines", "entry", e.GetHost(), "err", err)
+			continue
+		}
+		o.nextEntry = (o.nextEntry + i) % len(entries)
+		return decodeEngines(v, res.GetRecords(), sentAt)
+	}
+	return nil, nil
+}
+
+func (o *engineOrders) askMembers(ctx context.Context, address string) (*schema.MemberExchange, error) {
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
+	// An exchange with a digest is answered with the records that it lacks.
+	digest := []*schema.MemberDigest{{Id: "control"}}
+	return schema.NewMembersProtobufClient("http://"+address, o.cluster).Exchange(ctx, &schema.MemberExchange{Digest: digest})
+}
+
+func decodeEngines(v *registry.View, records []*schema.MemberRecord, sentAt time.Duration) ([]fleet.Engine, map[string]string) {
+	var engines []fleet.Engine
+	addresses := map[string]string{}
+	for _, r := range records {
+		age := time.Duration(r.GetAgeMs()) * time.Millisecond
+		a, err := engine.DecodeAnnouncement(r.GetAnnouncement())
+		if err != nil || r.GetKind() != string(engine.MemberEngine) || a.Kind != engine.KindModel || age > engineSilence {
+			continue
+		}
+		engines = append(engines, reportedEngine(v, a, sentAt-age-announceInterval))
+		addresses[string(a.Engine)] = a.Address
+	}
+	return engines, addresses
+}
+
+// reportedEngine turns an announcement into what the reconciler reads.
+func reportedEngine(v *registry.View, a *engine.Announcement, readAt time.Duration) fleet.Engine {
+	e := fleet.Engine{
+		ID: a.Engine, DataCentre: a.DataCentre, Incarnation: a.Incarnation, State: fleet.State(a.State),
+		Out:           v.EngineOut(string(a.Engine)) || v.DataCentreOut(string(a.DataCentre)),
+		ChecksFencing: a.ChecksFencing == "yes", Role: a.Role, ReadAt: readAt,
+	}
+	if id, ok := v.Resolve(schema.ObjectKind_OBJECT_KIND_ENGINE, string(a.Engine)); ok {
+		e.ID = serving.EngineID(id)
+	}
+	if e.State == fleet.Starting && len(a.Models) == 0 {
+		// An engine without a model waits for an order to load one.
+		e.State = fleet.Ready
+	}
+	for _, m := range a.Models {
+		e.Models = append(e.Models, canonicalModel(v, string(m.Model), string(m.Version)))
+	}
+	return e
+}
--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
+	"turmericdrum.org/turmericdrum/pkg/serving/fleet"
+	"turmericdrum.org/turmericdrum/pkg/serving/registry"
+)
+
+// orderInterval is the time between two comparisons of wanted and reported state.
+const orderInterval = time.Second
+
+// engineOrders is the controller that sends orders to engines while this replica
+// leads. It runs on one goroutine.
+type engineOrders struct {
+	server     *Server
+	clock      serving.Clock
+	reconciler *fleet.Reconciler
+	// cluster calls entries, engines calls engines.
+	cluster, engines *http.Client
+	board            board
+	nextEntry        int
+	// ordered has the engines that are read back until their order took effect.
+	ordered map[serving.EngineID]time.Duration
+}
+
+// engineOrder is the JSON form of an order.
+type engineOrder struct {
+	FencingNumber uint64          `json:"fencing_number"`
+	Command       fleet.Command   `json:"command"`
+	Model         serving.ModelID `json:"model,omitempty"`
+	Version       serving.Version `json:"version,omitempty"`
+	Adapter       string          `json:"adapter,omitempty"`
+	Role          string          `json:"role,omitempty"`
+}
+
+// ordersInForce is an engine's answer to a read-back.
+type ordersInForce struct {
+	FencingNumber uint64            `json:"fencing_number"`
+	Models        []engine.ModelRef `json:"models"`
+	Adapters      []string          `json:"adapters"`
+	Role          string            `json:"role"`
+}
+
+// run compares and orders until ctx ends.
+func (o *engineOrders) run(ctx context.Context) {
+	ticker := time.NewTicker(orderInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.step(ctx)
+		}
+	}
+}
+
+func (o *engineOrders) step(ctx context.Context) {
+	b := o.read(ctx)
+	o.board.current.Store(b)
+	if !b.Leading {
+		o.reconciler.Follow()
+		clear(o.ordered)
+		return
+	}
+	o.reconciler.Lead(o.clock.Now(), b.Epoch)
+	for _, order := range o.reconciler.Reconcile(o.clock.Now(), b.Want, b.Engines) {
+		o.ordered[order.Engine] = order.IssuedAt
+		if err := o.send(ctx, b, order); err != nil {
+			klog.InfoS("Order not sent", "engine", order.Engine, "command", order.Command, "fencing", order.Fencing, "err", err)
+			continue
+		}
+		klog.InfoS("Order sent", "engine", order.Engine, "command", order.Command, "model", order.Model.Model, "fencing", order.Fencing)
+	}
+}
+
+// read makes a new blackboard. The epoch stays the one at which this replica
+// began to lead, unless its fencing numbers are used up.
+func (o *engineOrders) read(ctx context.Context) *Blackboard {
+	old := o.board.load()
+	if !o.leaseValid(ctx) {
+		return &Blackboard{}
+	}
+	b := &Blackboard{Leading: true, Epoch: old.Epoch}
+	if !old.Leading || o.reconciler.NeedsEpoch() {
+		epoch, err := o.newEpoch(ctx)
+		if err != nil {
+			return &Blackboard{}
+		}
+		b.Epoch = epoch
+	}
+	v, err := registry.NewView(o.server.Machine.ConfigView(0))
+	if err != nil {
+		klog.ErrorS(err, "Configuration cannot be read")
+		return &Blackboard{}
+	}
+	b.Want = wantedState(v)
+	b.Engines, b.Addresses = o.readEngines(ctx, v)
+	o.readBack(ctx, b)
+	return b
+}
+
+// newEpoch commits an entry that changes nothing and returns the committed index,
+// which is above every index at which this or an earlier leader began.
+func (o *engineOrders) newEpoch(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderInterval)
+	defer cancel()
+	if _, err := o.server.Log.Propose(ctx, nil); err != nil {
+		return 0, err
+	}
+	return o.server.Replica.Status().GetCommitIndex(), nil
+}
+
+func (o *engineOrders) leaseValid(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderInterval)
+	defer cancel()
+	return o.server.Log.ReadBarrier(ctx) == nil
+}
+
+// readBack replaces the announced state by a fresh one where an order is in flight.
+func (o *engineOrders) readBack(ctx context.Context, b *Blackboard) {
+	now := o.clock.Now()
+	for i := range b.Engines {
+		e := &b.Engines[i]
+		if at, ok := o.ordered[e.ID]; !ok || now-at > fleet.DefaultOrderTimeout {
+			delete(o.ordered, e.ID)
+			continue
+		}
+		if err := o.readOrders(ctx, b, e); err != nil {
+			klog.V(1).InfoS("Read-back failed", "engine", e.ID, "err", err)
+		}
+	}
+}
+
+func (o *engineOrders) readOrders(ctx context.Context, b *Blackboard, e *fleet.Engine) error {
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
+	sentAt := o.clock.Now()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Addresses[string(e.ID)]+"/v1/orders", nil)
+	if err != nil {
+		return err
+	}
+	res, err := o.engines.Do(r)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	var in ordersInForce
+	if err := json.NewDecoder(res.Body).Decode(&in); err != nil || res.StatusCode != http.StatusOK {
+		return serving.NewError(serving.KindEngineFailed, fmt.Sprintf("read-back was answered with status %d", res.StatusCode))
+	}
+	e.Models = nil
+	for _, m := range in.Models {
+		e.Models = append(e.Models, fleet.ModelVersion{Model: o.canonicalModel(m.Model), Version: m.Version})
+	}
+	e.Adapters, e.Role, e.ReadAt = in.Adapters, in.Role, sentAt
+	return nil
+}
+
+func (o *engineOrders) canonicalModel(m serving.ModelID) serving.ModelID {
+	if id, ok := o.server.Machine.Resolve(schema.ObjectKind_OBJECT_KIND_MODEL, string(m)); ok {
+		return serving.ModelID(id)
+	}
+	return m
+}
+
+// send checks the lease and the engine once more and sends an order. It gives up
+// when the order has been in flight for as long as a later leader keeps quiet.
+func (o *engineOrders) send(ctx context.Context, b *Blackboard, order fleet.Order) error {
+	left := order.IssuedAt + fleet.DefaultMaxFlight - o.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	e := findEngine(b.Engines, order.Engine)
+	if e != nil {
+		if err := o.readOrders(ctx, b, e); err != nil {
+			return err
+		}
+	}
+	valid := o.leaseValid(ctx)
+	if err := o.reconciler.Check(o.clock.Now(), order, valid, e); err != nil {
+		return err
+	}
+	body, err := json.Marshal(engineOrder{
+		FencingNumber: order.Fencing, Command: order.Command, Model: order.Model.Model,
+		Version: order.Model.Version, Adapter: order.Adapter, Role: order.Role,
+	})
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Addresses[string(order.Engine)]+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	res, err := o.engines.Do(r)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode/100 != 2 {
+		return serving.NewError(serving.KindEngineFailed, fmt.Sprintf("the engine answered the order with status %d", res.StatusCode))
+	}
+	return nil
+}
+
+func findEngine(engines []fleet.Engine, id serving.EngineID) *fleet.Engine {
+	for i := range engines {
+		if engines[i].ID == id {
+			return &engines[i]
+		}
+	}
+	return nil
+}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -15,6 +15,7 @@
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/fleet"
 	"turmericdrum.org/turmericdrum/pkg/serving/journal"
 	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
 	"turmericdrum.org/turmericdrum/pkg/serving/registry"
@@ -47,6 +48,10 @@
 	if err != nil {
 		return err
 	}
+	orders, err := p.orders(server)
+	if err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", string(p.Settings.Listen))
 	if err != nil {
 		return serving.WrapError(err, serving.KindInvalid, "listen on "+string(p.Settings.Listen))
@@ -55,6 +60,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return node.Run(ctx) })
 	g.Go(func() error { return server.Run(ctx, l) })
+	g.Go(func() error { orders.run(ctx); return nil })
 	return g.Wait()
 }
 
@@ -110,3 +116,19 @@
 		Bootstrap:  rpc.KeyHash(hash),
 	}, nil
 }
+
+func (p *Process) orders(server *Server) (*engineOrders, error) {
+	r, err := fleet.New(fleet.Config{Rate: p.Settings.Control.WeightStoreRate, Burst: p.Settings.Control.WeightStoreBurst})
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	return &engineOrders{
+		server:     server,
+		clock:      p.Clock,
+		reconciler: r,
+		cluster:    rpc.HTTPClient(p.Settings.ClusterKey, transport),
+		engines:    &http.Client{Transport: transport},
+		ordered:    map[serving.EngineID]time.Duration{},
+	}, nil
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -96,6 +96,9 @@
 	if c.ElectionMin.Duration >= c.ElectionMax.Duration {
 		return keyError("control.election_max", "is not over election_min", "raise election_max")
 	}
+	if !(c.WeightStoreRate > 0) || c.WeightStoreBurst < 1 {
+		return keyError("control.weight_store_rate", "or weight_store_burst is not positive", "write loads a second, like 0.5, and loads at once, like 2")
+	}
 	return checkTwice("control.naming_schemes", c.NamingSchemes)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,10 @@
 	ClaimRetention Duration `yaml:"claim_retention,omitempty"`
 	// SnapshotEntries is the number of log entries after which a snapshot is made.
 	SnapshotEntries int `yaml:"snapshot_entries,omitempty"`
+	// WeightStoreRate limits loads from the weight store, in loads a second for the
+	// whole system, and WeightStoreBurst the loads at once.
+	WeightStoreRate  float64 `yaml:"weight_store_rate,omitempty"`
+	WeightStoreBurst int     `yaml:"weight_store_burst,omitempty"`
 }
 
 // Replica is one control replica.
@@ -139,4 +143,6 @@
 	setDefault(&c.ClaimTimeout.Duration, 30*time.Second)
 	setDefault(&c.ClaimRetention.Duration, 7*24*time.Hour)
 	setDefault(&c.SnapshotEntries, 10000)
+	setDefault(&c.WeightStoreRate, 0.5)
+	setDefault(&c.WeightStoreBurst, 2)
 }
