Write the event log of control; return a replica's refusal at the deadline

Cause: the time line had no events of control; TestGetView failed once under load with no_quorum instead of view_expired, since the deadline cut off a later attempt and its error replaced the refusal. Change: events for leadership, membership, changes, claims, entry lists and orders; the client keeps the last refusal.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -81,6 +82,8 @@
 			klog.InfoS("Order not sent", "engine", order.Engine, "command", order.Command, "fencing", order.Fencing, "err", err)
 			continue
 		}
+		o.server.events.add(eventOrderSent, "", "engine", string(order.Engine), "command", string(order.Command),
+			"model", string(order.Model.Model), "fencing", strconv.FormatUint(order.Fencing, 10))
 		klog.InfoS("Order sent", "engine", order.Engine, "command", order.Command, "model", order.Model.Model, "fencing", order.Fencing)
 	}
 }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -43,11 +43,13 @@
 	if err != nil {
 		return err
 	}
-	node := p.node(disk, machine)
+	ev := newEvents(p.Settings)
+	node := p.node(disk, machine, ev)
 	server, err := p.server(node, machine)
 	if err != nil {
 		return err
 	}
+	server.events = ev
 	orders, err := p.orders(server)
 	if err != nil {
 		return err
@@ -58,6 +60,8 @@
 	}
 	klog.InfoS("Control started", "host", p.Settings.Host, "listen", p.Settings.Listen)
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return ev.run(ctx) })
+	g.Go(func() error { ev.watch(ctx, node); return nil })
 	g.Go(func() error { return node.Run(ctx) })
 	g.Go(func() error { return server.Run(ctx, l) })
 	g.Go(func() error { orders.run(ctx); return nil })
@@ -74,9 +78,10 @@
 	})
 }
 
-func (p *Process) node(disk journal.Disk, machine *registry.Machine) *replica.Node {
+func (p *Process) node(disk journal.Disk, machine *registry.Machine, ev events) *replica.Node {
 	c := p.Settings.Control
-	client := rpc.HTTPClient(p.Settings.ClusterKey, &http.Transport{MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: time.Minute})
+	peers := &http.Transport{MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: time.Minute}
+	client := rpc.HTTPClient(p.Settings.ClusterKey, ev.transport(peers))
 	transport := replica.NewHTTPTransport()
 	transport.Client = client
 	n := &replica.Node{
@@ -122,7 +127,8 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	idle := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	transport := server.events.transport(idle)
 	return &engineOrders{
 		server:     server,
 		clock:      p.Clock,
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -55,7 +55,8 @@
 	// Clock measures the silence of entries; nil means the monotonic clock.
 	Clock serving.Clock
 
-	polls entryPolls
+	polls  entryPolls
+	events events
 	// whole is the whole configuration at the last revision that was asked for.
 	whole atomic.Pointer[schema.ConfigView]
 }
@@ -97,7 +98,7 @@
 // Run serves until the context ends, then lets calls in progress finish.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	srv := &http.Server{
-		Handler:           s.Handler(),
+		Handler:           s.events.handler(s.Handler()),
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
@@ -139,5 +140,6 @@
 	if res.GetError() != "" {
 		return nil, serving.NewError(serving.KindInternal, "command refused: "+res.GetError())
 	}
+	s.events.decided(cmd, &res)
 	return &res, nil
 }
--- a/internal/rpc/retry.go
+++ b/internal/rpc/retry.go
@@ -32,6 +32,7 @@
 		defer cancel()
 	}
 	addr, hops, mayHaveRun := c.first(), 0, false
+	var refusal *serving.Error
 	for pause := c.BackoffMin; ; pause = min(2*pause, c.BackoffMax) {
 		res, err := attempt(ctx, c, addr, send)
 		if err == nil {
@@ -39,6 +40,9 @@
 			return res, nil
 		}
 		e := serving.AsError(err)
+		if e.Ran == serving.NotRun {
+			refusal = e
+		}
 		mayHaveRun = mayHaveRun || ef != readOnly && e.Ran != serving.NotRun
 		if !retryable(e.Kind) || mayHaveRun && ef == once {
 			return none, e
@@ -49,7 +53,7 @@
 		}
 		addr, hops = c.after(addr), 0
 		if !sleep(ctx, max(e.RetryAfter, c.jitter(pause))) {
-			return none, gaveUp(e, mayHaveRun)
+			return none, gaveUp(e, refusal, mayHaveRun)
 		}
 	}
 }
@@ -92,10 +96,11 @@
 	}
 }
 
-// gaveUp returns the error of a call that found no time for another attempt.
-func gaveUp(last *serving.Error, mayHaveRun bool) error {
-	if !mayHaveRun && last.Ran == serving.NotRun {
-		return last
+// gaveUp returns the error of a call that found no time for another attempt. A
+// replica's refusal says more than the attempt that the deadline cut off.
+func gaveUp(last, refusal *serving.Error, mayHaveRun bool) error {
+	if !mayHaveRun && refusal != nil {
+		return refusal
 	}
 	if !mayHaveRun {
 		return serving.WrapError(last, serving.KindNoQuorum, "no control replica answered in time")
