--- a/internal/load/entry.go
+++ b/internal/load/entry.go
@@ -52,7 +52,7 @@
 func newModelEntry(x *experiment, i int) *modelEntry {
 	n := &modelEntry{
 		x: x, index: i, region: i % x.cfg.Regions,
-		lengths: dispatch.NewLengths(dispatch.LengthsConfig{}), queue: account.NewQueue(account.QueueConfig{}),
+		lengths: dispatch.NewLengths(dispatch.LengthsConfig{}), queue: account.NewQueue(account.QueueConfig{Lead: 400 * time.Millisecond, Credit: x.cfg.Policy.Credit}),
 		calls: map[serving.RequestID]*call{}, holders: map[serving.EngineID]*dispatch.Holder{},
 		static: map[serving.EngineID]*dispatch.StaticShare{}, owners: map[serving.EngineID]*ownedEngine{},
 		preemptions: map[serving.EngineID]int64{},
@@ -66,8 +66,8 @@
 	p := x.cfg.Policy
 	var admitter serving.Admitter
 	if p.Admitter != nil {
-		if p.Calibrate {
-			n.calibration = dispatch.NewCalibration(0.02)
+		if p.Calibrate > 0 {
+			n.calibration = dispatch.NewCalibration(p.Calibrate)
 		}
 		admitter = p.Admitter(&p, n.lengths, n.calibration)
 	}
@@ -137,11 +137,12 @@
 	}
 	for _, e := range n.x.engines {
 		h := n.holders[e.id]
-		h.SetForecast(n.tracker.OwnForecast(e.id))
+
 		q, due := h.Request(n.x.now)
 		if !due {
 			continue
 		}
+		q.Forecast = n.tracker.OwnForecast(e.id)
 		for _, to := range n.x.entries {
 			if to.owners[e.id] == nil {
 				continue
@@ -159,7 +160,10 @@
 func (n *modelEntry) replied(h *dispatch.Holder, id serving.EngineID, p dispatch.SlotReply) {
 	h.Reply(n.x.now, p)
 	f, at := h.Others()
-	n.tracker.SetOthers(at, id, f)
+	if n.x.cfg.Policy.OwnerMemory {
+		n.tracker.SetOthers(at, id, f)
+	}
+
 	n.tracker.SetLimit(id, h.Limit())
 
 	n.pump()
@@ -171,7 +175,12 @@
 	o.owner.SetLimit(o.ramp.Limit())
 	if n.x.cfg.Policy.OwnerMemory {
 		c := n.x.cfg.Capacity
-		o.owner.SetMemory(serving.Tokens(c.MemoryBlocks)*c.BlockTokens, n.x.cfg.Policy.Quantile, n.tracker.Typical("m", 600))
+		quantile := n.x.cfg.Policy.Quantile
+		if n.calibration != nil {
+			quantile = n.calibration.Quantile()
+		}
+		o.owner.SetMemory(serving.Tokens(c.MemoryBlocks)*c.BlockTokens, quantile, n.tracker.Typical("m"))
+
 	}
 	for _, e := range n.x.engines {
 		if e.id == id {
@@ -224,6 +233,10 @@
 	for {
 		var engine serving.EngineID
 		it, ok := n.queue.Pop(n.x.now, func(it *account.Item) bool {
+			if n.reserved(it.Request.Account) {
+				return false
+			}
+
 			var ok bool
 			engine, ok = n.choose(it.Request)
 			return ok
@@ -240,6 +253,22 @@
 	n.wantSlots(n.queue.Len())
 }
 
+// reserved tells whether the free slots of the region are kept from an account
+// that has its share.
+func (n *modelEntry) reserved(a serving.ClientAccountID) bool {
+	r := n.x.cfg.Policy.Reserve
+	if r == 0 || !n.queue.Backlogged(n.x.now, a, 300*time.Millisecond) {
+		return false
+	}
+	var free serving.Slots
+	for _, e := range n.x.engines {
+		if e.region == n.region {
+			free += n.free(e.id)
+		}
+	}
+	return free <= r
+}
+
 // wantSlots asks for slots at all engines in proportion to the queue.
 func (n *modelEntry) wantSlots(queued int) {
 	if n.x.cfg.Policy.Slots != OwnerSlots {
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,18 @@
 	OwnerSlots  SlotPolicy = "owner"
 )
 
+// Fault is a fault that an experiment can inject.
+type Fault string
+
+// Faults: an engine is killed and returns with a new incarnation, another turns
+// cold silently, another stalls for 3 s, a data centre is taken out and returns.
+const (
+	EngineKilled  Fault = "kill"
+	EngineCold    Fault = "cold"
+	EngineStalled Fault = "stall"
+	CentreMoved   Fault = "centre"
+)
+
 // Policy is what an experiment compares.
 type Policy struct {
 	Name string
@@ -29,10 +42,16 @@
 	Slots    SlotPolicy
 	// OwnerMemory makes owners check the memory forecast of all entries together.
 	OwnerMemory bool
+	// Reserve is the number of free slots in an entry's region that only accounts
+	// below their share may take.
+	Reserve serving.Slots
+	// Credit is that of account.QueueConfig.
+	Credit float64
 	// Quantile is the probability that the memory suffices.
 	Quantile float64
-	// Calibrate adjusts the risk quantile by the preemptions that engines report.
-	Calibrate bool
+	// Calibrate, if not 0, adjusts the risk quantile until this share of the load
+	// reports show a preemption.
+	Calibrate float64
 }
 
 // Policies that can be compared.
@@ -64,9 +83,8 @@
 	Load     float64
 	Policy   Policy
 	Accounts []Account
-	// Faults kills, chills and stalls engines and moves a data centre out and back.
-	Faults bool
-	Bursty bool
+	Faults   []Fault
+	Bursty   bool
 	// Warmup is not measured; Duration follows (defaults 60 s and 120 s).
 	Warmup, Duration time.Duration
 	// Patience is the time after which a caller without a first token gives up
@@ -140,9 +158,7 @@
 	}
 	x.scheduleReports()
 	x.scheduleArrivals()
-	if cfg.Faults {
-		x.scheduleFaults()
-	}
+	x.scheduleFaults()
 	// Requests that arrived in time are served to the end.
 	x.runUntil(x.end + 5*time.Minute)
 	s := x.recorder.Summary(cfg.Policy.Name, cfg.Duration)
@@ -154,8 +170,9 @@
 	}
 	s.CachedShare = float64(cached) / float64(max(1, prompt))
 
-	if cfg.Faults {
-		s.Faults, s.CompletedPerSec = "yes", x.perSecond
+	if len(cfg.Faults) > 0 {
+		s.Faults, s.CompletedPerSec = fmt.Sprint(cfg.Faults), x.perSecond
+		s.MoveRate = x.moveRate()
 	}
 	return s
 }
@@ -277,27 +294,57 @@
 func dataCentre(i int) serving.DataCentreID { return serving.DataCentreID(fmt.Sprintf("dc-%d", i)) }
 func region(i int) serving.RegionID         { return serving.RegionID(fmt.Sprintf("region-%d", i)) }
 
-// scheduleFaults spreads the faults over the measured time: an engine is killed,
-// another turns cold silently, another stalls, and a data centre goes and returns.
+// scheduleFaults spreads the faults over the measured time.
 func (x *experiment) scheduleFaults() {
 	at := func(share float64, f func()) {
 		x.after(x.cfg.Warmup+time.Duration(share*float64(x.cfg.Duration)), f)
 	}
 	n := len(x.engines)
-	at(0.05, x.engines[0].kill)
-	at(0.13, x.engines[0].revive)
-	at(0.2, func() { x.engines[1%n].cold = coldSteps })
-	at(0.3, func() { x.engines[2%n].stalledUntil = x.now + 3*time.Second })
-	at(0.45, func() { x.out = 0 })
-	at(0.7, func() {
-		x.out = -1
-		for _, e := range x.engines {
-			if e.region == 0 {
-				e.cold = coldSteps
-			}
+	for _, f := range x.cfg.Faults {
+		switch f {
+		case EngineKilled:
+			at(0.05, x.engines[0].kill)
+			at(0.15, x.engines[0].revive)
+		case EngineCold:
+			at(0.2, func() { x.engines[1%n].cold = coldSteps })
+		case EngineStalled:
+			at(0.3, func() { x.engines[2%n].stalledUntil = x.now + 3*time.Second })
+		case CentreMoved:
+			at(0.4, func() { x.out = 0 })
+			at(0.7, x.returnCentre)
 		}
-		for _, n := range x.entries {
-			n.dataCentreReturned(0)
+	}
+}
+
+// moveRate returns the smallest completion rate over 20 s from the leaving of the
+// data centre to 20 s after its return, relative to what its absence allows: the
+// offered rate, or the rate at which the other engines are full.
+func (x *experiment) moveRate() float64 {
+	const window = 20
+	from := int((x.cfg.Warmup + x.cfg.Duration*2/5) / time.Second)
+	to := int((x.cfg.Warmup+x.cfg.Duration*7/10)/time.Second) + window
+	full := x.arrivalRate() / x.cfg.Load * float64(x.cfg.Regions-1) / float64(x.cfg.Regions)
+	allowed := min(x.arrivalRate(), full)
+	least := math.Inf(1)
+	for start := from; start+window <= min(to, len(x.perSecond)); start++ {
+		n := int64(0)
+		for _, c := range x.perSecond[start : start+window] {
+			n += c
 		}
-	})
+		least = min(least, float64(n)/window/allowed)
+	}
+	return least
+}
+
+// returnCentre puts the data centre back in service; its engines are cold by then.
+func (x *experiment) returnCentre() {
+	x.out = -1
+	for _, e := range x.engines {
+		if e.region == 0 {
+			e.cold = coldSteps
+		}
+	}
+	for _, n := range x.entries {
+		n.dataCentreReturned(0)
+	}
 }
--- a/internal/load/model.go
+++ b/internal/load/model.go
@@ -171,7 +171,7 @@
 		d *= coldFactor
 		if over := int(n) - int(e.capacity.ColdRunning); over > 0 {
 			// Overload slows a cold engine further, and it warms up more slowly.
-			d += d * time.Duration(over) / time.Duration(e.capacity.ColdRunning)
+			d += d * time.Duration(over) / time.Duration(4*e.capacity.ColdRunning)
 			e.cold--
 		} else {
 			e.cold -= 4
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -128,6 +128,9 @@
 	CachedShare float64 `json:"cached_share_of_prompt"`
 
 	AccountFirstP99 map[string]int64 `json:"account_first_p99_ms"`
+	// MoveRate is the smallest completion rate during a data centre move relative
+	// to what the remaining capacity allows.
+	MoveRate float64 `json:"move_rate,omitempty"`
 	// CompletedPerSec counts completions in each second, for runs with faults.
 	CompletedPerSec []int64 `json:"completed_per_second,omitempty"`
 }
@@ -167,13 +170,13 @@
 // WriteTable writes summaries as a table.
 func WriteTable(w io.Writer, all []Summary) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "load\tfaults\tpolicy\tdone\tlost\tfailed\tpreempt/1k\tstall ms/gen\tbetween p50\tp99\tp99.9\tfirst p50\tp99\tworst acct p99\tgoodput tok/s\tcached\tcross MB\trefused\t")
+	fmt.Fprintln(t, "load\tfaults\tpolicy\tdone\tlost\tfailed\tpreempt/1k\tstall ms/gen\tbetween p50\tp99\tp99.9\tfirst p50\tp99\tworst acct p99\tgoodput tok/s\tcached\tcross MB\tmove\trefused\t")
 	for i := range all {
 		s := &all[i]
-		fmt.Fprintf(t, "%.2f\t%s\t%s\t%d/%d\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.1f\t%s\t\n",
+		fmt.Fprintf(t, "%.2f\t%s\t%s\t%d/%d\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.1f\t%.2f\t%s\t\n",
 			s.Load, s.Faults, s.Name, s.Completed, s.Offered, s.Lost, s.Failed, s.PreemptedPer1k, s.StallMSPerGen,
 			s.BetweenP50, s.BetweenP99, s.BetweenP999, s.FirstP50, s.FirstP99, s.WorstFirstP99,
-			s.GoodputPerSec, s.CachedShare, s.CrossRegionMB, s.refusals())
+			s.GoodputPerSec, s.CachedShare, s.CrossRegionMB, s.MoveRate, s.refusals())
 	}
 	return t.Flush()
 }
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -123,6 +123,19 @@
 	}
 }
 
+// FairnessAccounts returns a small account and, if greedy, one of equal weight that
+// sends ten times its share, with the load that both offer. The small account
+// offers 0.3 of capacity; its share is one half.
+func FairnessAccounts(greedy bool) (accounts []Account, load float64) {
+	prompt := LogNormal{Median: 200, Sigma: 0.8, Most: 2048}
+	answer := LogNormal{Median: 200, Sigma: 0.8, Most: 4096}
+	accounts = []Account{{ID: "small", Weight: 1, Traffic: 0.3, Prompt: prompt, Answer: answer}}
+	if !greedy {
+		return accounts, 0.3
+	}
+	return append(accounts, Account{ID: "greedy", Weight: 1, Traffic: 5, Prompt: prompt, Answer: answer}), 5.3
+}
+
 // pickAccount draws an account by traffic.
 func pickAccount(r serving.Random, accounts []Account) *Account {
 	total := 0.0
--- a/pkg/serving/account/queue.go
+++ b/pkg/serving/account/queue.go
@@ -19,6 +19,12 @@
 	// Tries bounds the accounts that one Pop asks for an item that can start
 	// (default 16).
 	Tries int
+	// Lead is the expected time from the start of a request to its first token; a
+	// request whose deadline is closer is not started.
+	Lead time.Duration
+	// Credit is the service in tokens per weight that an account which had less
+	// than its share may catch up on (default 0).
+	Credit float64
 }
 
 // Item is a request that waits.
@@ -57,6 +63,9 @@
 	start  float64
 	items  itemHeap
 	queued float64
+	// backlogFrom is the time since which it has had items without a break.
+	backlogFrom time.Duration
+	lastPush    time.Duration
 }
 
 type itemHeap []*Item
@@ -105,8 +114,8 @@
 func (q *Queue) Push(now time.Duration, it Item) (evicted *Item, err error) {
 	f := q.flow(it.Request.Account, it.Weight)
 	wait := q.Wait(it.Request.Account, it.Cost, it.Weight)
-	if d := it.Request.Deadline; d > 0 && now+wait > d {
-		return nil, overloaded("the request would wait longer than its deadline", wait-(d-now))
+	if d := it.Request.Deadline; d > 0 && now+wait+q.cfg.Lead > d {
+		return nil, overloaded("the request would wait longer than its deadline", wait+q.cfg.Lead-(d-now))
 	}
 	if q.size >= q.cfg.Most {
 		longest := q.longest()
@@ -118,12 +127,15 @@
 	q.seq++
 	it.seq, it.PushedAt = q.seq, now
 	if len(f.items) == 0 {
-		// An account that was idle starts at the present virtual time: it has
-		// no claim on service that it did not ask for.
-		f.start = max(f.start, q.virtual)
+		// An account that was idle starts at the present virtual time, less a
+		// bounded credit: it has no claim on all the service it did not ask for.
+		f.start = max(f.start, q.virtual-q.cfg.Credit)
+		f.backlogFrom = now
+
 		q.waiting = append(q.waiting, f)
 	}
 	heap.Push(&f.items, &it)
+	f.lastPush = now
 	f.queued += float64(it.Cost)
 	q.queued += float64(it.Cost)
 	q.size++
@@ -160,7 +172,8 @@
 		return 0
 	}
 	f := q.flow(account, weight)
-	start := max(f.start, q.virtual) + f.queued/f.weight
+	start := max(f.start, q.virtual-q.cfg.Credit) + f.queued/f.weight
+
 	ahead := f.queued
 	for _, x := range q.waiting {
 		if x != f {
@@ -193,7 +206,7 @@
 			break
 		}
 		it := f.items[0]
-		if it.expired(now) || slices.Contains(blocked, it.Request.Model) {
+		if it.expired(now, q.cfg.Lead) || slices.Contains(blocked, it.Request.Model) {
 			continue
 		}
 		if admit != nil && !admit(it) {
@@ -212,8 +225,29 @@
 	return nil, false
 }
 
-func (it *Item) expired(now time.Duration) bool {
-	return it.Request.Deadline > 0 && now >= it.Request.Deadline
+func (it *Item) expired(now, lead time.Duration) bool {
+	return it.Request.Deadline > 0 && now+lead >= it.Request.Deadline
+}
+
+// Backlogged tells whether an account has had requests waiting without a break
+// for the given time while another account that was served lately has not. Such
+// an account uses at least its share, and what is reserved for accounts below
+// their share is not for it.
+func (q *Queue) Backlogged(now time.Duration, account serving.ClientAccountID, d time.Duration) bool {
+	f := q.accounts[account]
+	if f == nil || !f.backlogged(now, d) {
+		return false
+	}
+	for _, x := range q.accounts {
+		if x != f && !x.backlogged(now, d) && now-x.lastPush < 10*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *flow) backlogged(now, d time.Duration) bool {
+	return len(f.items) > 0 && now-f.backlogFrom >= d
 }
 
 // serve removes the head of a flow and advances the virtual time to its start.
@@ -274,7 +308,7 @@
 
 // Expired removes and returns the items whose deadline has passed.
 func (q *Queue) Expired(now time.Duration) []*Item {
-	return q.remove(func(it *Item) bool { return it.expired(now) })
+	return q.remove(func(it *Item) bool { return it.expired(now, q.cfg.Lead) })
 }
 
 // Remove removes the item of a request, for a caller that has gone.
--- a/pkg/serving/dispatch/holder.go
+++ b/pkg/serving/dispatch/holder.go
@@ -32,10 +32,12 @@
 	retryAt     time.Duration
 	demand      serving.Slots
 	released    bool
-	limit       serving.Slots
-	forecast    serving.MemoryForecast
-	others      serving.MemoryForecast
-	othersAt    time.Duration
+	neededAt    time.Duration
+
+	limit serving.Slots
+
+	others   serving.MemoryForecast
+	othersAt time.Duration
 	// uses numbers all generations of this holder, so that a slot that is
 	// released and granted again never shows an earlier number.
 	uses uint32
@@ -60,9 +62,6 @@
 // SetDemand sets the number of requests that wait for a slot at this engine.
 func (h *Holder) SetDemand(n serving.Slots) { h.demand = n }
 
-// SetForecast sets the memory forecast of what this entry runs at the engine.
-func (h *Holder) SetForecast(f serving.MemoryForecast) { h.forecast = f }
-
 // Others returns the memory forecast of the other entries and the time at which
 // the request for it was sent.
 func (h *Holder) Others() (serving.MemoryForecast, time.Duration) { return h.others, h.othersAt }
@@ -139,7 +138,9 @@
 	}
 }
 
-// Request returns the next request to the owner when one is due.
+// Request returns the next request to the owner when one is due. The caller adds
+// the forecast of its generations.
+
 func (h *Holder) Request(now time.Duration) (SlotRequest, bool) {
 	if h.waiting && now-h.sentAt < h.cfg.Timeout {
 		return SlotRequest{}, false
@@ -150,14 +151,16 @@
 			h.released = true
 		}
 	}
+	h.releaseUnused(now)
 	want := h.want(now)
+
 	due := h.released || want > 0 && now >= h.retryAt
 	if !due && (len(h.slots) == 0 || now-h.sentAt < h.cfg.TTL/3) {
 		return SlotRequest{}, false
 	}
 	h.seq++
 	h.sentAt, h.waiting, h.released = now, true, false
-	q := SlotRequest{Engine: h.engine, Entry: h.entry, Seq: h.seq, Ack: h.ack, Want: want, Forecast: h.forecast}
+	q := SlotRequest{Engine: h.engine, Entry: h.entry, Seq: h.seq, Ack: h.ack, Want: want}
 	for id, s := range h.slots {
 		q.Held = append(q.Held, HeldSlot{ID: id, Uses: s.uses, Running: s.running})
 	}
@@ -215,13 +218,26 @@
 		}
 	}
 	if p.Reclaim {
-		h.giveBack(now)
+		h.giveBack(now, h.demand)
 	}
 	h.SetIncarnation(p.Incarnation)
 }
 
-// giveBack releases free slots that no waiting request needs.
-func (h *Holder) giveBack(now time.Duration) {
+// releaseUnused gives back free slots beyond demand and spare that no request has
+// needed for a TTL.
+func (h *Holder) releaseUnused(now time.Duration) {
+	if h.Free(now) <= h.demand+max(0, h.cfg.Spare) {
+		h.neededAt = now
+		return
+	}
+	if now-h.neededAt >= h.cfg.TTL {
+		h.giveBack(now, h.demand+max(0, h.cfg.Spare))
+		h.neededAt = now
+	}
+}
+
+// giveBack releases free slots beyond a number.
+func (h *Holder) giveBack(now time.Duration, keep serving.Slots) {
 	var free []serving.SlotID
 	for id, s := range h.slots {
 		if h.usable(now, s) {
@@ -229,7 +245,7 @@
 		}
 	}
 	slices.Sort(free)
-	for i := h.demand; i < serving.Slots(len(free)); i++ {
+	for i := keep; i < serving.Slots(len(free)); i++ {
 		delete(h.slots, free[i])
 		h.released = true
 	}
--- a/pkg/serving/dispatch/owner.go
+++ b/pkg/serving/dispatch/owner.go
@@ -204,7 +204,10 @@
 		}
 	}
 	p.Reclaim = o.othersLack(now, e)
-	p.Others = o.forecast(e)
+	if o.memory > 0 {
+		p.Others = o.forecast(e)
+	}
+
 	e.replies[1], e.replies[0].seq, e.replies[0].at = e.replies[0], q.Seq, now
 	return p, true
 }
@@ -248,6 +251,7 @@
 func (o *Owner) renew(now time.Duration, e *ownerEntry, q SlotRequest, p *SlotReply) {
 	keep := o.mayKeep(now, e)
 	idle := o.idleRoom()
+
 	for _, s := range o.slots {
 		if s.entry != e.id && !s.lapsed && !s.running {
 			idle--
--- a/pkg/serving/dispatch/prefixcache.go
+++ b/pkg/serving/dispatch/prefixcache.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"sort"
+
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -77,13 +79,19 @@
 // cached returns the expected number of cached prompt tokens: the longest known
 // prefix, weighted down by its age.
 func (c *prefixCache) cached(now time.Duration, prefixes []uint64, blockTokens serving.Tokens) serving.Tokens {
-	for i := len(prefixes) - 1; i >= 0; i-- {
-		at, ok := c.seen[prefixes[i]]
-		if !ok {
-			continue
+	n := len(prefixes)
+	if n == 0 || len(c.seen) == 0 {
+		return 0
+	}
+	at, ok := c.seen[prefixes[n-1]]
+	if !ok {
+		// A cached prefix implies the shorter ones, so that bisection finds the longest.
+		n = sort.Search(n, func(i int) bool { _, ok := c.seen[prefixes[i]]; return !ok })
+		if n == 0 {
+			return 0
 		}
-		weight := math.Exp2(-float64(now-at) / float64(c.halfLife))
-		return serving.Tokens(weight * float64(serving.Tokens(i+1)*blockTokens))
+		at = c.seen[prefixes[n-1]]
 	}
-	return 0
+	weight := math.Exp2(-float64(now-at) / float64(c.halfLife))
+	return serving.Tokens(weight * float64(serving.Tokens(n)*blockTokens))
 }
--- a/pkg/serving/dispatch/slots.go
+++ b/pkg/serving/dispatch/slots.go
@@ -83,7 +83,9 @@
 	Retired []serving.SlotID
 	// Reclaim asks for slots that are not in use, because another entry lacks some.
 	Reclaim bool
-	// Others is the memory forecast of what the other entries run or may start.
+	// Others is the memory forecast of what the other entries run or may start;
+	// it is empty if the owner does not check memory.
+
 	Others serving.MemoryForecast
 	// Limit is the engine's limit now, and RetryAfter the time to wait before
 	// asking for more.
--- a/pkg/serving/dispatch/tracker.go
+++ b/pkg/serving/dispatch/tracker.go
@@ -86,6 +86,8 @@
 	engines map[serving.EngineID]*engine
 	// rings holds the engines of each model, ordered by hash.
 	rings map[serving.ModelID][]*engine
+	// prompts is the smoothed prompt length of each model.
+	prompts map[serving.ModelID]float64
 }
 
 // engine is one entry's view of an engine.
@@ -139,7 +141,7 @@
 	if cfg.Lengths == nil {
 		cfg.Lengths = NewLengths(LengthsConfig{})
 	}
-	return &Tracker{cfg: cfg, engines: map[serving.EngineID]*engine{}, rings: map[serving.ModelID][]*engine{}}
+	return &Tracker{cfg: cfg, engines: map[serving.EngineID]*engine{}, rings: map[serving.ModelID][]*engine{}, prompts: map[serving.ModelID]float64{}}
 }
 
 // Announce takes in an announcement; one of an older incarnation is ignored.
@@ -277,11 +279,16 @@
 }
 
 // Typical returns the memory forecast of one new generation of a model.
-func (t *Tracker) Typical(model serving.ModelID, prompt serving.Tokens) serving.MemoryForecast {
+func (t *Tracker) Typical(model serving.ModelID) serving.MemoryForecast {
 	var f serving.MemoryForecast
 	var survival [serving.ForecastPoints]float64
 	t.cfg.Lengths.Survival(serving.LengthKey{Model: model}, 0, &survival)
-	f.Add(prompt, 0, &survival, 1)
+	prompt, ok := t.prompts[model]
+	if !ok {
+		prompt = 256
+	}
+	f.Add(serving.Tokens(prompt), 0, &survival, 1)
+
 	return f
 }
 
@@ -320,7 +327,13 @@
 	for _, p := range r.PrefixHashes {
 		e.prefixes.add(now, p)
 	}
+	if p, ok := t.prompts[r.Model]; ok {
+		t.prompts[r.Model] = p + (float64(r.PromptTokens)-p)/64
+	} else {
+		t.prompts[r.Model] = float64(r.PromptTokens)
+	}
 	e.breaker.Begin(now)
+
 	// The forecast grows at once, so that the next decision sees this request.
 	e.addTo(t.cfg.Lengths, n)
 	e.sinceCount++
