Place requests by cost, memory forecast and fair queue

Cause: the entry chose the engine with the least requests in flight and each request waited on its own for a slot. Change: one goroutine, the dispatcher, keeps a weighted fair queue, the tracker of engines, the length estimates with their calibration and the slots; it starts a request when placement finds an engine with memory and a free slot. The memory forecasts of all entries meet at the owner. Engines get the model's name that they announced. Ruled out: a wait per engine of 100 ms, which serves neither fairness nor the engine that has room first.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -10,94 +10,131 @@
 )
 
 const (
-	// slotWait is the wait for a slot of one engine before another one is tried.
-	slotWait = 100 * time.Millisecond
 	// generationGrace is the time for which a generation without a reader may still
 	// run at its engine; engines end it after 10 s.
 	generationGrace = 12 * time.Second
+	// progressStep is the number of tokens between two notes of a generation's progress.
+	progressStep = 16
+	// maxStarts bounds the starts that are undone because the engine left service
+	// between the decision and the use.
+	maxStarts = 5
 )
 
-// admit places a request and waits for a slot of the chosen engine, until the
-// queue timeout. Engines that have no slot in time are passed over for a round.
+// admission decides where and when requests start.
+type admission interface {
+	wait(ctx context.Context, w *waiter) start
+	release(slot dispatch.Slot)
+	firstToken(id serving.EngineID, g serving.GenerationID)
+	progress(id serving.EngineID, g serving.GenerationID, soFar serving.Tokens)
+	done(id serving.EngineID, g serving.GenerationID, soFar serving.Tokens, o dispatch.Outcome)
+}
+
+// admit waits until an engine has room for a request and returns an attempt there.
 func (e *Entry) admit(ctx context.Context, c *completionCall, s *answering) (*attempt, error) {
-	deadline := e.Clock.Now() + e.Settings.Entry.QueueTimeout.Duration
-	full := map[serving.EngineID]bool{}
-	for {
+	r := *c.request
+	r.Deadline = e.Clock.Now() + e.Settings.Entry.QueueTimeout.Duration
+	for range maxStarts {
 		b := e.board.load()
 		if err := e.mayContinue(b); err != nil {
 			return nil, err
 		}
-		n, err := e.placeOutside(b, c.request, s.tried, full)
+		avoid, err := e.avoidable(b, &r, s.tried)
 		if err != nil {
 			return nil, err
 		}
-		a, err := e.takeSlot(ctx, c, n)
-		if err == nil {
-			s.tried[n.Engine] = true
-			return a, nil
+		st := e.admission.wait(ctx, &waiter{request: &r, avoid: avoid, weight: e.weight(b, r.Account)})
+		if st.err != nil {
+			return nil, st.err
 		}
-		if ctx.Err() != nil {
-			return nil, errCallerGone
-		}
-		if e.Clock.Now() >= deadline {
-			return nil, err
+		if a := e.startAt(c, st); a != nil {
+			s.tried[st.engine] = true
+			return a, nil
 		}
-		full[n.Engine] = true
+		e.admission.done(st.engine, st.generation, 0, dispatch.OutcomeCancelled)
+		e.admission.release(st.slot)
 	}
+	return nil, serving.NewError(serving.KindNoEngine, "the chosen engines left service").WithRetryAfter(time.Second)
 }
 
-// placeOutside places a request on an engine that was not tried and is not full;
-// full engines are taken again when no other is left, and then tried ones.
-func (e *Entry) placeOutside(b *Blackboard, r *serving.Request, tried, full map[serving.EngineID]bool) (*Engine, error) {
-	avoid := map[serving.EngineID]bool{}
-	for id := range tried {
-		avoid[id] = true
-	}
-	for id := range full {
-		avoid[id] = true
-	}
-	if n, err := e.place(b, r, avoid); err == nil {
-		return n, nil
+// avoidable returns the engines to avoid: those that were tried, unless no other
+// is left.
+func (e *Entry) avoidable(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (map[serving.EngineID]bool, error) {
+	usable, fresh := false, false
+	for id, n := range b.Engines {
+		if n.takesWork(b.View) && n.carries(b.View, r.Model) {
+			usable = true
+			fresh = fresh || !tried[id]
+		}
 	}
-	clear(full)
-	if n, err := e.place(b, r, tried); err == nil {
-		return n, nil
+	switch {
+	case !usable:
+		return nil, serving.NewError(serving.KindNoEngine, "no engine in service carries the model "+string(r.Model)).WithRetryAfter(time.Second)
+	case !fresh:
+		return nil, nil
 	}
-	return e.place(b, r, nil)
+	return tried, nil
 }
 
-// takeSlot waits for a slot and checks right before the use that the engine may
-// still be given new work.
-func (e *Entry) takeSlot(ctx context.Context, c *completionCall, n *Engine) (*attempt, error) {
-	ctx, cancel := context.WithTimeout(ctx, slotWait)
-	defer cancel()
-	slot, err := e.slots.acquire(ctx, n.Engine)
-	if err != nil {
-		return nil, err
-	}
+// startAt returns the attempt of a start, if the engine may still be given new
+// work right before the use.
+func (e *Entry) startAt(c *completionCall, st start) *attempt {
 	b := e.board.load()
-	current := b.Engines[n.Engine]
-	if current == nil || current.Incarnation != slot.Incarnation || !current.takesWork(b.View) {
-		e.slots.release(slot)
-		return nil, errNoSlot(n.Engine)
+	n := b.Engines[st.engine]
+	if n == nil || n.Incarnation != st.slot.Incarnation || !e.viewFresh(b) || !n.takesWork(b.View) {
+		return nil
 	}
-	a := newAttempt(c.request, serving.GenerationID(newID()), current, c.body, 0)
-	a.slot = slot
-	return a, nil
+	a := newAttempt(c.request, st.generation, n, n.bodyFor(b.View, c), 0)
+	a.slot = st.slot
+	return a
 }
 
-// releaseSlot gives the slot of an attempt back when its generation has ended. A
-// generation that may still run at the engine keeps its slot for the grace time,
-// so that no other is started in its place.
-func (e *Entry) releaseSlot(a *attempt, err error) {
+// weight returns the account's share of the engines relative to other accounts.
+func (e *Entry) weight(b *Blackboard, id serving.ClientAccountID) float64 {
+	if _, a, ok := b.View.Account(string(id)); ok {
+		return a.GetWeight()
+	}
+	return 1
+}
+
+// endAttempt tells how an attempt ended and gives its slot back when its
+// generation has ended. A generation that may still run at the engine keeps its
+// slot for the grace time, so that no other is started in its place.
+func (e *Entry) endAttempt(a *attempt, err error) {
 	if a.slot == (dispatch.Slot{}) {
 		return
 	}
+	e.admission.done(a.engine.Engine, a.generation, serving.Tokens(a.sequencer.Next()), outcomeOf(a, err))
 	if err == nil || !a.sent.Load() || errors.Is(err, errGenerationGone) {
-		e.slots.release(a.slot)
+		e.admission.release(a.slot)
 		return
 	}
-	time.AfterFunc(generationGrace, func() { e.slots.release(a.slot) })
+	time.AfterFunc(generationGrace, func() { e.admission.release(a.slot) })
+}
+
+func outcomeOf(a *attempt, err error) dispatch.Outcome {
+	switch {
+	case err == nil && a.request.MaxTokens > 0 && serving.Tokens(a.sequencer.Next()) >= a.request.MaxTokens:
+		return dispatch.OutcomeTruncated
+	case err == nil:
+		return dispatch.OutcomeComplete
+	case isCallerError(err):
+		return dispatch.OutcomeCancelled
+	}
+	return dispatch.OutcomeFailed
+}
+
+// noteProgress passes an attempt's progress on, not for every token.
+func (e *Entry) noteProgress(a *attempt) {
+	next := a.sequencer.Next()
+	switch {
+	case a.slot == (dispatch.Slot{}):
+	case a.noted == 0:
+		e.admission.firstToken(a.engine.Engine, a.generation)
+		a.noted = next
+	case next-a.noted >= progressStep:
+		e.admission.progress(a.engine.Engine, a.generation, serving.Tokens(next))
+		a.noted = next
+	}
 }
 
 // mayContinue tells whether a request that was accepted may start at an engine
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -55,6 +55,8 @@
 	sequencer  *generation.Sequencer
 	parser     frameParser
 	slot       dispatch.Slot
+	// noted is the progress that was passed on last.
+	noted serving.TokenIndex
 	// sent is true once a byte of the request may have left.
 	sent atomic.Bool
 
@@ -226,6 +228,7 @@
 func (e *Entry) progress(a *attempt, n int64) {
 	now := e.Clock.Now()
 	e.metrics.tokens.Add(n)
+	e.noteProgress(a)
 	if a.sequencer.Next() > a.firstIndex+serving.TokenIndex(n) {
 		gap := (now - a.lastFrame) / time.Duration(n)
 		a.engine.counters.observeGap(gap)
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/emicklei/go-restful/v3"
 	"k8s.io/klog/v2"
@@ -77,7 +76,7 @@
 		}
 		out.begin(a)
 		err = e.runCounted(ctx, a, out)
-		e.releaseSlot(a, err)
+		e.endAttempt(a, err)
 		if err == nil {
 			return nil
 		}
@@ -147,23 +146,6 @@
 	return &t
 }
 
-// place chooses an engine that carries the model and is in service.
-func (e *Entry) place(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (*Engine, error) {
-	var best *Engine
-	for _, n := range b.Engines {
-		if tried[n.Engine] || !n.takesWork(b.View) || !n.carries(b.View, r.Model) {
-			continue
-		}
-		if best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load() {
-			best = n
-		}
-	}
-	if best == nil {
-		return nil, serving.NewError(serving.KindNoEngine, "no engine in service carries the model "+string(r.Model)).WithRetryAfter(time.Second)
-	}
-	return best, nil
-}
-
 // carries tells whether the engine has announced a model, under any of its names.
 func (n *Engine) carries(v *View, m serving.ModelID) bool {
 	for _, ref := range n.Models {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,8 +37,8 @@
 	upstream      *http.Client
 	clusterClient *http.Client
 	viewSource    string
-	slots         slotSource
-	controller    *slotController
+	admission     admission
+	dispatcher    *dispatcher
 	// incarnation is the wall-clock time at the start in nanoseconds, since an
 	// entry keeps no state on disk.
 	incarnation serving.Incarnation
@@ -67,7 +67,7 @@
 	g.Go(func() error { e.board.run(background); return nil })
 	g.Go(func() error { e.pollViews(background); return nil })
 	g.Go(func() error { e.exchangeMembership(background); return nil })
-	g.Go(func() error { e.controller.run(background); return nil })
+	g.Go(func() error { e.dispatcher.run(background); return nil })
 
 	server := e.newServer()
 	g.Go(func() error {
@@ -89,8 +89,8 @@
 func (e *Entry) prepare() {
 	e.incarnation = serving.Incarnation(time.Now().UnixNano())
 	e.board = newBoard(e.Clock, e.self())
-	e.controller = newSlotController(e, e.incarnation)
-	e.slots = e.controller
+	e.dispatcher = newDispatcher(e, e.incarnation)
+	e.admission = e.dispatcher
 	e.signer = generation.NewSigner(e.Settings.Entry.ResumeKey)
 	e.retries = newRetryBudget()
 	e.metrics = newMetrics()
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -60,24 +60,36 @@
 	server *httptest.Server
 }
 
-// openSlots gives a slot of any engine, for tests that are not about limits.
-type openSlots struct{ *Entry }
-
-func (s openSlots) acquire(_ context.Context, id serving.EngineID) (dispatch.Slot, error) {
-	slot := dispatch.Slot{ID: "open", Engine: id}
-	if n := s.board.load().Engines[id]; n != nil {
-		slot.Incarnation = n.Incarnation
+// openAdmission starts each request at once, for tests that are not about limits.
+type openAdmission struct{ *Entry }
+
+func (s openAdmission) wait(_ context.Context, w *waiter) start {
+	b := s.board.load()
+	var best *Engine
+	for id, n := range b.Engines {
+		usable := n.takesWork(b.View) && n.carries(b.View, w.request.Model) && !w.avoid[id]
+		if usable && (best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load()) {
+			best = n
+		}
 	}
-	return slot, nil
+	if best == nil {
+		return start{err: serving.NewError(serving.KindNoEngine, "no engine")}
+	}
+	slot := dispatch.Slot{ID: "open", Engine: best.Engine, Incarnation: best.Incarnation}
+	return start{engine: best.Engine, slot: slot, generation: serving.GenerationID(newID())}
 }
 
-func (s openSlots) release(dispatch.Slot) {}
+func (s openAdmission) release(dispatch.Slot)                                           {}
+func (s openAdmission) firstToken(serving.EngineID, serving.GenerationID)               {}
+func (s openAdmission) progress(serving.EngineID, serving.GenerationID, serving.Tokens) {}
+func (s openAdmission) done(serving.EngineID, serving.GenerationID, serving.Tokens, dispatch.Outcome) {
+}
 
 func newTestEntry(t testing.TB, engines ...*Engine) *testEntry {
 	t.Helper()
 	e := &testEntry{Entry: &Entry{Settings: testSettings(t), Clock: serving.NewMonotonicClock()}}
 	e.prepare()
-	e.slots = openSlots{e.Entry}
+	e.admission = openAdmission{e.Entry}
 	e.setBoard(t, testConfig(), engines...)
 	e.server = httptest.NewUnstartedServer(nil)
 	e.server.Config = e.newServer()
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"time"
 	"unicode/utf8"
 
+	"github.com/cespare/xxhash/v2"
+
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -15,6 +18,10 @@
 	bodyTimeout = 10 * time.Second
 	// promptBytesPerToken estimates prompt sizes; only engines have a tokenizer.
 	promptBytesPerToken = 4
+	// prefixBlockTokens is the size of the blocks at which prompt prefixes are compared.
+	prefixBlockTokens = 16
+	// maxPrefixes bounds the prefixes of a prompt that are compared.
+	maxPrefixes = 128
 )
 
 // completionRequest is the part of a caller's request that the entry reads; the
@@ -41,11 +48,46 @@
 // completionCall is a decoded call for a completion.
 type completionCall struct {
 	request *serving.Request
-	// body is what the engine gets.
+	// body is what the engine gets, with the canonical name of the model.
 	body   []byte
+	fields map[string]json.RawMessage
 	stream bool
 }
 
+// bodyFor returns the body for an engine, with the name that the engine has
+// announced for the model.
+func (n *Engine) bodyFor(v *View, c *completionCall) []byte {
+	for _, ref := range n.Models {
+		if ref.Model == c.request.Model {
+			return c.body
+		}
+	}
+	for _, ref := range n.Models {
+		if canonicalModel(v, ref.Model) != c.request.Model {
+			continue
+		}
+		fields := maps.Clone(c.fields)
+		fields["model"], _ = json.Marshal(ref.Model)
+		if body, err := json.Marshal(fields); err == nil {
+			return body
+		}
+	}
+	return c.body
+}
+
+// prefixHashes returns the hash of each block-aligned prefix of a prompt, shortest
+// first. Engines use the same hashes in their cache events.
+func prefixHashes(prompt string) []uint64 {
+	const step = prefixBlockTokens * promptBytesPerToken
+	var hashes []uint64
+	d := xxhash.New()
+	for end := step; end <= len(prompt) && len(hashes) < maxPrefixes; end += step {
+		_, _ = d.WriteString(prompt[end-step : end])
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
+
 // decodeObject decodes exactly one JSON object of valid UTF-8.
 func decodeObject(body []byte) (map[string]json.RawMessage, error) {
 	if !utf8.Valid(body) {
@@ -91,10 +133,11 @@
 		ID: serving.RequestID(newID()), Account: account, Model: serving.ModelID(model), Session: c.Session,
 		Priority: serving.PriorityNormal, MaxTokens: c.MaxTokens,
 		PromptTokens: serving.Tokens(len(c.Prompt)/promptBytesPerToken + 1),
+		PrefixHashes: prefixHashes(c.Prompt),
 		DataCentre:   e.Settings.DataCentre, Region: e.Settings.Region,
 	}
 	if c.Priority != nil {
 		request.Priority = *c.Priority
 	}
-	return &completionCall{request: request, body: body, stream: c.Stream}, nil
+	return &completionCall{request: request, body: body, fields: fields, stream: c.Stream}, nil
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -51,7 +51,7 @@
 	mux.Handle("/v1/", container)
 	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e, twirp.WithServerInterceptors(rpc.MapErrors))))
 	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
-	mux.Handle(schema.SlotsPathPrefix, e.requireCluster(schema.NewSlotsServer(e.controller)))
+	mux.Handle(schema.SlotsPathPrefix, e.requireCluster(schema.NewSlotsServer(e.dispatcher)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
 	mux.HandleFunc("/debug/vars", e.vars)
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// slotTick is the time between checks for requests that are due.
-	slotTick = 50 * time.Millisecond
 	// slotReportLag bounds the age of a load report at the owner: the lag of the
 	// engine's report and one announcement interval.
 	slotReportLag = 1500 * time.Millisecond
@@ -20,74 +18,13 @@
 	slotDrift = 0.05
 )
 
-// slotController grants the slots of the engines that this entry owns and holds
-// slots of the engines that it uses. One goroutine owns its state.
-type slotController struct {
-	entry     *Entry
-	cfg       dispatch.SlotConfig
-	self      dispatch.EntryID
-	events    chan func()
-	ownership engine.Ownership
-	owned     map[serving.EngineID]*ownedEngine
-	held      map[serving.EngineID]*heldEngine
-	wasOut    map[serving.DataCentreID]bool
-}
-
-func newSlotController(e *Entry, incarnation serving.Incarnation) *slotController {
-	cfg := dispatch.SlotConfig{
-		TTL:          e.Settings.Entry.SlotTTL.Duration,
-		ViewLease:    e.Settings.Entry.ViewLease.Duration,
-		MaxDrift:     slotDrift,
-		MaxReportLag: slotReportLag,
-	}
-	settle := time.Duration(float64(cfg.ViewLease+cfg.TTL) * (1 + slotDrift))
-	return &slotController{
-		entry:     e,
-		cfg:       cfg,
-		self:      dispatch.EntryID{Host: e.Settings.Host, Incarnation: incarnation},
-		events:    make(chan func(), 256),
-		ownership: engine.Ownership{Self: e.Settings.Host, Settle: settle},
-		owned:     map[serving.EngineID]*ownedEngine{},
-		held:      map[serving.EngineID]*heldEngine{},
-		wasOut:    map[serving.DataCentreID]bool{},
-	}
-}
-
-// run is the goroutine that owns the state.
-func (s *slotController) run(ctx context.Context) {
-	ticker := time.NewTicker(slotTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case f := <-s.events:
-			f()
-		case <-ticker.C:
-			b := s.entry.board.load()
-			s.updateOwned(b)
-			s.updateHeld(ctx, b)
-		}
-	}
-}
-
-// do runs f on the goroutine that owns the state.
-func (s *slotController) do(ctx context.Context, f func()) bool {
-	select {
-	case s.events <- f:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ownerOf returns the address of the entry that owns an engine.
-func (s *slotController) ownerOf(n *Engine) (engine.Entry, bool) {
+func (s *dispatcher) ownerOf(n *Engine) (engine.Entry, bool) {
 	return s.ownership.Owner(n.Engine, n.DataCentre, n.Region)
 }
 
 // Update answers a holder's request as the owner of the engine.
-func (s *slotController) Update(ctx context.Context, r *schema.SlotRequest) (*schema.SlotResult, error) {
+func (s *dispatcher) Update(ctx context.Context, r *schema.SlotRequest) (*schema.SlotResult, error) {
 	reply := make(chan *schema.SlotResult, 1)
 	sent := s.do(ctx, func() {
 		q := decodeSlotRequest(r)
@@ -127,7 +64,7 @@
 func encodeSlotRequest(q dispatch.SlotRequest) *schema.SlotRequest {
 	r := &schema.SlotRequest{
 		Engine: string(q.Engine), Entry: string(q.Entry.Host), Incarnation: uint64(q.Entry.Incarnation),
-		Seq: q.Seq, Ack: q.Ack, Want: int64(q.Want),
+		Seq: q.Seq, Ack: q.Ack, Want: int64(q.Want), Forecast: encodeForecast(&q.Forecast),
 	}
 	for _, h := range q.Held {
 		r.Held = append(r.Held, &schema.HeldSlot{Id: string(h.ID), Uses: h.Uses, Running: h.Running})
@@ -140,6 +77,7 @@
 		Epoch: p.Term.Epoch, Owner: string(p.Term.Owner.Host), OwnerIncarnation: uint64(p.Term.Owner.Incarnation),
 		Seq: p.Seq, TtlMs: p.TTL.Milliseconds(), EngineIncarnation: uint64(p.Incarnation),
 		Reclaim: p.Reclaim, Limit: int64(p.Limit), RetryAfterMs: p.RetryAfter.Milliseconds(),
+		Others: encodeForecast(&p.Others),
 	}
 	for _, id := range p.Slots {
 		r.Slots = append(r.Slots, string(id))
@@ -159,6 +97,7 @@
 		Seq: r.GetSeq(), TTL: time.Duration(r.GetTtlMs()) * time.Millisecond,
 		Incarnation: serving.Incarnation(r.GetEngineIncarnation()), Reclaim: r.GetReclaim(),
 		Limit: serving.Slots(r.GetLimit()), RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		Others: decodeForecast(r.GetOthers()),
 	}
 	for _, id := range r.GetSlots() {
 		p.Slots = append(p.Slots, serving.SlotID(id))
@@ -168,3 +107,23 @@
 	}
 	return p
 }
+
+func encodeForecast(f *serving.MemoryForecast) *schema.MemoryForecast {
+	if f.Generations == 0 {
+		return nil
+	}
+	out := &schema.MemoryForecast{Generations: int64(f.Generations)}
+	for i := range f.Mean {
+		out.Mean = append(out.Mean, float32(f.Mean[i]))
+		out.Variance = append(out.Variance, float32(f.Variance[i]))
+	}
+	return out
+}
+
+func decodeForecast(in *schema.MemoryForecast) serving.MemoryForecast {
+	f := serving.MemoryForecast{Generations: serving.Slots(in.GetGenerations())}
+	for i := range min(len(f.Mean), len(in.GetMean()), len(in.GetVariance())) {
+		f.Mean[i], f.Variance[i] = float64(in.GetMean()[i]), float64(in.GetVariance()[i])
+	}
+	return f
+}
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -19,7 +19,7 @@
 }
 
 // updateOwned follows the entry list, the engines and their reports.
-func (s *slotController) updateOwned(b *Blackboard) {
+func (s *dispatcher) updateOwned(b *Blackboard) {
 	if b.View == nil || b.Owners == nil {
 		return
 	}
@@ -48,19 +48,24 @@
 		}
 		if returned[n.DataCentre] {
 			o.ramp.TurnCold(now)
+			s.tracker.TurnCold(now, id)
 		}
 		o.update(now, n, !n.takesWork(b.View))
+		if len(n.Models) > 0 {
+			memory := serving.Tokens(n.Capacity.MemoryBlocks) * n.Capacity.BlockTokens
+			o.owner.SetMemory(memory, s.calibration.Quantile(), s.tracker.Typical(canonicalModel(b.View, n.Models[0].Model)))
+		}
 	}
 }
 
-func (s *slotController) owns(n *Engine) bool {
+func (s *dispatcher) owns(n *Engine) bool {
 	owner, ok := s.ownerOf(n)
 	return ok && owner.Host == s.self.Host
 }
 
 // newOwned returns the owner of an engine. It waits for the slots of earlier
 // owners to expire, unless there cannot be any.
-func (s *slotController) newOwned(now time.Duration, n *Engine) *ownedEngine {
+func (s *dispatcher) newOwned(now time.Duration, n *Engine) *ownedEngine {
 	term := dispatch.OwnerTerm{Epoch: s.ownership.Epoch(), Owner: s.self}
 	var from *dispatch.Handover
 	idle := n.Load.Running+n.Load.Queued == 0
@@ -80,17 +85,14 @@
 	if n.ReceivedAt > o.reportAt {
 		o.reportAt = n.ReceivedAt
 		o.owner.Report(now, n.Incarnation, n.Load)
-		if n.Load.StepMS > 0 && n.Load.Running > 0 {
-			step := time.Duration(n.Load.StepMS * float64(time.Millisecond))
-			o.ramp.Step(now, step, n.Load.Running)
-		}
+		o.ramp.Report(now, n.Load)
 	}
 	o.owner.SetNoNewWork(noNewWork)
 	o.owner.SetLimit(o.ramp.Limit())
 }
 
 // returnedDataCentres returns the data centres that operators have just brought back.
-func (s *slotController) returnedDataCentres(b *Blackboard) map[serving.DataCentreID]bool {
+func (s *dispatcher) returnedDataCentres(b *Blackboard) map[serving.DataCentreID]bool {
 	returned := map[serving.DataCentreID]bool{}
 	for _, n := range b.Engines {
 		out := s.entry.dataCentreOut(b, n.DataCentre)
@@ -105,7 +107,7 @@
 }
 
 // grant answers a request for an engine that this entry owns.
-func (s *slotController) grant(q dispatch.SlotRequest) (dispatch.SlotReply, bool) {
+func (s *dispatcher) grant(q dispatch.SlotRequest) (dispatch.SlotReply, bool) {
 	s.updateOwned(s.entry.board.load())
 	o := s.owned[q.Engine]
 	if o == nil {
