entry: keep the listener open while draining, end every request

Cause: the shutdown closed the listener at once, so callers could not resume streams that still ran, and a request in progress whose engine failed during the drain got no second attempt.

Ruled out: http.Server.Shutdown alone; it leaves active connections alone but refuses new ones. It is now called when no caller's request is in progress.

Change: /readyz turns false first and new work is taken for drain_notice; then new work is refused and resumes are served until the last request has ended. Responses after that moment close their connections.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -50,11 +50,17 @@
 	return e.decodeCompletion(b.View, account, w, r)
 }
 
-// mayStart tells whether new work may start now.
+// mayStart tells whether a new request may start now.
 func (e *Entry) mayStart(b *Blackboard) error {
 	if e.draining.Load() {
-		return serving.NewError(serving.KindDraining, "this entry is shutting down")
+		return serving.NewError(serving.KindDraining, "this entry is shutting down").WithRetryAfter(time.Second)
 	}
+	return e.mayDispatch(b)
+}
+
+// mayDispatch tells whether a request may go to an engine now. Draining does not
+// forbid it: a request in progress gets its attempts.
+func (e *Entry) mayDispatch(b *Blackboard) error {
 	if !e.viewFresh(b) {
 		return serving.NewError(serving.KindViewExpired, "this entry has no confirmed configuration").WithRetryAfter(time.Second)
 	}
@@ -109,7 +115,7 @@
 // if no other is left.
 func (e *Entry) nextAttempt(c *completionCall, s *answering) (*attempt, error) {
 	b := e.board.load()
-	if err := e.mayStart(b); err != nil {
+	if err := e.mayDispatch(b); err != nil {
 		return nil, firstError(s.last, err)
 	}
 	n, err := e.place(b, c.request, s.tried)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,9 @@
 // between regions is about 10 ms.
 const dialTimeout = 2 * time.Second
 
+// drainPoll is the time between two looks at whether requests are in progress.
+const drainPoll = 20 * time.Millisecond
+
 // Entry is an entry process. Its exported fields are set before Run.
 type Entry struct {
 	Settings *settings.Settings
@@ -40,7 +43,9 @@
 	metrics       *metrics
 	notReady      atomic.Bool
 	draining      atomic.Bool
-	retries       *retryBudget
+	// active counts the callers' requests in progress.
+	active  atomic.Int64
+	retries *retryBudget
 	// orderClient sends calls that must not be repeated.
 	orderClient *http.Client
 	claims      schema.Claims
@@ -73,8 +78,6 @@
 	klog.InfoS("Entry started", "host", e.Settings.Host, "listen", e.Settings.Listen)
 	<-ctx.Done()
 	e.drain(server)
-	e.background.Wait()
-	e.settler.drain(drainSettle)
 	stop()
 	return g.Wait()
 }
@@ -115,14 +118,34 @@
 	}
 }
 
-// drain waits for the balancer to notice, then for every stream to end.
+// drain waits for the balancer to notice, then for every request to end. The
+// listener stays open meanwhile, so that callers can resume streams in progress.
 func (e *Entry) drain(server *http.Server) {
 	klog.InfoS("Entry draining", "host", e.Settings.Host)
 	e.notReady.Store(true)
 	time.Sleep(e.Settings.Entry.DrainNotice.Duration)
 	e.draining.Store(true)
+	for e.active.Load() > 0 {
+		time.Sleep(drainPoll)
+	}
 	if err := server.Shutdown(context.Background()); err != nil {
 		klog.ErrorS(err, "Shutdown failed")
 	}
+	e.background.Wait()
+	e.settler.drain(drainSettle)
 	klog.InfoS("Entry drained", "host", e.Settings.Host)
 }
+
+// inProgress counts the callers' requests that are in progress. Once the entry
+// is not ready it closes each connection after its response, so that a balancer
+// sends nothing more over it.
+func (e *Entry) inProgress(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		defer e.active.Add(-1)
+		if e.notReady.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -109,7 +109,7 @@
 	var res *callResult
 	for range maxAttempts {
 		b := e.board.load()
-		err := e.mayStart(b) // The view may have expired while the claim was made.
+		err := e.mayDispatch(b) // The view may have expired while the claim was made.
 		var n *Engine
 		if err == nil {
 			n, err = e.placeCall(b, o.call.service, tried)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -48,7 +48,8 @@
 	container.Add(ws)
 
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", container)
+	mux.Handle("/v1/", e.inProgress(container))
+	mux.HandleFunc("/v1/engines/announce", container.ServeHTTP)
 	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e, twirp.WithServerInterceptors(rpc.MapErrors))))
 	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -192,7 +192,7 @@
 	ran := serving.NotRun
 	for n := 0; ; n++ {
 		b := e.board.load()
-		err := e.mayStart(b)
+		err := e.mayDispatch(b)
 		var target *Engine
 		if err == nil {
 			target, err = e.placeCall(b, c.service, tried)
