entry: add metrics, event log and construction with google/wire

Cause: an entry had no metrics of its own and no events for the time line, and was constructed by hand.

Ruled out: publishing the metrics in the table of expvar, which is one for the process and panics on a second entry in the same process; /debug/vars joins that table and the entry's own variables.

Change: requests by outcome, tokens, in flight, attempts, resumes, dropped frames, settled claims, first-token and inter-token histograms (p50, p99), view age; events request_received, attempt_started, first_token, resumed, answer_ended, refused, view_changed, engine_seen, engine_lost, draining and drained, with the hybrid logical clock on calls between processes. entry.New takes its parts; entry.Providers and cmd/turmericdrum/wire.go construct them.

The tests fail on their broken variants: another kind for resumed events, resumes not counted.

--- a/cmd/turmericdrum/processes.go
+++ b/cmd/turmericdrum/processes.go
@@ -9,7 +9,6 @@
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/internal/control"
-	"turmericdrum.org/turmericdrum/internal/entry"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -50,7 +49,7 @@
 	if s.Entry == nil {
 		return wrongSection("entry", c.Settings)
 	}
-	e := &entry.Entry{Settings: s, Clock: serving.NewMonotonicClock()}
+	e := newEntry(s)
 	return e.Run(terminated())
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -146,8 +147,12 @@
 		a.resumes++
 		e.metrics.resumes.Add(1)
 		stream, err := e.resumeGeneration(ctx, a)
-		if err == nil || errors.Is(err, errGenerationGone) || ctx.Err() != nil {
-			return stream, err
+		if err == nil {
+			e.events.add(eventResumed, a.request.ID, "engine", string(a.engine.Engine), "next", strconv.FormatInt(int64(a.sequencer.Next()), 10))
+			return stream, nil
+		}
+		if errors.Is(err, errGenerationGone) || ctx.Err() != nil {
+			return nil, err
 		}
 		now := e.Clock.Now()
 		a.fail(now)
@@ -230,6 +235,7 @@
 		e.metrics.interToken.observe(gap, n)
 	} else if a.firstIndex == 0 {
 		e.metrics.firstToken.observe(now-a.lastFrame, 1)
+		e.events.add(eventFirstToken, a.request.ID, "engine", string(a.engine.Engine))
 	}
 	a.lastFrame, a.failing, a.resumes = now, false, 0
 }
--- a/internal/entry/blackboard.go
+++ b/internal/entry/blackboard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -56,10 +57,11 @@
 	events   chan event
 	snapshot atomic.Pointer[Blackboard]
 	state    *controlState
+	log      *Events
 }
 
-func newBoard(clock serving.Clock, self engine.Member) *board {
-	b := &board{clock: clock, events: make(chan event, 1024)}
+func newBoard(clock serving.Clock, self engine.Member, log *Events) *board {
+	b := &board{clock: clock, events: make(chan event, 1024), log: log}
 	b.snapshot.Store(&Blackboard{})
 	b.state = &controlState{
 		directory: engine.NewDirectory(engine.Config{Self: self}),
@@ -117,7 +119,24 @@
 	for _, m := range s.directory.Members(engine.MemberEntry) {
 		c.Entries = append(c.Entries, Peer{ID: m.ID, Address: m.Address, State: s.directory.State(now, m.ID)})
 	}
-	b.snapshot.Store(c)
+	b.logChanges(b.snapshot.Swap(c), c)
+}
+
+// logChanges records what differs between two snapshots.
+func (b *board) logChanges(old, c *Blackboard) {
+	if c.View != nil && (old.View == nil || old.View.Revision() != c.View.Revision()) {
+		b.log.add(eventViewChanged, "", "revision", strconv.FormatUint(uint64(c.View.Revision()), 10))
+	}
+	for id, n := range c.Engines {
+		if before := old.Engines[id]; before == nil || before.Incarnation != n.Incarnation {
+			b.log.add(eventEngineSeen, "", "engine", string(id), "incarnation", strconv.FormatUint(uint64(n.Incarnation), 10))
+		}
+	}
+	for id := range old.Engines {
+		if c.Engines[id] == nil {
+			b.log.add(eventEngineLost, "", "engine", string(id))
+		}
+	}
 }
 
 func (s *controlState) countersOf(id serving.EngineID) *engineCounters {
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -19,21 +19,29 @@
 func (e *Entry) completions(r *restful.Request, w *restful.Response) {
 	call, err := e.acceptCompletion(w, r.Request)
 	if err != nil {
-		e.metrics.outcome(err)
-		writeError(w, err)
+		e.refuse(w, err)
 		return
 	}
+	e.events.add(eventRequestReceived, call.request.ID, "account", string(call.request.Account), "model", string(call.request.Model))
 	caller := newCallerWriter(w.ResponseWriter, e.Settings.Entry.WriteTimeout.Duration)
 	var out answerWriter = &wholeAnswer{w: caller}
 	if call.stream {
 		out = &streamedAnswer{w: caller, signer: e.signer}
 	}
-	e.finish(out, e.answer(r.Request.Context(), call, out))
+	e.finish(out, call.request.ID, e.answer(r.Request.Context(), call, out))
 }
 
-// finish ends an answer and counts its outcome.
-func (e *Entry) finish(out answerWriter, err error) {
+// refuse answers a request that was not accepted.
+func (e *Entry) refuse(w http.ResponseWriter, err error) {
 	e.metrics.outcome(err)
+	e.events.ended("", true, err)
+	writeError(w, err)
+}
+
+// finish ends an answer and records its outcome.
+func (e *Entry) finish(out answerWriter, id serving.RequestID, err error) {
+	e.metrics.outcome(err)
+	e.events.ended(id, !out.canResume(), err)
 	out.end(err)
 }
 
@@ -139,6 +147,7 @@
 	a.engine.counters.inFlight.Add(1)
 	e.metrics.inFlight.Add(1)
 	e.metrics.attempts.Add(1)
+	e.events.add(eventAttemptStarted, a.request.ID, "generation", string(a.generation), "engine", string(a.engine.Engine))
 	return func() {
 		a.engine.counters.inFlight.Add(-1)
 		e.metrics.inFlight.Add(-1)
--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -7,10 +7,9 @@
 //
 // # Usage
 //
-//	s, err := settings.Load("entry.yaml")
-//	if err != nil {
-//		return err
-//	}
-//	e := &entry.Entry{Settings: s, Clock: serving.NewMonotonicClock()}
+// [Providers] construct an entry from its settings and clock with google/wire;
+// cmd/turmericdrum has the injector:
+//
+//	e := newEntry(settings)
 //	return e.Run(ctx) // until ctx ends; then drains
 package entry
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -39,7 +39,7 @@
 	s.Entry.Control = []settings.Address{settings.Address(control)}
 	s.Entry.DrainNotice.Duration = notice
 	ctx, stop := context.WithCancel(context.Background())
-	r := &runningEntry{testEntry: testEntry{Entry: &Entry{Settings: s, Clock: serving.NewMonotonicClock()}}, url: "http://" + address, stop: stop, done: make(chan error, 1)}
+	r := &runningEntry{testEntry: testEntry{Entry: newEntry(s)}, url: "http://" + address, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- r.Run(ctx) }()
 	t.Cleanup(stop)
 	return r
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
-	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -21,50 +19,54 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
-// dialTimeout bounds a connection to an engine or process; the one-way latency
-// between regions is about 10 ms.
-const dialTimeout = 2 * time.Second
-
 // drainPoll is the time between two looks at whether requests are in progress.
 const drainPoll = 20 * time.Millisecond
 
-// Entry is an entry process. Its exported fields are set before Run.
+// Entry is an entry process.
 type Entry struct {
 	Settings *settings.Settings
 	Clock    serving.Clock
-	// Placer chooses engines; nil means least requests in flight.
-	Placer serving.Placer
+	*Clients
 
-	board         *board
-	signer        *generation.Signer
-	upstream      *http.Client
-	clusterClient *http.Client
-	viewSource    string
-	metrics       *metrics
-	notReady      atomic.Bool
-	draining      atomic.Bool
-	// active counts the callers' requests in progress.
-	active  atomic.Int64
-	retries *retryBudget
-	// orderClient sends calls that must not be repeated.
-	orderClient *http.Client
-	claims      schema.Claims
-	settler     *settler
+	board      *board
+	events     *Events
+	signer     *generation.Signer
+	claims     schema.Claims
+	settler    *settler
+	metrics    *metrics
+	retries    *retryBudget
+	viewSource string
 	// holder identifies this run of the process as holder of claims.
-	holder string
+	holder   string
+	notReady atomic.Bool
+	draining atomic.Bool
+	// active counts the callers' requests in progress.
+	active atomic.Int64
 	// background counts calls that go on after their caller has left.
 	background sync.WaitGroup
 }
 
+// New returns an entry.
+func New(s *settings.Settings, clock serving.Clock, events *Events, clients *Clients, claims schema.Claims) *Entry {
+	self := memberOf(s)
+	return &Entry{
+		Settings: s, Clock: clock, Clients: clients,
+		board: newBoard(clock, self, events), events: events, claims: claims,
+		signer: generation.NewSigner(s.Entry.ResumeKey), settler: newSettler(),
+		metrics: newMetrics(), retries: newRetryBudget(),
+		holder: fmt.Sprintf("%s/%d", s.Host, self.Incarnation),
+	}
+}
+
 // Run serves until ctx ends, then drains: it turns not ready, takes no new work
 // and returns when every stream in progress has ended.
 func (e *Entry) Run(ctx context.Context) error {
-	e.prepare()
 	e.warnOfExpiredViews()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, _ := errgroup.WithContext(background)
 	g.Go(func() error { e.board.run(background); return nil })
+	g.Go(func() error { e.events.run(background); return nil })
 	g.Go(func() error { e.pollViews(background); return nil })
 	g.Go(func() error { e.exchangeMembership(background); return nil })
 
@@ -82,38 +84,12 @@
 	return g.Wait()
 }
 
-// prepare makes what the handlers need.
-func (e *Entry) prepare() {
-	e.board = newBoard(e.Clock, e.self())
-	e.signer = generation.NewSigner(e.Settings.Entry.ResumeKey)
-	e.retries = newRetryBudget()
-	e.metrics = newMetrics()
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second,
-		DisableCompression: true,
-	}
-	e.upstream = &http.Client{Transport: transport, CheckRedirect: noRedirect}
-	// net/http repeats a call with an Idempotency-Key if a reused connection breaks;
-	// a connection of its own for each call excludes that.
-	once := transport.Clone()
-	once.DisableKeepAlives = true
-	e.orderClient = &http.Client{Transport: once, CheckRedirect: noRedirect}
-	e.claims = &rpc.Client{Addresses: e.controlAddresses(), Key: e.Settings.ClusterKey, Transport: transport}
-	e.settler = newSettler()
-	e.holder = fmt.Sprintf("%s/%d", e.Settings.Host, e.self().Incarnation)
-	e.clusterClient = &http.Client{Transport: keyTransport{key: e.Settings.ClusterKey, next: transport}, CheckRedirect: noRedirect}
-}
-
-// noRedirect keeps the client from sending a call a second time to another place.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-// self is the membership record of this entry. The wall clock at the start serves
+// memberOf is the membership record of an entry that starts now. The wall clock at the start serves
 // as incarnation, since an entry keeps no state on disk.
-func (e *Entry) self() engine.Member {
+func memberOf(s *settings.Settings) engine.Member {
 	return engine.Member{
-		ID: string(e.Settings.Host), Address: string(e.Settings.Advertise),
-		DataCentre: e.Settings.DataCentre, Region: e.Settings.Region,
+		ID: string(s.Host), Address: string(s.Advertise),
+		DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: serving.Incarnation(time.Now().UnixNano()),
 	}
 }
@@ -122,6 +98,7 @@
 // listener stays open meanwhile, so that callers can resume streams in progress.
 func (e *Entry) drain(server *http.Server) {
 	klog.InfoS("Entry draining", "host", e.Settings.Host)
+	e.events.add(eventDraining, "")
 	e.notReady.Store(true)
 	time.Sleep(e.Settings.Entry.DrainNotice.Duration)
 	e.draining.Store(true)
@@ -133,6 +110,7 @@
 	}
 	e.background.Wait()
 	e.settler.drain(drainSettle)
+	e.events.add(eventDrained, "")
 	klog.InfoS("Entry drained", "host", e.Settings.Host)
 }
 
--- /dev/null
+++ b/internal/entry/events.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/timeline"
+)
+
+// Kinds of the events of an entry.
+const (
+	eventRequestReceived = "request_received"
+	eventAttemptStarted  = "attempt_started"
+	eventFirstToken      = "first_token"
+	eventResumed         = "resumed"
+	eventAnswerEnded     = "answer_ended"
+	eventRefused         = "refused"
+	eventViewChanged     = "view_changed"
+	eventEngineSeen      = "engine_seen"
+	eventEngineLost      = "engine_lost"
+	eventDraining        = "draining"
+	eventDrained         = "drained"
+)
+
+// Events is the event log of an entry with its hybrid logical clock. Without a
+// path in the settings events are dropped, but the clock still runs.
+type Events struct {
+	clock *timeline.Clock
+	log   *timeline.Log
+}
+
+// NewEvents returns the event log that the settings ask for.
+func NewEvents(s *settings.Settings) *Events {
+	e := &Events{clock: &timeline.Clock{Physical: time.Now}}
+	if s.EventLog.Path != "" {
+		e.log = timeline.NewLog(s.EventLog.Path, string(s.Host), e.clock)
+		e.log.MaxBytes = int64(s.EventLog.MaxBytes.Bytes)
+	}
+	return e
+}
+
+func (e *Events) add(kind string, request serving.RequestID, attributes ...string) {
+	if e.log != nil {
+		e.log.Add(kind, request, attributes...)
+	}
+	if klog.V(2).Enabled() {
+		klog.InfoS("Event", "kind", kind, "request", request, "attributes", attributes)
+	}
+}
+
+// run writes events until ctx ends. A log that cannot be written does not stop the entry.
+func (e *Events) run(ctx context.Context) {
+	if e.log == nil {
+		return
+	}
+	if err := e.log.Run(ctx); err != nil {
+		klog.ErrorS(err, "Event log stopped")
+	}
+}
+
+// handler and transport carry the clock between processes.
+func (e *Events) handler(next http.Handler) http.Handler { return timeline.Handler(e.clock, next) }
+
+func (e *Events) transport(next http.RoundTripper) http.RoundTripper {
+	return timeline.RoundTripper(e.clock, next)
+}
+
+// ended records the end of a request; a refused one has sent nothing of an answer.
+func (e *Events) ended(request serving.RequestID, refused bool, err error) {
+	switch {
+	case err == nil:
+		e.add(eventAnswerEnded, request, "outcome", outcomeComplete)
+	case refused:
+		e.add(eventRefused, request, "kind", string(outcomeKind(err)), "ran", string(serving.AsError(err).Ran))
+	default:
+		e.add(eventAnswerEnded, request, "outcome", string(outcomeKind(err)))
+	}
+}
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -59,10 +59,15 @@
 	server *httptest.Server
 }
 
+func newEntry(s *settings.Settings) *Entry {
+	events := NewEvents(s)
+	clients := NewClients(s, events)
+	return New(s, serving.NewMonotonicClock(), events, clients, NewClaims(s, events, clients))
+}
+
 func newTestEntry(t testing.TB, engines ...*Engine) *testEntry {
 	t.Helper()
-	e := &testEntry{Entry: &Entry{Settings: testSettings(t), Clock: serving.NewMonotonicClock()}}
-	e.prepare()
+	e := &testEntry{Entry: newEntry(testSettings(t))}
 	e.setBoard(t, testConfig(), engines...)
 	e.server = httptest.NewUnstartedServer(nil)
 	e.server.Config = e.newServer()
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -113,7 +113,7 @@
 func (e *Entry) exchangeWith(ctx context.Context, peer Peer) {
 	ctx, cancel := context.WithTimeout(ctx, 2*exchangeInterval)
 	defer cancel()
-	client := schema.NewMembersProtobufClient("http://"+peer.Address, e.clusterClient)
+	client := schema.NewMembersProtobufClient("http://"+peer.Address, e.cluster)
 	mine := e.localExchange(ctx, exchanged{})
 	res, err := client.Exchange(ctx, &schema.MemberExchange{From: string(e.Settings.Host), Digest: encodeDigest(mine.digest)})
 	if peer.ID != "" {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -119,7 +119,7 @@
 			return nil, err
 		}
 		tried[n.Engine] = true
-		if res = e.sendCall(ctx, e.orderClient, n, o.call); res.sent {
+		if res = e.sendCall(ctx, e.order, n, o.call); res.sent {
 			break
 		}
 	}
@@ -238,8 +238,7 @@
 func (e *Entry) getOrder(r *restful.Request, w *restful.Response) {
 	a, err := e.outcomeOf(r)
 	if err != nil {
-		e.metrics.outcome(err)
-		writeError(w, err)
+		e.refuse(w, err)
 		return
 	}
 	writeJSON(w, http.StatusOK, a)
--- a/internal/entry/poll.go
+++ b/internal/entry/poll.go
@@ -158,7 +158,7 @@
 		req.HaveRevision = uint64(held.Revision())
 		req.ConfigRevision = req.HaveRevision
 	}
-	res, err := schema.NewViewsProtobufClient("http://"+source, e.clusterClient).GetView(ctx, req)
+	res, err := schema.NewViewsProtobufClient("http://"+source, e.cluster).GetView(ctx, req)
 	if err != nil {
 		klog.V(2).InfoS("View poll failed", "source", source, "err", err)
 		return pollAnswer{source: source, err: rpc.FromTwirp(err)}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -17,8 +17,7 @@
 func (e *Entry) resume(r *restful.Request, w *restful.Response) {
 	a, position, err := e.resumed(r.Request)
 	if err != nil {
-		e.metrics.outcome(err)
-		writeError(w, err)
+		e.refuse(w, err)
 		return
 	}
 	caller := newCallerWriter(w.ResponseWriter, e.Settings.Entry.WriteTimeout.Duration)
@@ -29,7 +28,7 @@
 		return
 	}
 	out.begin(a)
-	e.finish(out, e.followResumed(r.Request.Context(), a, out))
+	e.finish(out, a.request.ID, e.followResumed(r.Request.Context(), a, out))
 }
 
 func (e *Entry) followResumed(ctx context.Context, a *attempt, out answerWriter) error {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -58,7 +58,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, serving.NewError(serving.KindNotFound, "no such path"))
 	})
-	return recoverPanics(mux)
+	return e.events.handler(recoverPanics(mux))
 }
 
 // routeError answers a request that no route takes.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -49,10 +49,10 @@
 func (e *Entry) callService(r *restful.Request, w *restful.Response) {
 	c, err := e.acceptCall(r, w)
 	if err != nil {
-		e.metrics.outcome(err)
-		writeError(w, err)
+		e.refuse(w, err)
 		return
 	}
+	e.events.add(eventRequestReceived, c.id, "account", string(c.account), "service", string(c.service))
 	e.metrics.inFlight.Add(1)
 	defer e.metrics.inFlight.Add(-1)
 	w.Header().Set("X-Request-Id", string(c.id))
@@ -69,6 +69,7 @@
 		}
 	}
 	e.metrics.outcome(err)
+	e.events.ended(c.id, true, err)
 	if err != nil {
 		writeError(w, err)
 		return
