--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -100,7 +100,7 @@
 	if err := s.Complete(); err != nil {
 		return err
 	}
-	p := &control.Process{Settings: &s, Bootstrap: true, Clock: serving.NewMonotonicClock()}
+	p := control.Construct(&s, true)
 	g.Go(func() error { return p.Run(ctx) })
 	return nil
 }
@@ -117,7 +117,7 @@
 	if err := s.Complete(); err != nil {
 		return err
 	}
-	e := &entry.Entry{Settings: &s, Clock: serving.NewMonotonicClock()}
+	e := entry.Construct(&s)
 	g.Go(func() error { return e.Run(ctx) })
 	return nil
 }
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -35,7 +35,7 @@
 	r.Deadline = e.Clock.Now() + e.Settings.Entry.QueueTimeout.Duration
 	for range maxStarts {
 		b := e.board.load()
-		if err := e.mayContinue(b); err != nil {
+		if err := e.mayDispatch(b); err != nil {
 			return nil, err
 		}
 		avoid, err := e.avoidable(b, &r, s.tried)
@@ -136,12 +136,3 @@
 		a.noted = next
 	}
 }
-
-// mayContinue tells whether a request that was accepted may start at an engine
-// now. Draining does not matter: it cuts off no request in progress.
-func (e *Entry) mayContinue(b *Blackboard) error {
-	if !e.viewFresh(b) {
-		return serving.NewError(serving.KindViewExpired, "this entry has no confirmed configuration").WithRetryAfter(time.Second)
-	}
-	return nil
-}
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -85,10 +85,15 @@
 func (s openAdmission) done(serving.EngineID, serving.GenerationID, serving.Tokens, dispatch.Outcome) {
 }
 
+func newEntry(s *settings.Settings) *Entry {
+	events := NewEvents(s)
+	clients := NewClients(s, events)
+	return New(s, serving.NewMonotonicClock(), events, clients, NewClaims(s, events, clients))
+}
+
 func newTestEntry(t testing.TB, engines ...*Engine) *testEntry {
 	t.Helper()
-	e := &testEntry{Entry: &Entry{Settings: testSettings(t), Clock: serving.NewMonotonicClock()}}
-	e.prepare()
+	e := &testEntry{Entry: newEntry(testSettings(t))}
 	e.admission = openAdmission{e.Entry}
 	e.setBoard(t, testConfig(), engines...)
 	e.server = httptest.NewUnstartedServer(nil)
