--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -32,7 +32,19 @@
 }
 
 func newCallerWriter(w http.ResponseWriter, timeout time.Duration) *callerWriter {
-	return &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), timeout: timeout}
+	return &callerWriter{ResponseWriter: w, control: http.NewResponseController(innermost(w)), timeout: timeout}
+}
+
+// innermost returns the writer of net/http. Flushing it directly returns errors
+// of the connection, which a wrapper with a plain Flush method would hide.
+func innermost(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		u, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = u.Unwrap()
+	}
 }
 
 // send writes and flushes. The deadline moves at most four times per timeout,
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -20,6 +20,9 @@
 	maxIdlePerHost = 256
 	// idleConnTimeout is the time after which a kept connection is closed.
 	idleConnTimeout = 90 * time.Second
+	// writeBuffer is the write buffer of one connection to an engine, which lives as
+	// long as its stream but is used for the request only.
+	writeBuffer = 1 << 10
 )
 
 // Providers construct an entry from its settings and clock.
@@ -41,6 +44,7 @@
 	t := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		WriteBufferSize: writeBuffer,
 	}
 	// net/http repeats a call with an Idempotency-Key if a reused connection breaks;
 	// a connection of its own for each call excludes that.
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// readBuffer is the buffer of one engine stream; a token needs about 150 bytes.
-	readBuffer = 4 << 10
+	// readBuffer is the buffer of one engine stream, beside that of net/http; a token
+	// needs about 150 bytes.
+	readBuffer = 2 << 10
 	// maxEvent bounds the length of one server-sent event of an engine.
 	maxEvent = 64 << 10
 	// maxRefusal bounds the body of an engine's refusal that is read.
