--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -39,7 +39,7 @@
 	}
 	p := &pacedEngine{listener: l, origin: time.Now(), length: length, pace: pace}
 	go p.serve()
-	tb.Cleanup(func() { l.Close() })
+	tb.Cleanup(func() { _ = l.Close() })
 	return p, &Engine{Announcement: &engine.Announcement{
 		Engine: "engine-1", Address: l.Addr().String(), DataCentre: "dc-a", Incarnation: 1,
 		State: engine.PhaseReady, Models: []engine.ModelRef{{Model: "guide"}},
