Start with a term not below the log's, state limits of leases and checksums

Ruled out: storing the hard state first, since other orders then need the same. Change: New raises the term and forgets the vote of the earlier term. The package comments name the suspended host and the damaged last frame as limits. Conclusion: terms never go back.

--- a/pkg/serving/journal/doc.go
+++ b/pkg/serving/journal/doc.go
@@ -25,7 +25,9 @@
 // # Damage
 //
 // A crash can leave only the last frame of the last segment incomplete; Open
-// truncates it. Any other damage is an error of kind damaged. After a failed
-// write or sync, what is durable is unknown, so that the journal refuses every
-// further write with an error of kind storage_failed.
+// truncates it. Later damage of that frame alone looks the same, so that a
+// replica then misses entries that it acknowledged. Any other damage is an error
+// of kind damaged. After a failed write or sync, what is durable is unknown, so
+// that the journal refuses every further write with an error of kind
+// storage_failed.
 package journal
--- a/pkg/serving/ledger/doc.go
+++ b/pkg/serving/ledger/doc.go
@@ -27,9 +27,11 @@
 //
 // [Replica.ReadIndex] answers only under a leader lease. The lease runs from the
 // send time of the last heartbeat round that a quorum acknowledged, for
-// ElectionMin × (1 − MaxDrift). It relies on one assumption: the monotonic
-// clocks of two hosts drift relative to each other by at most MaxDrift. Wall
-// clocks are never used.
+// ElectionMin × (1 − MaxDrift). It relies on two assumptions: the monotonic
+// clocks of two hosts drift relative to each other by at most MaxDrift, and a
+// clock advances while its process is stopped. Linux does not advance the clock
+// of package time while the whole host is suspended, so that control hosts must
+// not be suspended and resumed. Wall clocks are never used.
 //
 // # Membership
 //
--- a/pkg/serving/ledger/example_test.go
+++ b/pkg/serving/ledger/example_test.go
@@ -28,7 +28,7 @@
 		}
 	}
 	// Output:
-	// 3 1 <nil>
+	// 3 2 <nil>
 	// apply 2 ""
 	// apply 3 "put"
 }
--- a/pkg/serving/ledger/membership_test.go
+++ b/pkg/serving/ledger/membership_test.go
@@ -112,3 +112,13 @@
 	runtime.ReadMemStats(&after)
 	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 256<<20, "allocated %d bytes", after.TotalAlloc-before.TotalAlloc)
 }
+
+// Guards against a term below that of the log, after a crash between storing an
+// installed snapshot and the hard state.
+func TestTermIsNotBelowLog(t *testing.T) {
+	self := identity(1, "a")
+	r, err := ledger.New(ledger.Config{Self: self, Random: rand.New(rand.NewPCG(1, 1))},
+		ledger.Persistent{Hard: ledger.HardState{Term: 5, Vote: self}, Snapshot: ledger.Snapshot{Index: 9, Term: 7}}, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, *r.Ready().Hard, ledger.HardState{Term: 7})
+}
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -126,6 +126,10 @@
 	}
 	r := &Replica{cfg: cfg, log: l, hard: state.Hard, savedHard: state.Hard,
 		commit: l.snapshot.Index, applied: l.snapshot.Index, stable: l.last(), unsaved: l.last() + 1, heard: now}
+	if term := l.lastTerm(); term > r.hard.Term {
+		// A crash between storing an installed snapshot and the hard state.
+		r.hard = HardState{Term: term}
+	}
 	r.resetElection(now)
 	return r, nil
 }
