Keep accounts within limits over all entries together

Cause: tokens a second and requests in progress were settings without effect. Change: the owner of an account divides its rate over the entries by demand, for 3 s at a time; each entry keeps a tenth of the limit, split evenly, in case the owner is away. Requests in progress are limited by the same slots as engines. Tokens are charged in advance by the expected length and corrected by what ran. Ruled out: shares for requests in progress, since a share that shrinks while requests run would let the limit be exceeded.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -23,10 +23,10 @@
 // admission decides where and when requests start.
 type admission interface {
 	wait(ctx context.Context, w *waiter) start
-	release(slot dispatch.Slot)
+	release(slots ...dispatch.Slot)
 	firstToken(id serving.EngineID, g serving.GenerationID)
 	progress(id serving.EngineID, g serving.GenerationID, soFar serving.Tokens)
-	done(id serving.EngineID, g serving.GenerationID, soFar serving.Tokens, o dispatch.Outcome)
+	done(r *serving.Request, st start, soFar serving.Tokens, o dispatch.Outcome)
 }
 
 // admit waits until an engine has room for a request and returns an attempt there.
@@ -50,8 +50,8 @@
 			s.tried[st.engine] = true
 			return a, nil
 		}
-		e.admission.done(st.engine, st.generation, 0, dispatch.OutcomeCancelled)
-		e.admission.release(st.slot)
+		e.admission.done(&r, st, 0, dispatch.OutcomeCancelled)
+		e.admission.release(st.slot, st.account)
 	}
 	return nil, serving.NewError(serving.KindNoEngine, "the chosen engines left service").WithRetryAfter(time.Second)
 }
@@ -84,7 +84,7 @@
 		return nil
 	}
 	a := newAttempt(c.request, st.generation, n, n.bodyFor(b.View, c), 0)
-	a.slot = st.slot
+	a.start = st
 	return a
 }
 
@@ -100,15 +100,15 @@
 // generation has ended. A generation that may still run at the engine keeps its
 // slot for the grace time, so that no other is started in its place.
 func (e *Entry) endAttempt(a *attempt, err error) {
-	if a.slot == (dispatch.Slot{}) {
+	if a.start.slot == (dispatch.Slot{}) {
 		return
 	}
-	e.admission.done(a.engine.Engine, a.generation, serving.Tokens(a.sequencer.Next()), outcomeOf(a, err))
+	e.admission.done(a.request, a.start, serving.Tokens(a.sequencer.Next()), outcomeOf(a, err))
 	if err == nil || !a.sent.Load() || errors.Is(err, errGenerationGone) {
-		e.admission.release(a.slot)
+		e.admission.release(a.start.slot, a.start.account)
 		return
 	}
-	time.AfterFunc(generationGrace, func() { e.admission.release(a.slot) })
+	time.AfterFunc(generationGrace, func() { e.admission.release(a.start.slot, a.start.account) })
 }
 
 func outcomeOf(a *attempt, err error) dispatch.Outcome {
@@ -127,7 +127,7 @@
 func (e *Entry) noteProgress(a *attempt) {
 	next := a.sequencer.Next()
 	switch {
-	case a.slot == (dispatch.Slot{}):
+	case a.start.slot == (dispatch.Slot{}):
 	case a.noted == 0:
 		e.admission.firstToken(a.engine.Engine, a.generation)
 		a.noted = next
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,7 +12,6 @@
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
-	"turmericdrum.org/turmericdrum/pkg/serving/dispatch"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
@@ -55,7 +54,8 @@
 	body       []byte
 	sequencer  *generation.Sequencer
 	parser     frameParser
-	slot       dispatch.Slot
+	// start is empty for a generation that is only resumed here.
+	start start
 	// noted is the progress that was passed on last.
 	noted serving.TokenIndex
 	// sent is true once a byte of the request may have left.
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -47,6 +47,7 @@
 	calibration *dispatch.Calibration
 	placer      serving.Placer
 	queue       *account.Queue
+	limits      *limits
 	waiting     map[serving.RequestID]*waiter
 	reports     map[serving.EngineID]report
 	candidates  []serving.Candidate
@@ -60,6 +61,8 @@
 	avoid   map[serving.EngineID]bool
 	weight  float64
 	started chan start
+	// cost is the number of tokens that the account was charged in advance.
+	cost serving.Tokens
 }
 
 // start is the outcome of waiting.
@@ -67,7 +70,11 @@
 	engine     serving.EngineID
 	slot       dispatch.Slot
 	generation serving.GenerationID
-	err        error
+	// account is a slot of the account, if its requests in progress are limited.
+	account dispatch.Slot
+	// cost is the number of tokens that the account was charged in advance.
+	cost serving.Tokens
+	err  error
 }
 
 func newDispatcher(e *Entry, incarnation serving.Incarnation) *dispatcher {
@@ -94,6 +101,7 @@
 		waiting:     map[serving.RequestID]*waiter{},
 		reports:     map[serving.EngineID]report{},
 	}
+	s.limits = newLimits(s)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.tracker = dispatch.NewTracker(dispatch.TrackerConfig{
 		Lengths: s.lengths, Random: random,
@@ -145,6 +153,7 @@
 	}
 	s.pump()
 	s.updateHeld(b)
+	s.limits.tick(s.entry.Clock.Now())
 }
 
 // do runs f on the goroutine that owns the state.
@@ -175,12 +184,21 @@
 
 func (s *dispatcher) push(w *waiter) {
 	r := w.request
-	cost := r.PromptTokens + s.lengths.Remaining(serving.LengthKey{Service: r.Service, Model: r.Model, Account: r.Account}, 0, 0.5)
-	evicted, err := s.queue.Push(s.entry.Clock.Now(), account.Item{Request: r, Cost: cost, Weight: w.weight})
+	now := s.entry.Clock.Now()
+	w.cost = r.PromptTokens + s.lengths.Remaining(serving.LengthKey{Service: r.Service, Model: r.Model, Account: r.Account}, 0, 0.5)
+	if r.MaxTokens > 0 {
+		w.cost = min(w.cost, r.PromptTokens+r.MaxTokens)
+	}
+	if err := s.limits.take(now, r.Account, w.cost); err != nil {
+		w.started <- start{err: err}
+		return
+	}
+	evicted, err := s.queue.Push(now, account.Item{Request: r, Cost: w.cost, Weight: w.weight})
 	if evicted != nil {
 		s.refuse(evicted.Request.ID, s.queue.Refused(evicted))
 	}
 	if err != nil {
+		s.limits.tokens.Charge(now, r.Account, -w.cost)
 		w.started <- start{err: err}
 		return
 	}
@@ -194,11 +212,14 @@
 	case st := <-w.started:
 		if st.err == nil {
 			s.tracker.Done(s.entry.Clock.Now(), st.engine, st.generation, dispatch.OutcomeCancelled)
-			s.held[st.engine].holder.Release(s.entry.Clock.Now(), st.slot.ID)
+			s.giveBack(st.slot)
+			s.giveBack(st.account)
+			s.limits.tokens.Charge(s.entry.Clock.Now(), w.request.Account, -w.cost)
 		}
 	default:
 		s.queue.Remove(w.request.ID)
 		delete(s.waiting, w.request.ID)
+		s.limits.tokens.Charge(s.entry.Clock.Now(), w.request.Account, -w.cost)
 	}
 	s.pump()
 }
@@ -206,6 +227,7 @@
 func (s *dispatcher) refuse(id serving.RequestID, err error) {
 	if w := s.waiting[id]; w != nil {
 		delete(s.waiting, id)
+		s.limits.tokens.Charge(s.entry.Clock.Now(), w.request.Account, -w.cost)
 		w.started <- start{err: err}
 	}
 }
@@ -221,6 +243,9 @@
 		var chosen serving.EngineID
 		now := s.entry.Clock.Now()
 		it, ok := s.queue.Pop(now, func(it *account.Item) bool {
+			if !s.hasAccountSlot(now, it.Request.Account) {
+				return false
+			}
 			var ok bool
 			chosen, ok = s.choose(now, s.waiting[it.Request.ID])
 			return ok
@@ -235,11 +260,12 @@
 
 // begin gives a waiting request the slot of the chosen engine.
 func (s *dispatcher) begin(now time.Duration, w *waiter, id serving.EngineID) {
-	st := start{engine: id, generation: serving.GenerationID(newID())}
+	st := start{engine: id, generation: serving.GenerationID(newID()), cost: w.cost}
 	var ok bool
 	if st.slot, ok = s.holderOf(id).holder.Acquire(now); !ok {
 		st.err = serving.NewError(serving.KindOverloaded, "engine "+string(id)+" has no free slot").WithRetryAfter(time.Second)
 	} else {
+		st.account = s.takeAccountSlot(now, w.request.Account)
 		s.tracker.Sent(now, id, st.generation, w.request)
 	}
 	delete(s.waiting, w.request.ID)
@@ -269,6 +295,7 @@
 	if len(s.waiting) == 0 {
 		return
 	}
+	s.wantAccountSlots()
 	now := s.entry.Clock.Now()
 	for _, w := range s.waiting {
 		s.candidates = s.tracker.Candidates(now, w.request, s.candidates[:0])
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -79,11 +79,10 @@
 	return start{engine: best.Engine, slot: slot, generation: serving.GenerationID(newID())}
 }
 
-func (s openAdmission) release(dispatch.Slot)                                           {}
+func (s openAdmission) release(...dispatch.Slot)                                        {}
 func (s openAdmission) firstToken(serving.EngineID, serving.GenerationID)               {}
 func (s openAdmission) progress(serving.EngineID, serving.GenerationID, serving.Tokens) {}
-func (s openAdmission) done(serving.EngineID, serving.GenerationID, serving.Tokens, dispatch.Outcome) {
-}
+func (s openAdmission) done(*serving.Request, start, serving.Tokens, dispatch.Outcome)  {}
 
 func newEntry(s *settings.Settings) *Entry {
 	events := NewEvents(s)
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -99,11 +99,18 @@
 	s.do(s.ctx, func() { s.tracker.Progress(s.entry.Clock.Now(), id, g, soFar) })
 }
 
-// done records the end of a generation.
-func (s *dispatcher) done(id serving.EngineID, g serving.GenerationID, soFar serving.Tokens, o dispatch.Outcome) {
+// done records the end of a generation and charges what really ran: the prompt
+// if any token came, and the tokens.
+func (s *dispatcher) done(r *serving.Request, st start, soFar serving.Tokens, o dispatch.Outcome) {
 	s.do(s.ctx, func() {
 		now := s.entry.Clock.Now()
-		s.tracker.Progress(now, id, g, soFar)
-		s.tracker.Done(now, id, g, o)
+		s.tracker.Progress(now, st.engine, st.generation, soFar)
+		s.tracker.Done(now, st.engine, st.generation, o)
+		ran := soFar
+		if soFar > 0 {
+			ran += r.PromptTokens
+		}
+		s.limits.tokens.Charge(now, r.Account, ran-st.cost)
+		s.queue.Charge(r.Account, ran-st.cost)
 	})
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -52,6 +52,7 @@
 	mux.HandleFunc("/v1/engines/announce", container.ServeHTTP)
 	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e, twirp.WithServerInterceptors(rpc.MapErrors))))
 	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
+	mux.Handle(schema.SharesPathPrefix, e.requireCluster(schema.NewSharesServer(e.dispatcher)))
 	mux.Handle(schema.SlotsPathPrefix, e.requireCluster(schema.NewSlotsServer(e.dispatcher)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
--- a/internal/entry/slots_holder.go
+++ b/internal/entry/slots_holder.go
@@ -31,17 +31,27 @@
 	return h
 }
 
-// release ends the use of a slot.
-func (s *dispatcher) release(slot dispatch.Slot) {
+// release ends the use of slots; empty ones are passed over.
+func (s *dispatcher) release(slots ...dispatch.Slot) {
 	s.do(s.ctx, func() {
-		if h := s.held[slot.Engine]; h != nil {
-			h.holder.Release(s.entry.Clock.Now(), slot.ID)
-			s.pump()
-			s.request(slot.Engine, h)
+		for _, slot := range slots {
+			s.giveBack(slot)
+		}
+		s.pump()
+		for _, slot := range slots {
+			if h := s.held[slot.Engine]; h != nil {
+				s.request(slot.Engine, h)
+			}
 		}
 	})
 }
 
+func (s *dispatcher) giveBack(slot dispatch.Slot) {
+	if h := s.held[slot.Engine]; h != nil {
+		h.holder.Release(s.entry.Clock.Now(), slot.ID)
+	}
+}
+
 // updateHeld sends the requests that are due.
 func (s *dispatcher) updateHeld(b *Blackboard) {
 	now := s.entry.Clock.Now()
@@ -58,11 +68,7 @@
 
 // request sends a request to the owner if one is due.
 func (s *dispatcher) request(id serving.EngineID, h *heldEngine) {
-	n := s.entry.board.load().Engines[id]
-	if n == nil {
-		return
-	}
-	owner, ok := s.ownerOf(n)
+	owner, ok := s.ownerOfKey(id)
 	if !ok {
 		return
 	}
@@ -100,8 +106,10 @@
 		return
 	}
 	h.holder.Reply(s.entry.Clock.Now(), p)
-	others, at := h.holder.Others()
-	s.tracker.SetOthers(at, id, others)
-	s.tracker.SetLimit(id, h.holder.Limit())
+	if _, ok := accountOf(id); !ok {
+		others, at := h.holder.Others()
+		s.tracker.SetOthers(at, id, others)
+		s.tracker.SetLimit(id, h.holder.Limit())
+	}
 	s.pump()
 }
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -29,6 +29,10 @@
 	}
 	returned := s.returnedDataCentres(b)
 	for id, o := range s.owned {
+		if _, ok := accountOf(id); ok {
+			s.updateOwnedAccount(now, id, b)
+			continue
+		}
 		n := b.Engines[id]
 		if n == nil || !s.owns(n) {
 			delete(s.owned, id)
@@ -108,8 +112,12 @@
 
 // grant answers a request for an engine that this entry owns.
 func (s *dispatcher) grant(q dispatch.SlotRequest) (dispatch.SlotReply, bool) {
-	s.updateOwned(s.entry.board.load())
+	b := s.entry.board.load()
+	s.updateOwned(b)
 	o := s.owned[q.Engine]
+	if _, ok := accountOf(q.Engine); ok {
+		o = s.updateOwnedAccount(s.entry.Clock.Now(), q.Engine, b)
+	}
 	if o == nil {
 		return dispatch.SlotReply{}, false
 	}
