Test the joint limits of accounts; start owners without a needless wait

Cause: shares began 5.8 s after the first request of an account, and the test got 210 of 1,005 permitted tokens in 8 s. Change: an owner that was the owner under every list of the settle time grants at once. Ruled out: a shorter life of shares, which would triple the messages.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -281,3 +281,5 @@
 	sum := sha256.Sum256([]byte(key))
 	return sum[:]
 }
+
+func bytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
--- /dev/null
+++ b/internal/e2e/limits_test.go
@@ -0,0 +1,144 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// Guards against limits of an account that each entry grants on its own: twice
+// the rate and twice the requests in progress at two entries.
+func TestAccountLimitsHoldOverAllEntries(t *testing.T) {
+	f := newFleet(t)
+	controlAddress := freeAddress(t)
+	entries := []string{freeAddress(t), freeAddress(t)}
+	cs := &settings.Settings{
+		Host: "control-1", DataCentre: "dc-a", Region: "region-a",
+		Listen: settings.Address(controlAddress), ClusterKey: clusterKey,
+		Control: &settings.Control{
+			Data: f.dir + "/control-1", OperatorKeyHash: hexHash(operatorKey),
+			Replicas: []settings.Replica{{Host: "control-1", Address: settings.Address(controlAddress)}},
+		},
+	}
+	f.start("control-1", controlAddress, "turmericdrum", "control", "--bootstrap", "--settings", f.writeSettings("control-1", cs))
+	for i, address := range entries {
+		name := fmt.Sprint("entry-", i)
+		es := f.entrySettings(name, address, []string{controlAddress}, entries[1-i])
+		f.start(name, address, "turmericdrum", "entry", "--settings", f.writeSettings(name, es))
+	}
+	f.start("engine-1", "", "standin-engine", "--name", "engine-1", "--data-centre", "dc-a", "--entry", entries[0],
+		"--cluster-key", clusterKey, "--model", "guide@1", "--cold-for", "1ms")
+
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	op := operator(controlAddress)
+	eventually(t, "operator's changes", 20*time.Second, func() error { _, err := putBasics(ctx, op); return err })
+	putAccount(ctx, t, op, "slow", "slow-key", &schema.ClientAccount{Weight: 1, MaxInProgress: 2})
+	const rate, burst = 100, 200
+	putAccount(ctx, t, op, "rated", "rated-key", &schema.ClientAccount{Weight: 1, TokensPerSecond: rate, BurstTokens: burst})
+	short := map[string]any{"model": "guide", "prompt": "p", "test_length": 2, "max_tokens": 2}
+	for _, address := range entries {
+		eventually(t, "entry serves", 20*time.Second, func() error {
+			a, err := complete(ctx, address, callerKey, short)
+			if err == nil && a.status != http.StatusOK {
+				err = fmt.Errorf("status %d: %s", a.status, a.body)
+			}
+			return err
+		})
+	}
+
+	t.Run("requests in progress", func(t *testing.T) { checkInProgress(ctx, t, entries, 2) })
+	t.Run("tokens", func(t *testing.T) { checkRate(ctx, t, entries, rate, burst) })
+}
+
+func putAccount(ctx context.Context, t *testing.T, op schema.Operators, id, key string, a *schema.ClientAccount) {
+	t.Helper()
+	a.KeyHashes = [][]byte{keyHash(key)}
+	res, err := op.Apply(ctx, &schema.Change{
+		CommandId: "put-" + id, Operator: "op", IssuedAtMs: time.Now().UnixMilli(),
+		Action: &schema.Change_Put{Put: &schema.Object{Kind: schema.ObjectKind_OBJECT_KIND_CLIENT_ACCOUNT, Id: id,
+			Spec: &schema.Object_ClientAccount{ClientAccount: a}}},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome, schema.Outcome_OUTCOME_ACCEPTED, res.Message)
+}
+
+// checkInProgress runs more requests at both entries than the limit permits and
+// counts the streams that are open at the same time.
+func checkInProgress(ctx context.Context, t *testing.T, entries []string, limit int64) {
+	var open, most, done atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			body, _ := json.Marshal(map[string]any{"model": "guide", "prompt": "p", "stream": true, "test_length": 40})
+			_ = stream(ctx, entries[i%2], "slow-key", body, func() {
+				n := open.Add(1)
+				for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+				}
+			}, func() { open.Add(-1); done.Add(1) })
+		})
+	}
+	wg.Wait()
+	assert.Assert(t, most.Load() <= limit, "%d at the same time", most.Load())
+	assert.Equal(t, done.Load(), int64(8))
+}
+
+// checkRate sends far more than the limit to both entries and counts the tokens
+// of the answers.
+func checkRate(ctx context.Context, t *testing.T, entries []string, rate, burst float64) {
+	const span = 8 * time.Second
+	var tokens, refused atomic.Int64
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for time.Since(began) < span {
+				a, err := complete(ctx, entries[i%2], "rated-key", map[string]any{"model": "guide", "prompt": "p", "test_length": 20, "max_tokens": 20})
+				if err != nil || a.status != http.StatusOK {
+					refused.Add(1)
+					time.Sleep(50 * time.Millisecond) // Keeps the refused callers from spinning.
+					continue
+				}
+				tokens.Add(21)
+			}
+		})
+	}
+	wg.Wait()
+	spent := time.Since(began).Seconds()
+	most := rate*spent + burst
+	t.Logf("%d tokens in %.1f s, at most %.0f, %d refusals", tokens.Load(), spent, most, refused.Load())
+	assert.Assert(t, float64(tokens.Load()) <= most)
+	assert.Assert(t, tokens.Load() > int64(rate*spent/3), "the limit is used")
+	assert.Assert(t, refused.Load() > 0)
+}
+
+// stream reads a streamed answer and tells when its first and its last event came.
+func stream(ctx context.Context, address, key string, body []byte, began, ended func()) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytesReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return serving.NewError(serving.KindEngineFailed, res.Status)
+	}
+	began()
+	defer ended()
+	return (&answer{}).readEvents(res.Body)
+}
--- a/internal/entry/concurrency.go
+++ b/internal/entry/concurrency.go
@@ -96,7 +96,11 @@
 	}
 	o := s.owned[key]
 	if o == nil {
-		o = &ownedEngine{owner: dispatch.NewOwner(s.cfg, key, dispatch.OwnerTerm{Epoch: s.ownership.Epoch(), Owner: s.self}, now, nil)}
+		var from *dispatch.Handover
+		if s.ownership.Settled(now, key, "", "") {
+			from = &dispatch.Handover{} // No other owner can have granted anything.
+		}
+		o = &ownedEngine{owner: dispatch.NewOwner(s.cfg, key, dispatch.OwnerTerm{Epoch: s.ownership.Epoch(), Owner: s.self}, now, from)}
 		s.owned[key] = o
 	}
 	o.owner.ViewConfirmed(b.View.ConfirmedAt)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// shareInterval is the time between reports of demand; shares last for 3 s.
+	// shareInterval is the time between reports of demand.
 	shareInterval = time.Second
+	// shareTTL is the time for which a share lasts; two lost reports do not end it.
+	shareTTL = 3 * time.Second
 	// demandIdle is the time without requests after which an account has no demand.
 	demandIdle = 10 * time.Second
 	// accountKey marks the owner key of an account's limits.
@@ -29,8 +31,10 @@
 	tokens *account.TokenLimiter
 	held   map[serving.ClientAccountID]*heldShare
 	owned  map[serving.ClientAccountID]*account.ShareOwner
-	epoch  uint64
-	sentAt time.Duration
+	// ownership settles only after the shares of an earlier owner have expired,
+	// which last longer than slots.
+	ownership engine.Ownership
+	sentAt    time.Duration
 }
 
 // heldShare is this entry's part of an account's limit.
@@ -42,8 +46,10 @@
 }
 
 func newLimits(s *dispatcher) *limits {
+	settle := time.Duration(float64(s.cfg.ViewLease+shareTTL) * (1 + slotDrift))
 	return &limits{
-		s: s, tokens: account.NewTokenLimiter(),
+		ownership: engine.Ownership{Self: s.self.Host, Settle: settle},
+		s:         s, tokens: account.NewTokenLimiter(),
 		held:  map[serving.ClientAccountID]*heldShare{},
 		owned: map[serving.ClientAccountID]*account.ShareOwner{},
 	}
@@ -59,7 +65,7 @@
 	}
 	h := l.held[id]
 	if h == nil {
-		h = &heldShare{holder: account.NewShareHolder(account.ShareConfig{}, l.s.self.Host, l.s.self.Incarnation)}
+		h = &heldShare{holder: account.NewShareHolder(account.ShareConfig{TTL: shareTTL}, l.s.self.Host, l.s.self.Incarnation)}
 		l.held[id] = h
 	}
 	h.asked += n
@@ -129,7 +135,7 @@
 }
 
 func (l *limits) ownerOf(id serving.ClientAccountID) (engine.Entry, bool) {
-	return l.s.ownership.Owner(serving.EngineID(accountKey+string(id)), "", "")
+	return l.ownership.Owner(accountSlots(id), "", "")
 }
 
 func (l *limits) ask(address string, r *schema.ShareRequest) {
@@ -160,7 +166,6 @@
 	if b.View == nil || e.viewAge(b) > e.Settings.Entry.ViewLease.Duration {
 		return res
 	}
-	l.followOwnership()
 	for _, d := range r.GetDemands() {
 		id := serving.ClientAccountID(d.GetClientAccount())
 		owner, ok := l.ownerOf(id)
@@ -170,7 +175,7 @@
 		}
 		o := l.owned[id]
 		if o == nil {
-			o = account.NewShareOwner(account.ShareConfig{}, limit, now, e.Settings.Entry.ViewLease.Duration)
+			o = l.newOwner(now, id, limit)
 			l.owned[id] = o
 		}
 		o.SetLimit(limit)
@@ -185,17 +190,26 @@
 	return res
 }
 
-// followOwnership forgets the accounts that this entry no longer owns. When lists
-// were missed, another entry may have granted meanwhile, and all begin anew.
-func (l *limits) followOwnership() {
-	epoch := l.s.ownership.Epoch()
-	if epoch == l.epoch {
+// newOwner returns the owner of an account's limit. It waits until the shares of
+// an earlier owner have expired, unless there cannot be any.
+func (l *limits) newOwner(now time.Duration, id serving.ClientAccountID, limit float64) *account.ShareOwner {
+	lease := l.s.entry.Settings.Entry.ViewLease.Duration
+	if l.ownership.Settled(now, accountSlots(id), "", "") {
+		lease = -shareTTL
+	}
+	return account.NewShareOwner(account.ShareConfig{TTL: shareTTL}, limit, now, lease)
+}
+
+// follow takes over the entry list and forgets the accounts that this entry no
+// longer owns. When lists were missed, another entry may have granted meanwhile,
+// and all begin anew.
+func (l *limits) follow(now time.Duration, epoch uint64, entries []engine.Entry) {
+	if epoch == l.ownership.Epoch() {
 		return
 	}
-	missed := epoch != l.epoch+1
-	l.epoch = epoch
+	complete := l.ownership.Update(now, epoch, entries)
 	for id := range l.owned {
-		if owner, ok := l.ownerOf(id); missed || !ok || owner.Host != l.s.self.Host {
+		if owner, ok := l.ownerOf(id); !complete || !ok || owner.Host != l.s.self.Host {
 			delete(l.owned, id)
 		}
 	}
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -24,6 +24,7 @@
 		return
 	}
 	now := s.entry.Clock.Now()
+	s.limits.follow(now, b.Owners.Epoch, b.Owners.Entries)
 	if !s.ownership.Update(now, b.Owners.Epoch, b.Owners.Entries) {
 		clear(s.owned)
 	}
