dispatch, account, load: lead time, credit, reserve, calibration; reproducible sums

Cause: at ten times its share one account raised the p99 time to first token of a small one from 152 ms to 1.6 s and more, and 3,000 callers gave up on requests that had been started shortly before their deadline. Change: the queue starts nothing that can't have a first token in time, lets an account below its share catch up within a credit, and reports backlogged accounts, from which the entry keeps 2 free slots; a head that does not fit is passed over 8 times instead of 64. The risk quantile follows the preemptions that engines report. Stalled engines are no candidates. A survival function per generation is kept for some tokens. Sums run in a fixed order: sums over maps differed in the last digit between runs with the same seed.

--- a/internal/load/entry.go
+++ b/internal/load/entry.go
@@ -232,15 +232,17 @@
 	defer func() { n.pumping = false }()
 	for {
 		var engine serving.EngineID
-		it, ok := n.queue.Pop(n.x.now, func(it *account.Item) bool {
+		it, ok := n.queue.Pop(n.x.now, func(it *account.Item) account.Verdict {
 			if n.reserved(it.Request.Account) {
-				return false
+				return account.Reserved
 			}
-
 			var ok bool
-			engine, ok = n.choose(it.Request)
-			return ok
+			if engine, ok = n.choose(it.Request); !ok {
+				return account.NoRoom
+			}
+			return account.Start
 		})
+
 		if !ok {
 			break
 		}
@@ -257,7 +259,7 @@
 // that has its share.
 func (n *modelEntry) reserved(a serving.ClientAccountID) bool {
 	r := n.x.cfg.Policy.Reserve
-	if r == 0 || !n.queue.Backlogged(n.x.now, a, 300*time.Millisecond) {
+	if r == 0 || !n.queue.Backlogged(n.x.now, a, n.x.cfg.Policy.ReserveAfter) {
 		return false
 	}
 	var free serving.Slots
@@ -350,7 +352,7 @@
 	g.onToken = func(k serving.Tokens, last bool) {
 		if last {
 			n.x.after(d, func() { n.token(c, g, k, true) })
-		} else if !g.cancelled {
+		} else if !g.canceled {
 			n.token(c, g, k, false)
 		}
 	}
@@ -427,9 +429,9 @@
 		return
 	}
 	if c.run != nil {
-		c.run.cancelled = true
+		c.run.canceled = true
 		n.tracker.Slow(n.x.now, c.engine.id)
-		n.tracker.Done(n.x.now, c.engine.id, c.run.id, dispatch.OutcomeCancelled)
+		n.tracker.Done(n.x.now, c.engine.id, c.run.id, dispatch.OutcomeCanceled)
 		n.refuse(c, "gave_up")
 		return
 	}
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -45,6 +45,9 @@
 	// Reserve is the number of free slots in an entry's region that only accounts
 	// below their share may take.
 	Reserve serving.Slots
+	// ReserveAfter is the time of an unbroken backlog after which an account
+	// counts as having its share.
+	ReserveAfter time.Duration
 	// Credit is that of account.QueueConfig.
 	Credit float64
 	// Quantile is the probability that the memory suffices.
@@ -62,7 +65,7 @@
 	LeastInFlight = Policy{Name: "least_in_flight", Placer: func(serving.Random, serving.LengthEstimator, serving.Admitter) serving.Placer {
 		return &dispatch.LeastInFlight{}
 	}}
-	Ours = Policy{Name: "ours", Placer: costPlacer, Admitter: memoryAdmitter, Slots: OwnerSlots, OwnerMemory: true, Quantile: 0.95}
+	Ours = Policy{Name: "ours", Placer: costPlacer, Admitter: memoryAdmitter, Slots: OwnerSlots, OwnerMemory: true, Quantile: 0.95, Calibrate: 0.005, Reserve: 2, ReserveAfter: 5 * time.Second, Credit: 10_000}
 )
 
 func costPlacer(rng serving.Random, lengths serving.LengthEstimator, admitter serving.Admitter) serving.Placer {
--- a/internal/load/model.go
+++ b/internal/load/model.go
@@ -111,15 +111,15 @@
 
 // run is one generation at an engine.
 type run struct {
-	request   *serving.Request
-	id        serving.GenerationID
-	answer    serving.Tokens
-	soFar     serving.Tokens
-	prefill   serving.Tokens
-	blocks    serving.Blocks
-	cancelled bool
-	onToken   func(n serving.Tokens, last bool)
-	onFailed  func()
+	request  *serving.Request
+	id       serving.GenerationID
+	answer   serving.Tokens
+	soFar    serving.Tokens
+	prefill  serving.Tokens
+	blocks   serving.Blocks
+	canceled bool
+	onToken  func(n serving.Tokens, last bool)
+	onFailed func()
 }
 
 func (e *modelEngine) blocksFor(n serving.Tokens) serving.Blocks {
@@ -184,7 +184,7 @@
 func (e *modelEngine) admit() {
 	for len(e.queue) > 0 && serving.Slots(len(e.running)) < e.capacity.MaxRunning {
 		g := e.queue[0]
-		if g.cancelled {
+		if g.canceled {
 			e.queue = e.queue[1:]
 			continue
 		}
@@ -202,7 +202,7 @@
 func (e *modelEngine) decode() {
 	for i := 0; i < len(e.running); i++ {
 		g := e.running[i]
-		if g.cancelled {
+		if g.canceled {
 			e.remove(i)
 			i--
 			continue
@@ -290,7 +290,7 @@
 	lost := append(e.running, e.queue...)
 	e.dead, e.running, e.queue, e.used, e.stepping = true, nil, nil, 0, false
 	for _, g := range lost {
-		if !g.cancelled {
+		if !g.canceled {
 			g.onFailed()
 		}
 	}
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -147,8 +149,8 @@
 		GoodputPerSec: float64(r.goodTokens) / over.Seconds(), CrossRegionMB: float64(r.crossRegion) / 1e6,
 		AccountFirstP99: map[string]int64{},
 	}
-	for id, a := range r.accounts {
-		p := ms(a.first, 99)
+	for _, id := range slices.Sorted(maps.Keys(r.accounts)) {
+		p := ms(r.accounts[id].first, 99)
 		s.AccountFirstP99[string(id)] = int64(p)
 		s.MeanFirstP99 += p / float64(len(r.accounts))
 		if p > s.WorstFirstP99 {
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -114,7 +114,7 @@
 		{"bench-2", 1, 4, serving.PriorityInteractive, prompt, short, 256, 40, 512},
 		{"draft-1", 1, 4, serving.PriorityNormal, prompt, long, 512, 20, 1024},
 		{"draft-2", 1, 2, serving.PriorityNormal, prompt, long, 512, 20, 1024},
-		{"catalogue", 1, 2, serving.PriorityBatch, prompt, tail, 128, 0, 0},
+		{"records", 1, 2, serving.PriorityBatch, prompt, tail, 128, 0, 0},
 		{"small-1", 1, 1, serving.PriorityInteractive, prompt, short, 128, 10, 256},
 		{"small-2", 1, 1, serving.PriorityNormal, prompt, tail, 128, 10, 256},
 		{"small-3", 1, 1, serving.PriorityNormal, prompt, long, 128, 10, 256},
--- a/pkg/serving/account/account_test.go
+++ b/pkg/serving/account/account_test.go
@@ -150,9 +150,15 @@
 		_, err := q.Push(0, item(fmt.Sprint(i), "b", 1, 0))
 		assert.NilError(t, err)
 	}
+	fits := func(it *account.Item) account.Verdict {
+		if it.Cost >= 100 {
+			return account.NoRoom
+		}
+		return account.Start
+	}
 	served := 0
 	for range 10 {
-		if _, ok := q.Pop(0, func(it *account.Item) bool { return it.Cost < 100 }); ok {
+		if _, ok := q.Pop(0, fits); ok {
 			served++
 		}
 	}
--- a/pkg/serving/account/queue.go
+++ b/pkg/serving/account/queue.go
@@ -14,7 +14,7 @@
 	// Most bounds the items in the queue (default 1,024).
 	Most int
 	// MostBypassed is the number of times that an item which can't start is
-	// passed over by others of its model (default 64).
+	// passed over by others of its model (default 8).
 	MostBypassed int
 	// Tries bounds the accounts that one Pop asks for an item that can start
 	// (default 16).
@@ -94,7 +94,7 @@
 		cfg.Most = 1024
 	}
 	if cfg.MostBypassed == 0 {
-		cfg.MostBypassed = 64
+		cfg.MostBypassed = 8
 	}
 	if cfg.Tries == 0 {
 		cfg.Tries = 16
@@ -184,9 +184,22 @@
 	return time.Duration(min(seconds, 3600) * float64(time.Second))
 }
 
+// Verdict is the answer of an admission check on the item that is next.
+type Verdict int
+
+const (
+	// Start starts the item.
+	Start Verdict = iota
+	// NoRoom passes over the item, which counts towards MostBypassed.
+	NoRoom
+	// Reserved passes over the item because what is free is kept for other
+	// accounts. It does not count, since the item would fit.
+	Reserved
+)
+
 // Pop removes the next item that admit accepts; a nil admit accepts all. Items
 // past their deadline are not offered; Expired returns them.
-func (q *Queue) Pop(now time.Duration, admit func(*Item) bool) (*Item, bool) {
+func (q *Queue) Pop(now time.Duration, admit func(*Item) Verdict) (*Item, bool) {
 	slices.SortFunc(q.waiting, func(a, b *flow) int {
 		switch {
 		case a.start < b.start:
@@ -209,13 +222,20 @@
 		if it.expired(now, q.cfg.Lead) || slices.Contains(blocked, it.Request.Model) {
 			continue
 		}
-		if admit != nil && !admit(it) {
+		v := Start
+		if admit != nil {
+			v = admit(it)
+		}
+		if v == NoRoom {
 			passed = append(passed, it)
 			if it.bypassed >= q.cfg.MostBypassed {
 				blocked = append(blocked, it.Request.Model)
 			}
+		}
+		if v != Start {
 			continue
 		}
+
 		for _, p := range passed {
 			p.bypassed++
 		}
--- a/pkg/serving/dispatch/admitter.go
+++ b/pkg/serving/dispatch/admitter.go
@@ -26,10 +26,16 @@
 	// Headroom is the share of memory kept free for what other entries sent
 	// since the last report.
 	Headroom float64
+
+	// One decision asks for several candidates with the same survival.
+	survival    [serving.ForecastPoints]float64
+	survivalKey serving.LengthKey
+	survivalAt  time.Duration
+	hasSurvival bool
 }
 
 // Admit decides whether r may start at c now.
-func (a *MemoryAdmitter) Admit(_ time.Duration, r *serving.Request, c *serving.Candidate) serving.Admission {
+func (a *MemoryAdmitter) Admit(now time.Duration, r *serving.Request, c *serving.Candidate) serving.Admission {
 	if c.Room() <= 0 {
 		return serving.Admission{RetryAfter: retryAfter(c, 1), Reason: ReasonSlots}
 	}
@@ -47,7 +53,7 @@
 		}
 	}
 	alone := c.Busy() == 0
-	a.add(&f, r, c)
+	a.add(now, &f, r, c)
 	over := excess(&f, a.quantile(), memory)
 	// An idle engine takes any prompt that fits: waiting would not help.
 	if over <= 0 || alone && float64(r.PromptTokens) < memory {
@@ -63,11 +69,14 @@
 	return orDefault(a.Quantile, 0.95)
 }
 
-func (a *MemoryAdmitter) add(f *serving.MemoryForecast, r *serving.Request, c *serving.Candidate) {
-	var survival [serving.ForecastPoints]float64
-	a.Lengths.Survival(lengthKey(r), 0, &survival)
+func (a *MemoryAdmitter) add(now time.Duration, f *serving.MemoryForecast, r *serving.Request, c *serving.Candidate) {
+	if k := lengthKey(r); !a.hasSurvival || a.survivalAt != now || a.survivalKey != k {
+		a.Lengths.Survival(k, 0, &a.survival)
+		a.survivalKey, a.survivalAt, a.hasSurvival = k, now, true
+	}
+
 	// Half a block on average is lost to rounding.
-	f.Add(r.PromptTokens+c.Capacity.BlockTokens/2, r.MaxTokens, &survival, 1)
+	f.Add(r.PromptTokens+c.Capacity.BlockTokens/2, r.MaxTokens, &a.survival, 1)
 }
 
 // excess returns by how many tokens the forecast exceeds memory at its worst horizon.
--- a/pkg/serving/dispatch/candidates.go
+++ b/pkg/serving/dispatch/candidates.go
@@ -15,11 +15,11 @@
 // is better than an estimate from load reports.
 const othersTrusted = time.Second
 
-// Candidates appends the engines that may take r to buf. Beyond cfg.Sample
-// engines it takes the request's successors on the hash ring and a random sample.
+// Candidates appends the engines that may take r to buf. Of more than
+// twice cfg.Sample engines it takes the request's successors on the hash ring and a random sample.
 func (t *Tracker) Candidates(now time.Duration, r *serving.Request, buf []serving.Candidate) []serving.Candidate {
 	ring := t.rings[r.Model]
-	if len(ring) <= t.cfg.Sample {
+	if len(ring) <= 2*t.cfg.Sample {
 		for _, e := range ring {
 			buf = t.appendCandidate(now, r, e, buf)
 		}
@@ -55,6 +55,11 @@
 	if t.cfg.InService != nil && !t.cfg.InService(e.Engine, e.DataCentre) {
 		return buf
 	}
+	// No stream of the engine has had a token for too long: the engine or the link to
+	// it has stalled.
+	if e.streaming > 0 && e.stall.Stalled(now, e.lastProgress) {
+		return buf
+	}
 	version, ok := e.carries(r.Model, r.Version)
 	if !ok {
 		return buf
@@ -100,7 +105,7 @@
 	e.forecastAt, e.dirty, e.sinceCount, e.usedNow = now, false, 0, 0
 	var reported serving.Slots
 	var held serving.Tokens
-	for _, g := range e.running {
+	for _, g := range e.order {
 		e.addTo(cfg.Lengths, g)
 		e.usedNow += g.prompt + g.soFar
 		if g.sentAt > e.asOf {
@@ -148,11 +153,14 @@
 }
 
 func (e *engine) addGeneration(f *serving.MemoryForecast, lengths serving.LengthEstimator, g *generation) {
-	var survival [serving.ForecastPoints]float64
-	lengths.Survival(g.key, g.soFar, &survival)
+	// The conditional distribution changes little over a few tokens.
+	if !g.hasSurvival || g.soFar-g.survivalAt >= 8+g.soFar/16 {
+		lengths.Survival(g.key, g.soFar, &g.survival)
+		g.survivalAt, g.hasSurvival = g.soFar, true
+	}
 	most := serving.Tokens(0)
 	if g.most > 0 {
 		most = max(1, g.most-g.soFar)
 	}
-	f.Add(g.prompt+g.soFar+e.Capacity.BlockTokens/2, most, &survival, 1)
+	f.Add(g.prompt+g.soFar+e.Capacity.BlockTokens/2, most, &g.survival, 1)
 }
--- a/pkg/serving/dispatch/dispatch_test.go
+++ b/pkg/serving/dispatch/dispatch_test.go
@@ -258,3 +258,22 @@
 	assert.Assert(t, retries <= 110, retries)
 	assert.Assert(t, !dispatch.NewRetryBudget(0.1, 10).Retry(1), "a retry was retried")
 }
+
+// Guards against new work for an engine that has stalled.
+func TestStalledEngineIsNoCandidate(t *testing.T) {
+	tracker := dispatch.NewTracker(dispatch.TrackerConfig{Random: newRandom(), StaleAfter: time.Hour})
+	tracker.Announce(0, announcement("e", 0))
+	r := &serving.Request{Model: "m", PromptTokens: 64}
+	tracker.Sent(0, "e", "g", r)
+	now := time.Duration(0)
+	tracker.FirstToken(now, "e", "g")
+	for i := range serving.Tokens(200) {
+		now += 30 * time.Millisecond
+		tracker.Progress(now, "e", "g", i+2)
+	}
+	assert.Equal(t, len(tracker.Candidates(now+100*time.Millisecond, r, nil)), 1)
+	assert.Assert(t, tracker.Stalled(now+time.Second, "e", "g"))
+	assert.Equal(t, len(tracker.Candidates(now+time.Second, r, nil)), 0)
+	tracker.Done(now+time.Second, "e", "g", dispatch.OutcomeFailed)
+	assert.Equal(t, len(tracker.Candidates(now+time.Second, r, nil)), 1)
+}
--- a/pkg/serving/dispatch/holder.go
+++ b/pkg/serving/dispatch/holder.go
@@ -140,7 +140,6 @@
 
 // Request returns the next request to the owner when one is due. The caller adds
 // the forecast of its generations.
-
 func (h *Holder) Request(now time.Duration) (SlotRequest, bool) {
 	if h.waiting && now-h.sentAt < h.cfg.Timeout {
 		return SlotRequest{}, false
--- a/pkg/serving/dispatch/owner.go
+++ b/pkg/serving/dispatch/owner.go
@@ -25,7 +25,9 @@
 	nextSlot    uint64
 	slots       map[serving.SlotID]*ownedSlot
 	entries     map[serving.HostID]*ownerEntry
-	reports     []slotReport
+	// ordered holds the same entries in order of arrival, for reproducible sums.
+	ordered []*ownerEntry
+	reports []slotReport
 	// inherited counts generations that were started under an earlier owner;
 	// it is unknown until a report was made after all of its slots expired.
 	inherited      serving.Slots
@@ -180,8 +182,10 @@
 	}
 	e := o.entries[q.Entry.Host]
 	if e == nil || q.Entry.Incarnation > e.id.Incarnation {
+		old := e
 		e = &ownerEntry{id: q.Entry}
 		o.entries[q.Entry.Host] = e
+		o.ordered = append(slices.DeleteFunc(o.ordered, func(x *ownerEntry) bool { return x == old }), e)
 	}
 	if q.Entry.Incarnation < e.id.Incarnation || q.Seq <= e.seq {
 		return SlotReply{}, false
@@ -356,7 +360,7 @@
 // A lapsed slot counts by its entry's last forecast.
 func (o *Owner) forecast(e *ownerEntry) serving.MemoryForecast {
 	var f serving.MemoryForecast
-	for _, x := range o.entries {
+	for _, x := range o.ordered {
 		if x != e {
 			f.Merge(&x.forecast, 1)
 		}
@@ -377,7 +381,7 @@
 		return math.MaxInt32
 	}
 	var running serving.MemoryForecast
-	for _, x := range o.entries {
+	for _, x := range o.ordered {
 		running.Merge(&x.forecast, 1)
 	}
 	if running.Generations == 0 {
--- a/pkg/serving/dispatch/tracker.go
+++ b/pkg/serving/dispatch/tracker.go
@@ -49,8 +49,8 @@
 	OutcomeComplete Outcome = iota
 	// OutcomeTruncated is an answer that reached max_tokens.
 	OutcomeTruncated
-	// OutcomeCancelled is an answer that the caller gave up.
-	OutcomeCancelled
+	// OutcomeCanceled is an answer that the caller gave up.
+	OutcomeCanceled
 	// OutcomeFailed is a failure of the engine.
 	OutcomeFailed
 )
@@ -68,7 +68,9 @@
 	StaleAfter time.Duration
 	// Refresh is the age of a memory forecast that is computed again (default 100 ms).
 	Refresh time.Duration
-	// Sample bounds the number of candidates of one decision (default 24).
+	// Sample is the number of candidates of one decision when there are more than
+	// twice as many engines; otherwise all are candidates (default 12).
+
 	Sample int
 	// Prefixes bounds the prefix cache estimate of an engine (default 4096) and
 	// PrefixHalfLife its trust (default 60 s).
@@ -102,6 +104,10 @@
 	limit     serving.Slots
 	hasLimit  bool
 	running   map[serving.GenerationID]*generation
+	// order holds the same generations; sums over it have the same rounding in
+	// every run with the same seed, those over a map do not.
+	order []*generation
+
 	// ended holds the generations that ended after the last report was made.
 	ended      []generation
 	forecast   serving.MemoryForecast
@@ -112,6 +118,11 @@
 	hasOthers  bool
 	sinceCount serving.Slots
 	busyNow    serving.Slots
+	// streaming counts the generations that have a token; lastProgress is the
+	// time of the latest token of any of them.
+	streaming    int
+	lastProgress time.Duration
+
 	usedNow    serving.Tokens
 	step       time.Duration
 	firstToken time.Duration
@@ -129,13 +140,17 @@
 	sentAt    time.Duration
 	lastToken time.Duration
 	cached    serving.Tokens
+	// survival is that of survivalAt tokens.
+	survival    [serving.ForecastPoints]float64
+	survivalAt  serving.Tokens
+	hasSurvival bool
 }
 
 // NewTracker returns a tracker without engines.
 func NewTracker(cfg TrackerConfig) *Tracker {
 	cfg.StaleAfter = orDefault(cfg.StaleAfter, 2*time.Second)
 	cfg.Refresh = orDefault(cfg.Refresh, 100*time.Millisecond)
-	cfg.Sample = orDefault(cfg.Sample, 24)
+	cfg.Sample = orDefault(cfg.Sample, 12)
 	cfg.Prefixes = orDefault(cfg.Prefixes, 4096)
 	cfg.PrefixHalfLife = orDefault(cfg.PrefixHalfLife, time.Minute)
 	if cfg.Lengths == nil {
@@ -271,7 +286,7 @@
 func (t *Tracker) OwnForecast(id serving.EngineID) serving.MemoryForecast {
 	var f serving.MemoryForecast
 	if e := t.engines[id]; e != nil {
-		for _, g := range e.running {
+		for _, g := range e.order {
 			e.addGeneration(&f, t.cfg.Lengths, g)
 		}
 	}
@@ -323,7 +338,12 @@
 	}
 	n := &generation{key: lengthKey(r), prompt: r.PromptTokens, most: r.MaxTokens, sentAt: now, lastToken: now}
 	n.cached = e.prefixes.cached(now, r.PrefixHashes, e.Capacity.BlockTokens)
+	if old := e.running[g]; old != nil {
+		e.forget(old)
+	}
 	e.running[g] = n
+	e.order = append(e.order, n)
+
 	for _, p := range r.PrefixHashes {
 		e.prefixes.add(now, p)
 	}
@@ -352,6 +372,9 @@
 	e.ramp.FirstToken(now, d, n.prompt-n.cached)
 	e.breaker.Record(now, true)
 	n.soFar, n.lastToken = 1, now
+	e.streaming++
+	e.lastProgress = now
+
 }
 
 // Progress records that a generation has produced soFar tokens.
@@ -360,8 +383,13 @@
 	if n == nil || soFar <= n.soFar {
 		return
 	}
+	if n.soFar == 0 {
+		e.streaming++
+	}
 	gap := (now - n.lastToken) / time.Duration(soFar-n.soFar)
 	n.soFar, n.lastToken = soFar, now
+	e.lastProgress = now
+
 	e.step = smooth(e.step, gap, 16)
 	e.stall.Observe(gap)
 	e.ramp.Step(now, gap, e.busyNow)
@@ -374,6 +402,10 @@
 		return
 	}
 	delete(e.running, g)
+	e.forget(n)
+	if n.soFar > 0 {
+		e.streaming--
+	}
 	switch o {
 	case OutcomeComplete:
 		t.cfg.Lengths.Observe(n.key, n.soFar)
@@ -421,6 +453,10 @@
 	return e, e.running[g]
 }
 
+func (e *engine) forget(n *generation) {
+	e.order = slices.DeleteFunc(e.order, func(x *generation) bool { return x == n })
+}
+
 func smooth(old, v time.Duration, n int) time.Duration {
 	if old == 0 {
 		return v
--- a/pkg/serving/forecast.go
+++ b/pkg/serving/forecast.go
@@ -13,6 +13,13 @@
 	return Tokens(2+(i-1)%2) * 8 << ((i - 1) / 2)
 }
 
+var horizons = func() (h [ForecastPoints]float64) {
+	for i := range h {
+		h[i] = float64(ForecastHorizon(i))
+	}
+	return h
+}()
+
 // MemoryForecast holds mean and variance of the tokens that the generations of
 // one engine will hold in memory at each horizon. A running generation adds one
 // token per step and frees all of its memory when it ends, so the sum peaks at
@@ -27,15 +34,17 @@
 // each horizon and the most tokens that each can still add (0 for no bound).
 func (f *MemoryForecast) Add(held, most Tokens, survival *[ForecastPoints]float64, n Slots) {
 	weight := float64(n)
-	for i := range ForecastPoints {
-		h := ForecastHorizon(i)
-		if most > 0 && h > most {
+	limit, base := float64(most), float64(held)
+	for i := range horizons {
+		if limit > 0 && horizons[i] > limit {
 			break
 		}
-		size, p := float64(held+h), survival[i]
-		f.Mean[i] += weight * size * p
-		f.Variance[i] += weight * size * size * p * (1 - p)
+		size, p := base+horizons[i], survival[i]
+		mean := weight * size * p
+		f.Mean[i] += mean
+		f.Variance[i] += mean * size * (1 - p)
 	}
+
 	f.Generations += n
 }
 
