Close idle connections through the clock's round tripper

Cause: TestNothingIsLeftBehind failed in 1 of 6 package runs and in 3 of 12 parallel runs: the decorator hid CloseIdleConnections from http.Client, so that idle connections stayed open. Found from the goroutine stacks, which the test prints on failure now. Ruled out: a leak of the entry; both ends of the connections were idle. The dispatcher follows the queue's verdicts and keeps the last free slots for accounts below their share. Conclusion: idle connections can be closed again.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -50,7 +50,7 @@
 			s.tried[st.engine] = true
 			return a, nil
 		}
-		e.admission.done(&r, st, 0, dispatch.OutcomeCancelled)
+		e.admission.done(&r, st, 0, dispatch.OutcomeCanceled)
 		e.admission.release(st.slot, st.account)
 	}
 	return nil, serving.NewError(serving.KindNoEngine, "the chosen engines left service").WithRetryAfter(time.Second)
@@ -118,7 +118,7 @@
 	case err == nil:
 		return dispatch.OutcomeComplete
 	case isCallerError(err):
-		return dispatch.OutcomeCancelled
+		return dispatch.OutcomeCanceled
 	}
 	return dispatch.OutcomeFailed
 }
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -17,7 +17,14 @@
 	// firstTokenLead is the time from a start to a first token that a deadline must leave.
 	firstTokenLead = 400 * time.Millisecond
 	// memoryRisk is the share of load reports that may show a preemption.
-	memoryRisk = 0.001
+	memoryRisk = 0.005
+	// reservedSlots are kept free for accounts below their share from accounts that
+	// have waited without a break for reserveAfter.
+	reservedSlots = 2
+	reserveAfter  = 5 * time.Second
+	// queueCredit is the service in tokens per weight that an account which had
+	// less than its share may catch up on.
+	queueCredit = 10_000
 	// affinityBound is the largest ratio to the mean load that affinity accepts.
 	affinityBound = 1.25
 	// One-way delays that placement assumes between places.
@@ -97,7 +104,7 @@
 		wasOut:      map[serving.DataCentreID]bool{},
 		lengths:     dispatch.NewLengths(dispatch.LengthsConfig{}),
 		calibration: dispatch.NewCalibration(memoryRisk),
-		queue:       account.NewQueue(account.QueueConfig{Lead: firstTokenLead}),
+		queue:       account.NewQueue(account.QueueConfig{Lead: firstTokenLead, Credit: queueCredit}),
 		waiting:     map[serving.RequestID]*waiter{},
 		reports:     map[serving.EngineID]report{},
 	}
@@ -211,7 +218,7 @@
 	select {
 	case st := <-w.started:
 		if st.err == nil {
-			s.tracker.Done(s.entry.Clock.Now(), st.engine, st.generation, dispatch.OutcomeCancelled)
+			s.tracker.Done(s.entry.Clock.Now(), st.engine, st.generation, dispatch.OutcomeCanceled)
 			s.giveBack(st.slot)
 			s.giveBack(st.account)
 			s.limits.tokens.Charge(s.entry.Clock.Now(), w.request.Account, -w.cost)
@@ -242,13 +249,15 @@
 	for s.queue.Len() > 0 {
 		var chosen serving.EngineID
 		now := s.entry.Clock.Now()
-		it, ok := s.queue.Pop(now, func(it *account.Item) bool {
-			if !s.hasAccountSlot(now, it.Request.Account) {
-				return false
+		it, ok := s.queue.Pop(now, func(it *account.Item) account.Verdict {
+			if !s.hasAccountSlot(now, it.Request.Account) || s.reserved(now, it.Request.Account) {
+				return account.Reserved
 			}
 			var ok bool
-			chosen, ok = s.choose(now, s.waiting[it.Request.ID])
-			return ok
+			if chosen, ok = s.choose(now, s.waiting[it.Request.ID]); !ok {
+				return account.NoRoom
+			}
+			return account.Start
 		})
 		if !ok {
 			break
@@ -258,6 +267,21 @@
 	s.wantSlots()
 }
 
+// reserved tells whether the last free slots of the region are kept from an
+// account that has had its share for long.
+func (s *dispatcher) reserved(now time.Duration, id serving.ClientAccountID) bool {
+	if !s.queue.Backlogged(now, id, reserveAfter) {
+		return false
+	}
+	var free serving.Slots
+	for engineID, h := range s.held {
+		if n := s.entry.board.load().Engines[engineID]; n != nil && n.Region == s.entry.Settings.Region {
+			free += h.holder.Free(now)
+		}
+	}
+	return free <= reservedSlots
+}
+
 // begin gives a waiting request the slot of the chosen engine.
 func (s *dispatcher) begin(now time.Duration, w *waiter, id serving.EngineID) {
 	st := start{engine: id, generation: serving.GenerationID(newID()), cost: w.cost}
--- a/internal/entry/robustness_test.go
+++ b/internal/entry/robustness_test.go
@@ -130,6 +130,12 @@
 
 // Guards against goroutines and file descriptors that stay after their calls.
 func TestNothingIsLeftBehind(t *testing.T) {
+	defer func() {
+		if t.Failed() {
+			stacks := make([]byte, 1<<20)
+			t.Logf("goroutines:\n%s", stacks[:runtime.Stack(stacks, true)])
+		}
+	}()
 	cut := func(o *opening) { o.upTo(3); o.cut() }
 	n := newScriptedEngine(t, "engine-1", 50)
 	e := newTestEntry(t, n.Engine)
--- a/pkg/serving/timeline/http.go
+++ b/pkg/serving/timeline/http.go
@@ -68,6 +68,14 @@
 	next  http.RoundTripper
 }
 
+// CloseIdleConnections passes the call of http.Client on, which would otherwise
+// find no idle connections to close.
+func (t roundTripper) CloseIdleConnections() {
+	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
