--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -80,6 +80,7 @@
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", s.ready)
 	mux.Handle("/debug/vars", expvar.Handler())
+	mux.Handle(rpc.ProfilesPrefix, rpc.Profiles(s.ClusterKey))
 	root := http.NewServeMux()
 	root.Handle("/", http.MaxBytesHandler(mux, maxBody))
 	if s.Messages != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -57,6 +57,7 @@
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
 	mux.HandleFunc("/debug/vars", e.vars)
+	mux.Handle(rpc.ProfilesPrefix, rpc.Profiles(rpc.HashKey(e.Settings.ClusterKey)))
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, serving.NewError(serving.KindNotFound, "no such path"))
 	})
