--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -15,6 +15,7 @@
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/fleet"
 	"turmericdrum.org/turmericdrum/pkg/serving/journal"
 	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
 	"turmericdrum.org/turmericdrum/pkg/serving/registry"
@@ -42,19 +43,28 @@
 	if err != nil {
 		return err
 	}
-	node := p.node(disk, machine)
+	ev := newEvents(p.Settings)
+	node := p.node(disk, machine, ev)
 	server, err := p.server(node, machine)
 	if err != nil {
 		return err
 	}
+	server.events = ev
+	orders, err := p.orders(server)
+	if err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", string(p.Settings.Listen))
 	if err != nil {
 		return serving.WrapError(err, serving.KindInvalid, "listen on "+string(p.Settings.Listen))
 	}
 	klog.InfoS("Control started", "host", p.Settings.Host, "listen", p.Settings.Listen)
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return ev.run(ctx) })
+	g.Go(func() error { ev.watch(ctx, node); return nil })
 	g.Go(func() error { return node.Run(ctx) })
 	g.Go(func() error { return server.Run(ctx, l) })
+	g.Go(func() error { orders.run(ctx); return nil })
 	return g.Wait()
 }
 
@@ -68,9 +78,10 @@
 	})
 }
 
-func (p *Process) node(disk journal.Disk, machine *registry.Machine) *replica.Node {
+func (p *Process) node(disk journal.Disk, machine *registry.Machine, ev events) *replica.Node {
 	c := p.Settings.Control
-	client := rpc.HTTPClient(p.Settings.ClusterKey, &http.Transport{MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: time.Minute})
+	peers := &http.Transport{MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: time.Minute}
+	client := rpc.HTTPClient(p.Settings.ClusterKey, ev.transport(peers))
 	transport := replica.NewHTTPTransport()
 	transport.Client = client
 	n := &replica.Node{
@@ -110,3 +121,20 @@
 		Bootstrap:  rpc.KeyHash(hash),
 	}, nil
 }
+
+func (p *Process) orders(server *Server) (*engineOrders, error) {
+	r, err := fleet.New(fleet.Config{Rate: p.Settings.Control.WeightStoreRate, Burst: p.Settings.Control.WeightStoreBurst})
+	if err != nil {
+		return nil, err
+	}
+	idle := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	transport := server.events.transport(idle)
+	return &engineOrders{
+		server:     server,
+		clock:      p.Clock,
+		reconciler: r,
+		cluster:    rpc.HTTPClient(p.Settings.ClusterKey, transport),
+		engines:    &http.Client{Transport: transport},
+		ordered:    map[serving.EngineID]time.Duration{},
+	}, nil
+}
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -7,6 +7,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
@@ -15,12 +16,15 @@
 const maxAnnouncement = 64 << 10
 
 // announced is the event of an engine's announcement.
-type announced struct{ *engine.Announcement }
+type announced struct {
+	*engine.Announcement
+	region serving.RegionID
+}
 
 func (a announced) apply(s *controlState, now time.Duration) bool {
 	id := string(a.Engine)
 	before := s.directory.State(now, id)
-	s.directory.Announce(now, a.Announcement, "")
+	s.directory.Announce(now, a.Announcement, a.region)
 	return s.directory.State(now, id) != before
 }
 
@@ -40,8 +44,33 @@
 		writeError(w, err)
 		return
 	}
-	e.board.send(r.Request.Context(), announced{a})
-	writeJSON(w, http.StatusOK, engine.Reply{Entries: e.entryAddresses()})
+	b := e.board.load()
+	region := canonical(b.View, a)
+	e.board.send(r.Request.Context(), announced{a, region})
+	reply := engine.Reply{Entries: e.entryAddresses()}
+	if b.Owners != nil {
+		if owner, ok := engine.Owner(a.Engine, a.DataCentre, region, b.Owners.Entries); ok {
+			reply.Owner = owner.Address
+		}
+	}
+	writeJSON(w, http.StatusOK, reply)
+}
+
+// canonical replaces the names of an announcement by canonical ids, so that limits
+// and orders do not depend on the naming scheme, and returns the region. Names
+// that the configuration does not know stay as they are.
+func canonical(v *View, a *engine.Announcement) serving.RegionID {
+	if v == nil {
+		return ""
+	}
+	if id, ok := v.Resolve(schema.ObjectKind_OBJECT_KIND_ENGINE, string(a.Engine)); ok {
+		a.Engine = serving.EngineID(id)
+	}
+	id, place, ok := v.DataCentre(string(a.DataCentre))
+	if ok {
+		a.DataCentre = id
+	}
+	return serving.RegionID(place.GetRegion())
 }
 
 // entryAddresses lists this entry, the entries that are alive, and the peers of its settings.
--- a/internal/entry/blackboard.go
+++ b/internal/entry/blackboard.go
@@ -18,6 +18,7 @@
 type Engine struct {
 	*engine.Announcement
 	State      engine.State
+	Region     serving.RegionID
 	ReceivedAt time.Duration
 	counters   *engineCounters
 }
@@ -30,6 +31,14 @@
 	Engines map[serving.EngineID]*Engine
 	// Entries are the other entries, with their states.
 	Entries []Peer
+	// Owners has the entries that may own engines, as the view gave them.
+	Owners *OwnerList
+}
+
+// OwnerList is the list of entries that may own engines, at one epoch.
+type OwnerList struct {
+	Epoch   uint64
+	Entries []engine.Entry
 }
 
 // Peer is another entry.
@@ -109,11 +118,11 @@
 func (b *board) publish() {
 	now := b.clock.Now()
 	s := b.state
-	c := &Blackboard{View: s.View, Engines: map[serving.EngineID]*Engine{}}
+	c := &Blackboard{View: s.View, Owners: s.Owners, Engines: map[serving.EngineID]*Engine{}}
 	for _, m := range s.directory.Members(engine.MemberEngine) {
 		if state := s.directory.State(now, m.ID); state != engine.StateDead {
 			id := m.Announcement.Engine
-			c.Engines[id] = &Engine{Announcement: m.Announcement, State: state, ReceivedAt: m.HeardAt, counters: s.countersOf(id)}
+			c.Engines[id] = &Engine{Announcement: m.Announcement, State: state, Region: m.Region, ReceivedAt: m.HeardAt, counters: s.countersOf(id)}
 		}
 	}
 	for _, m := range s.directory.Members(engine.MemberEntry) {
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -12,7 +12,6 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
-	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
 // completions handles POST /v1/completions.
@@ -63,16 +62,7 @@
 	if e.draining.Load() {
 		return serving.NewError(serving.KindDraining, "this entry is shutting down").WithRetryAfter(time.Second)
 	}
-	return e.mayDispatch(b)
-}
-
-// mayDispatch tells whether a request may go to an engine now. Draining does not
-// forbid it: a request in progress gets its attempts.
-func (e *Entry) mayDispatch(b *Blackboard) error {
-	if !e.viewFresh(b) {
-		return serving.NewError(serving.KindViewExpired, "this entry has no confirmed configuration").WithRetryAfter(time.Second)
-	}
-	return nil
+	return e.mayContinue(b)
 }
 
 // answering is the state of one call over its attempts.
@@ -89,12 +79,13 @@
 	e.retries.request()
 	s := &answering{tried: map[serving.EngineID]bool{}, ran: serving.NotRun}
 	for range maxAttempts {
-		a, err := e.nextAttempt(c, s)
+		a, err := e.admit(ctx, c, s)
 		if err != nil {
 			return s.refusal(err)
 		}
 		out.begin(a)
 		err = e.runCounted(ctx, a, out)
+		e.endAttempt(a, err)
 		if err == nil {
 			return nil
 		}
@@ -119,24 +110,6 @@
 	return s.refusal(s.last)
 }
 
-// nextAttempt places the request; an engine that was tried is taken again only
-// if no other is left.
-func (e *Entry) nextAttempt(c *completionCall, s *answering) (*attempt, error) {
-	b := e.board.load()
-	if err := e.mayDispatch(b); err != nil {
-		return nil, firstError(s.last, err)
-	}
-	n, err := e.place(b, c.request, s.tried)
-	if err != nil && len(s.tried) > 0 {
-		n, err = e.place(b, c.request, nil)
-	}
-	if err != nil {
-		return nil, firstError(s.last, err)
-	}
-	s.tried[n.Engine] = true
-	return newAttempt(c.request, serving.GenerationID(newID()), n, c.body, 0), nil
-}
-
 func (e *Entry) runCounted(ctx context.Context, a *attempt, out answerWriter) error {
 	defer e.count(a)()
 	return e.run(ctx, a, out)
@@ -183,39 +156,6 @@
 	return &t
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// place chooses an engine that carries the model and is in service.
-func (e *Entry) place(b *Blackboard, r *serving.Request, tried map[serving.EngineID]bool) (*Engine, error) {
-	var best *Engine
-	for _, n := range b.Engines {
-		if tried[n.Engine] || !n.takesWork(b.View) || !n.carries(b.View, r.Model) {
-			continue
-		}
-		if best == nil || n.counters.inFlight.Load() < best.counters.inFlight.Load() {
-			best = n
-		}
-	}
-	if best == nil {
-		return nil, serving.NewError(serving.KindNoEngine, "no engine in service carries the model "+string(r.Model)).WithRetryAfter(time.Second)
-	}
-	return best, nil
-}
-
-// takesWork tells whether new work may go to an engine: it is reachable, ready,
-// and operators have taken neither it nor its data centre out.
-func (n *Engine) takesWork(v *View) bool {
-	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady &&
-		!v.DataCentreOut(string(n.DataCentre)) && !v.EngineOut(string(n.Engine))
-}
-
 // carries tells whether the engine has announced a model, under any of its names.
 func (n *Engine) carries(v *View, m serving.ModelID) bool {
 	for _, ref := range n.Models {
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -40,6 +40,7 @@
 	s.Entry.DrainNotice.Duration = notice
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningEntry{testEntry: testEntry{Entry: newEntry(s)}, url: "http://" + address, stop: stop, done: make(chan error, 1)}
+	r.admission = openAdmission{r.Entry}
 	go func() { r.done <- r.Run(ctx) }()
 	t.Cleanup(stop)
 	return r
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,9 +33,14 @@
 	signer     *generation.Signer
 	claims     schema.Claims
 	settler    *settler
+	admission  admission
+	dispatcher *dispatcher
 	metrics    *metrics
 	retries    *retryBudget
 	viewSource string
+	// incarnation is the wall-clock time at the start in nanoseconds, since an
+	// entry keeps no state on disk.
+	incarnation serving.Incarnation
 	// holder identifies this run of the process as holder of claims.
 	holder   string
 	notReady atomic.Bool
@@ -48,14 +53,17 @@
 
 // New returns an entry.
 func New(s *settings.Settings, clock serving.Clock, events *Events, clients *Clients, claims schema.Claims) *Entry {
-	self := memberOf(s)
-	return &Entry{
-		Settings: s, Clock: clock, Clients: clients,
-		board: newBoard(clock, self, events), events: events, claims: claims,
-		signer: generation.NewSigner(s.Entry.ResumeKey), settler: newSettler(),
+	e := &Entry{
+		Settings: s, Clock: clock, Clients: clients, events: events, claims: claims,
+		incarnation: serving.Incarnation(time.Now().UnixNano()),
+		signer:      generation.NewSigner(s.Entry.ResumeKey), settler: newSettler(),
 		metrics: newMetrics(), retries: newRetryBudget(),
-		holder: fmt.Sprintf("%s/%d", s.Host, self.Incarnation),
 	}
+	e.holder = fmt.Sprintf("%s/%d", s.Host, e.incarnation)
+	e.board = newBoard(clock, e.self(), events)
+	e.dispatcher = newDispatcher(e, e.incarnation)
+	e.admission = e.dispatcher
+	return e
 }
 
 // Run serves until ctx ends, then drains: it turns not ready, takes no new work
@@ -69,6 +77,7 @@
 	g.Go(func() error { e.events.run(background); return nil })
 	g.Go(func() error { e.pollViews(background); return nil })
 	g.Go(func() error { e.exchangeMembership(background); return nil })
+	g.Go(func() error { e.dispatcher.run(background); return nil })
 
 	server := e.newServer()
 	g.Go(func() error {
@@ -84,13 +93,12 @@
 	return g.Wait()
 }
 
-// memberOf is the membership record of an entry that starts now. The wall clock at the start serves
-// as incarnation, since an entry keeps no state on disk.
-func memberOf(s *settings.Settings) engine.Member {
+// self is the membership record of this entry.
+func (e *Entry) self() engine.Member {
 	return engine.Member{
-		ID: string(s.Host), Address: string(s.Advertise),
-		DataCentre: s.DataCentre, Region: s.Region,
-		Incarnation: serving.Incarnation(time.Now().UnixNano()),
+		ID: string(e.Settings.Host), Address: string(e.Settings.Advertise),
+		DataCentre: e.Settings.DataCentre, Region: e.Settings.Region,
+		Incarnation: e.incarnation,
 	}
 }
 
--- a/internal/entry/poll.go
+++ b/internal/entry/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -152,8 +153,16 @@
 // pollFrom asks one source.
 func (e *Entry) pollFrom(ctx context.Context, source string) pollAnswer {
 	sentAt := e.Clock.Now()
-	req := &schema.ViewRequest{Entry: string(e.Settings.Host), Address: string(e.Settings.Advertise)}
-	held := e.board.load().View
+	req := &schema.ViewRequest{
+		Entry: string(e.Settings.Host), Address: string(e.Settings.Advertise),
+		DataCentre: string(e.Settings.DataCentre), Region: string(e.Settings.Region),
+		Incarnation: strconv.FormatUint(uint64(e.incarnation), 10), Leaving: e.draining.Load(),
+	}
+	b := e.board.load()
+	if b.Owners != nil {
+		req.EntriesEpoch = b.Owners.Epoch
+	}
+	held := b.View
 	if held != nil {
 		req.HaveRevision = uint64(held.Revision())
 		req.ConfigRevision = req.HaveRevision
@@ -164,7 +173,7 @@
 		return pollAnswer{source: source, err: rpc.FromTwirp(err)}
 	}
 	age := time.Duration(max(res.AgeMs, 0)) * time.Millisecond
-	ev := viewReceived{revision: serving.Revision(res.Revision), at: sentAt - age}
+	ev := viewReceived{revision: serving.Revision(res.Revision), at: sentAt - age, list: res.Entries}
 	if !res.Unchanged {
 		if ev.view, err = held.update(res.Config); err != nil {
 			klog.ErrorS(err, "Configuration refused", "source", source, "revision", res.Revision)
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -9,6 +9,7 @@
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/registry"
 )
 
@@ -26,11 +27,16 @@
 	view     *registry.View
 	revision serving.Revision
 	at       time.Duration
+	// list is the entry list if it changed.
+	list *schema.EntryList
 }
 
 // apply takes over a view that is not older. Whatever was accepted before either
 // confirmation is part of the higher revision, so the later time holds for it.
 func (ev viewReceived) apply(s *controlState, _ time.Duration) bool {
+	if ev.list != nil && (s.Owners == nil || ev.list.Epoch > s.Owners.Epoch) {
+		s.Owners = decodeEntryList(ev.list)
+	}
 	held := s.View
 	switch {
 	case held == nil && ev.view == nil, held != nil && ev.revision < held.Revision():
@@ -52,6 +58,27 @@
 	return changed
 }
 
+func decodeEntryList(l *schema.EntryList) *OwnerList {
+	list := &OwnerList{Epoch: l.Epoch}
+	for _, e := range l.Entries {
+		list.Entries = append(list.Entries, engine.Entry{
+			Host: serving.HostID(e.Host), Address: e.Address,
+			DataCentre: serving.DataCentreID(e.DataCentre), Region: serving.RegionID(e.Region),
+		})
+	}
+	return list
+}
+
+func encodeEntryList(l *OwnerList) *schema.EntryList {
+	list := &schema.EntryList{Epoch: l.Epoch}
+	for _, e := range l.Entries {
+		list.Entries = append(list.Entries, &schema.ListedEntry{
+			Host: string(e.Host), Address: e.Address, DataCentre: string(e.DataCentre), Region: string(e.Region),
+		})
+	}
+	return list
+}
+
 // viewAge returns the age of a snapshot's view.
 func (e *Entry) viewAge(b *Blackboard) time.Duration { return e.Clock.Now() - b.View.ConfirmedAt }
 
@@ -87,5 +114,8 @@
 	if res.Unchanged = revision == req.ConfigRevision; !res.Unchanged {
 		res.Config = b.View.Config()
 	}
+	if b.Owners != nil && b.Owners.Epoch != req.EntriesEpoch {
+		res.Entries = encodeEntryList(b.Owners)
+	}
 	return res, nil
 }
--- a/pkg/serving/registry/entries.go
+++ b/pkg/serving/registry/entries.go
@@ -31,3 +31,10 @@
 	defer m.mu.RUnlock()
 	return m.entries
 }
+
+// Resolve returns the canonical id of a name of any scheme.
+func (m *Machine) Resolve(kind schema.ObjectKind, name string) (string, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.resolve(kind, name)
+}
