--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -55,8 +55,11 @@
 		f.Index = f.Index*10 + serving.TokenIndex(rest[digits]-'0')
 		digits++
 	}
+	if digits == 0 || digits > 1 && rest[0] == '0' {
+		return f, false // JSON numbers have no leading zero.
+	}
 	rest, ok = bytes.CutPrefix(rest[digits:], tokenField)
-	if !ok || digits == 0 {
+	if !ok {
 		return f, false
 	}
 	token, rest, ok := plainString(rest)
