--- a/cmd/turmericdrum/processes.go
+++ b/cmd/turmericdrum/processes.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/internal/control"
+	"turmericdrum.org/turmericdrum/internal/entry"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -49,7 +50,7 @@
 	if s.Entry == nil {
 		return wrongSection("entry", c.Settings)
 	}
-	e := newEntry(s)
+	e := entry.Construct(s)
 	return e.Run(terminated())
 }
 
@@ -72,7 +73,7 @@
 	if c.Data != "" {
 		s.Control.Data = c.Data
 	}
-	p := &control.Process{Settings: s, Bootstrap: c.Bootstrap, Clock: serving.NewMonotonicClock()}
+	p := control.Construct(s, control.Bootstrap(c.Bootstrap))
 	return p.Run(terminated())
 }
 
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -24,12 +24,14 @@
 // peerConnections bounds the idle connections to one other replica.
 const peerConnections = 8
 
+// Bootstrap tells that a process starts a new cluster; see package replica.
+type Bootstrap bool
+
 // Process is a control process: one replica of the log with the registry, and
 // the server in front of it. Its fields are set before Run.
 type Process struct {
-	Settings *settings.Settings
-	// Bootstrap starts a new cluster; see package replica.
-	Bootstrap bool
+	Settings  *settings.Settings
+	Bootstrap Bootstrap
 	Clock     serving.Clock
 }
 
@@ -89,7 +91,7 @@
 		Address:       "http://" + string(p.Settings.Advertise),
 		Disk:          disk,
 		Machine:       machine,
-		Bootstrap:     p.Bootstrap,
+		Bootstrap:     bool(p.Bootstrap),
 		SnapshotEvery: c.SnapshotEntries,
 		Config: ledger.Config{
 			Heartbeat:   c.Heartbeat.Duration,
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"turmericdrum.org/turmericdrum/internal/control"
+	"turmericdrum.org/turmericdrum/internal/entry"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/internal/standin"
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -99,7 +100,7 @@
 	if err := s.Complete(); err != nil {
 		return err
 	}
-	p := &control.Process{Settings: &s, Bootstrap: true, Clock: serving.NewMonotonicClock()}
+	p := control.Construct(&s, true)
 	g.Go(func() error { return p.Run(ctx) })
 	return nil
 }
@@ -116,7 +117,7 @@
 	if err := s.Complete(); err != nil {
 		return err
 	}
-	e := newEntry(&s)
+	e := entry.Construct(&s)
 	g.Go(func() error { return e.Run(ctx) })
 	return nil
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -22,6 +22,8 @@
 		return
 	}
 	e.events.add(eventRequestReceived, call.request.ID, "account", string(call.request.Account), "model", string(call.request.Model))
+	// Refusals carry the request id too, so that they can be found in records and logs.
+	w.Header().Set("X-Request-Id", string(call.request.ID))
 	caller := newCallerWriter(w.ResponseWriter, e.Settings.Entry.WriteTimeout.Duration)
 	var out answerWriter = &wholeAnswer{w: caller}
 	if call.stream {
@@ -62,7 +64,16 @@
 	if e.draining.Load() {
 		return serving.NewError(serving.KindDraining, "this entry is shutting down").WithRetryAfter(time.Second)
 	}
-	return e.mayContinue(b)
+	return e.mayDispatch(b)
+}
+
+// mayDispatch tells whether a request may go to an engine now. Draining does not
+// forbid it: a request in progress gets its attempts.
+func (e *Entry) mayDispatch(b *Blackboard) error {
+	if !e.viewFresh(b) {
+		return serving.NewError(serving.KindViewExpired, "this entry has no confirmed configuration").WithRetryAfter(time.Second)
+	}
+	return nil
 }
 
 // answering is the state of one call over its attempts.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,11 +33,11 @@
 	signer     *generation.Signer
 	claims     schema.Claims
 	settler    *settler
-	admission  admission
-	dispatcher *dispatcher
 	metrics    *metrics
 	retries    *retryBudget
 	viewSource string
+	admission  admission
+	dispatcher *dispatcher
 	// incarnation is the wall-clock time at the start in nanoseconds, since an
 	// entry keeps no state on disk.
 	incarnation serving.Incarnation
@@ -53,15 +53,15 @@
 
 // New returns an entry.
 func New(s *settings.Settings, clock serving.Clock, events *Events, clients *Clients, claims schema.Claims) *Entry {
+	self := memberOf(s)
 	e := &Entry{
-		Settings: s, Clock: clock, Clients: clients, events: events, claims: claims,
-		incarnation: serving.Incarnation(time.Now().UnixNano()),
-		signer:      generation.NewSigner(s.Entry.ResumeKey), settler: newSettler(),
+		Settings: s, Clock: clock, Clients: clients,
+		board: newBoard(clock, self, events), events: events, claims: claims,
+		signer: generation.NewSigner(s.Entry.ResumeKey), settler: newSettler(),
 		metrics: newMetrics(), retries: newRetryBudget(),
+		holder: fmt.Sprintf("%s/%d", s.Host, self.Incarnation), incarnation: self.Incarnation,
 	}
-	e.holder = fmt.Sprintf("%s/%d", s.Host, e.incarnation)
-	e.board = newBoard(clock, e.self(), events)
-	e.dispatcher = newDispatcher(e, e.incarnation)
+	e.dispatcher = newDispatcher(e, self.Incarnation)
 	e.admission = e.dispatcher
 	return e
 }
@@ -93,12 +93,12 @@
 	return g.Wait()
 }
 
-// self is the membership record of this entry.
-func (e *Entry) self() engine.Member {
+// memberOf is the membership record of an entry that starts now.
+func memberOf(s *settings.Settings) engine.Member {
 	return engine.Member{
-		ID: string(e.Settings.Host), Address: string(e.Settings.Advertise),
-		DataCentre: e.Settings.DataCentre, Region: e.Settings.Region,
-		Incarnation: e.incarnation,
+		ID: string(s.Host), Address: string(s.Advertise),
+		DataCentre: s.DataCentre, Region: s.Region,
+		Incarnation: serving.Incarnation(time.Now().UnixNano()),
 	}
 }
 
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -58,12 +58,6 @@
 	server *httptest.Server
 }
 
-func newEntry(s *settings.Settings) *Entry {
-	events := NewEvents(s)
-	clients := NewClients(s, events)
-	return New(s, serving.NewMonotonicClock(), events, clients, NewClaims(s, events, clients))
-}
-
 // openAdmission starts each request at once, for tests that are not about limits.
 type openAdmission struct{ *Entry }
 
@@ -83,10 +77,15 @@
 	return start{engine: best.Engine, slot: slot, generation: serving.GenerationID(newID())}
 }
 
-func (s openAdmission) release(dispatch.Slot)                                           {}
+func (s openAdmission) release(...dispatch.Slot)                                        {}
 func (s openAdmission) firstToken(serving.EngineID, serving.GenerationID)               {}
 func (s openAdmission) progress(serving.EngineID, serving.GenerationID, serving.Tokens) {}
-func (s openAdmission) done(serving.EngineID, serving.GenerationID, serving.Tokens, dispatch.Outcome) {
+func (s openAdmission) done(*serving.Request, start, serving.Tokens, dispatch.Outcome)  {}
+
+func newEntry(s *settings.Settings) *Entry {
+	events := NewEvents(s)
+	clients := NewClients(s, events)
+	return New(s, serving.NewMonotonicClock(), events, clients, NewClaims(s, events, clients))
 }
 
 func newTestEntry(t testing.TB, engines ...*Engine) *testEntry {
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -87,7 +88,7 @@
 	}
 	disk, err := journal.OpenFolder(path)
 	assert.NilError(b, err)
-	h := &host{machine: &machine{}, path: path, done: make(chan error, 1)}
+	h := &host{machine: &machine{}, server: &http.Server{}, path: path, done: make(chan error, 1)}
 	h.Node = &replica.Node{Host: initial[i].Host, Address: initial[i].Address, Disk: disk, Machine: h.machine,
 		Bootstrap: true, Initial: initial, Transport: &linkTransport{links: l, queues: map[string]chan delayed{}}}
 	if each {
@@ -139,15 +140,16 @@
 }
 
 // BenchmarkThroughput compares group commit with one sync for each proposal, for
-// 256 clients of three replicas on disk.
+// 256 clients of three replicas on disk, over links in memory or over HTTP.
 func BenchmarkThroughput(b *testing.B) {
-	for _, each := range []bool{false, true} {
-		name := "group-commit"
-		if each {
-			name = "sync-each"
-		}
+	for _, name := range []string{"group-commit", "sync-each", "group-commit-http"} {
 		b.Run(name, func(b *testing.B) {
-			_, hosts := startLinkedCluster(b, 0, 3, each)
+			var hosts []*host
+			if name == "group-commit-http" {
+				hosts = startCluster(b, 3)
+			} else {
+				_, hosts = startLinkedCluster(b, 0, 3, name == "sync-each")
+			}
 			leader := waitLeader(b, hosts)
 			var next atomic.Int64
 			var wg sync.WaitGroup
@@ -175,11 +177,11 @@
 	for b.Loop() {
 		l, hosts := startLinkedCluster(b, 10*time.Millisecond, 3, false)
 		leader := waitLeader(b, hosts)
+		start := time.Now()
 		l.mu.Lock()
 		delete(l.nodes, leader.Address)
 		l.mu.Unlock()
 		leader.stop()
-		start := time.Now()
 		waitLeader(b, without(hosts, leader))
 		_ = without1.RecordValue(time.Since(start).Microseconds())
 		for _, h := range without(hosts, leader) {
