--- /dev/null
+++ b/internal/entry/services_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
+	"turmericdrum.org/turmericdrum/pkg/serving/registry"
+)
+
+// fakeClaims is a registry behind calls that can fail before or after they apply.
+type fakeClaims struct {
+	machine *registry.Machine
+
+	mu        sync.Mutex
+	index     uint64
+	failing   int // settlements that fail before they apply
+	lostClaim int // claims whose answer is lost after they applied
+}
+
+func newFakeClaims(t testing.TB) *fakeClaims {
+	t.Helper()
+	m, err := registry.New(registry.Config{Schemes: []string{"catalogue"}})
+	assert.NilError(t, err)
+	return &fakeClaims{machine: m}
+}
+
+func (f *fakeClaims) apply(c *schema.Command) *schema.ClaimResult {
+	f.index++
+	c.NowMs = time.Now().UnixMilli()
+	b, _ := proto.Marshal(c)
+	var res schema.CommandResult
+	_ = proto.Unmarshal(f.machine.Apply(f.index, b), &res)
+	return res.GetClaim()
+}
+
+func (f *fakeClaims) Claim(_ context.Context, r *schema.ClaimRequest) (*schema.ClaimResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	res := f.apply(&schema.Command{Body: &schema.Command_Claim{Claim: r}})
+	if f.lostClaim > 0 {
+		f.lostClaim--
+		return nil, serving.NewError(serving.KindOutcomeUnknown, "lost").WithRan(serving.RanUnknown)
+	}
+	return res, nil
+}
+
+func (f *fakeClaims) Settle(_ context.Context, r *schema.SettleRequest) (*schema.ClaimResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing > 0 {
+		f.failing--
+		return nil, serving.NewError(serving.KindNoQuorum, "away")
+	}
+	return f.apply(&schema.Command{Body: &schema.Command_Settle{Settle: r}}), nil
+}
+
+func (f *fakeClaims) Lookup(_ context.Context, r *schema.LookupRequest) (*schema.ClaimResult, error) {
+	return f.machine.Lookup(r.Key, time.Now().UnixMilli()), nil
+}
+
+// fakeService is a plain service that counts what arrives.
+type fakeService struct {
+	*Engine
+	server *httptest.Server
+
+	mu      sync.Mutex
+	behave  func(w http.ResponseWriter, r *http.Request)
+	lookup  string
+	arrived map[string]int
+}
+
+func answerOK(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "reserved") }
+
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func answerStatus(status int, body string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		fmt.Fprint(w, body)
+	}
+}
+
+func newFakeService(t testing.TB, name string, behave func(http.ResponseWriter, *http.Request)) *fakeService {
+	t.Helper()
+	f := &fakeService{behave: behave, arrived: map[string]int{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/call/{path...}", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		f.mu.Lock()
+		f.arrived[r.Header.Get(headerIdempotencyKey)]++
+		behave := f.behave
+		f.mu.Unlock()
+		behave(w, r)
+	})
+	mux.HandleFunc("GET /v1/calls/{key}", func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		status := f.lookup
+		if f.arrived[r.PathValue("key")] == 0 {
+			status = "not_run"
+		}
+		fmt.Fprintf(w, `{"status":%q}`, status)
+	})
+	f.server = httptest.NewServer(mux)
+	t.Cleanup(f.server.Close)
+	f.Engine = &Engine{Announcement: &engine.Announcement{
+		Engine: serving.EngineID(name), Address: f.server.Listener.Addr().String(), DataCentre: "dc-a", Kind: engine.KindService,
+		Incarnation: 1, State: engine.PhaseReady, Services: []serving.ServiceID{"stylus", "quotes"},
+	}, State: engine.StateAlive, counters: newEngineCounters()}
+	return f
+}
+
+func (f *fakeService) become(behave func(http.ResponseWriter, *http.Request)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behave = behave
+}
+
+func (f *fakeService) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, c := range f.arrived {
+		n += c
+	}
+	return n
+}
