Bound what an entry keeps and what an owner believes

Cause: an answer that is not streamed was held without a bound; a restarted cold engine could get starts under its predecessor's slots for one slot lifetime; an owner took load reports of any age, on which the joint limit depends.

--- a/cmd/turmericdrum/processes.go
+++ b/cmd/turmericdrum/processes.go
@@ -21,7 +21,6 @@
 type controlCommand struct {
 	control.FolderCommand
 	Settings  string `arg:"--settings" help:"settings file of this process (YAML)"`
-	Data      string `arg:"--data" help:"data folder; it overrides control.data of the settings"`
 	Bootstrap bool   `arg:"--bootstrap" help:"start a new cluster; only at the very first start"`
 }
 
--- a/internal/control/folder.go
+++ b/internal/control/folder.go
@@ -13,6 +13,7 @@
 // FolderCommand is the part of the command line that works on a data folder
 // whose replica is stopped.
 type FolderCommand struct {
+	Data    string          `arg:"--data" help:"data folder; for a running replica it overrides control.data of the settings"`
 	Inspect *InspectCommand `arg:"subcommand:inspect" help:"show what a data folder holds"`
 	Backup  *BackupCommand  `arg:"subcommand:backup" help:"write the newest snapshot to a file"`
 	Restore *RestoreCommand `arg:"subcommand:restore" help:"fill an empty data folder from a backup"`
@@ -20,19 +21,15 @@
 }
 
 // InspectCommand shows what a data folder holds.
-type InspectCommand struct {
-	Data string `arg:"--data,required" help:"data folder"`
-}
+type InspectCommand struct{}
 
 // BackupCommand writes the newest snapshot to a file.
 type BackupCommand struct {
-	Data string `arg:"--data,required" help:"data folder"`
-	To   string `arg:"--to,required" help:"file to write; it must not exist"`
+	To string `arg:"--to,required" help:"file to write; it must not exist"`
 }
 
 // RestoreCommand fills an empty data folder from a backup.
 type RestoreCommand struct {
-	Data    string         `arg:"--data,required" help:"empty data folder"`
 	From    string         `arg:"--from,required" help:"file that backup wrote"`
 	Host    serving.HostID `arg:"--host,required" help:"id of this host"`
 	Address string         `arg:"--address,required" help:"address of this replica, as IP:PORT"`
@@ -40,7 +37,6 @@
 
 // RecoverCommand makes one replica the only voter.
 type RecoverCommand struct {
-	Data       string `arg:"--data,required" help:"data folder"`
 	Address    string `arg:"--address,required" help:"address of this replica, as IP:PORT"`
 	AcceptLoss bool   `arg:"--accept-loss" help:"confirm that changes only the lost replicas stored are lost"`
 }
@@ -49,19 +45,19 @@
 func (c *FolderCommand) Run(w io.Writer) (bool, error) {
 	switch {
 	case c.Inspect != nil:
-		return true, c.Inspect.run(w)
+		return true, c.Inspect.run(w, c.Data)
 	case c.Backup != nil:
-		return true, c.Backup.run(w)
+		return true, c.Backup.run(w, c.Data)
 	case c.Restore != nil:
-		return true, c.Restore.run(w)
+		return true, c.Restore.run(w, c.Data)
 	case c.Recover != nil:
-		return true, c.Recover.run(w)
+		return true, c.Recover.run(w, c.Data)
 	}
 	return false, nil
 }
 
-func (c *InspectCommand) run(w io.Writer) error {
-	disk, err := openExisting(c.Data)
+func (*InspectCommand) run(w io.Writer, data string) error {
+	disk, err := openExisting(data)
 	if err != nil {
 		return err
 	}
@@ -73,8 +69,8 @@
 	return nil
 }
 
-func (c *BackupCommand) run(w io.Writer) error {
-	disk, err := openExisting(c.Data)
+func (c *BackupCommand) run(w io.Writer, data string) error {
+	disk, err := openExisting(data)
 	if err != nil {
 		return err
 	}
@@ -97,13 +93,16 @@
 	return err
 }
 
-func (c *RestoreCommand) run(w io.Writer) error {
+func (c *RestoreCommand) run(w io.Writer, data string) error {
 	f, err := os.Open(c.From)
 	if err != nil {
 		return serving.WrapError(err, serving.KindNotFound, "open backup")
 	}
 	defer f.Close()
-	disk, err := journal.OpenFolder(c.Data)
+	if data == "" {
+		return errNoFolder()
+	}
+	disk, err := journal.OpenFolder(data)
 	if err != nil {
 		return err
 	}
@@ -115,8 +114,8 @@
 	return nil
 }
 
-func (c *RecoverCommand) run(w io.Writer) error {
-	disk, err := openExisting(c.Data)
+func (c *RecoverCommand) run(w io.Writer, data string) error {
+	disk, err := openExisting(data)
 	if err != nil {
 		return err
 	}
@@ -142,6 +141,9 @@
 
 // openExisting opens a data folder that must be there.
 func openExisting(path string) (*journal.Folder, error) {
+	if path == "" {
+		return nil, errNoFolder()
+	}
 	if _, err := os.Stat(path); err != nil {
 		e := serving.WrapError(err, serving.KindNotFound, "open data folder")
 		e.Remedy = "name an existing data folder"
@@ -150,6 +152,12 @@
 	return journal.OpenFolder(path)
 }
 
+func errNoFolder() error {
+	e := serving.NewError(serving.KindInvalid, "no data folder is given")
+	e.Remedy = "name it with --data"
+	return e
+}
+
 func printReport(w io.Writer, r journal.Report) {
 	fmt.Fprintf(w, "replica         %s\n", r.Self)
 	fmt.Fprintf(w, "term            %d\n", r.Term)
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -10,6 +10,10 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
+// maxWholeAnswer bounds an answer that is not streamed, in bytes; the longest
+// answers have some tens of thousands of tokens.
+const maxWholeAnswer = 4 << 20
+
 // answerWriter gives an answer to a caller.
 type answerWriter interface {
 	// begin starts an attempt; what an earlier attempt wrote must not be out yet.
@@ -86,6 +90,8 @@
 	tokens strings.Builder
 	last   generation.Frame
 	n      int
+	// overflow is true once the answer is larger than an entry keeps.
+	overflow bool
 }
 
 func (s *wholeAnswer) begin(*attempt) {
@@ -99,10 +105,15 @@
 	}
 	s.last = frames[len(frames)-1]
 	s.n += len(frames)
+	if s.overflow = s.tokens.Len() > maxWholeAnswer; s.overflow {
+		e := serving.NewError(serving.KindTooLarge, "the answer is too large to be sent at once").WithRan(serving.DidRun)
+		e.Remedy = "ask for a streamed answer"
+		return e
+	}
 	return nil
 }
 
-func (s *wholeAnswer) canRestart() bool { return true }
+func (s *wholeAnswer) canRestart() bool { return !s.overflow }
 
 func (s *wholeAnswer) canResume() bool { return false }
 
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// slotReportLag bounds the age of a load report at the owner: the lag of the
-	// engine's report and one announcement interval.
-	slotReportLag = 1500 * time.Millisecond
+	// slotReportAge bounds the time that a load report may take to the owner, and
+	// slotReportLag its whole age: engines report their load up to 500 ms late.
+	slotReportAge = time.Second
+	slotReportLag = slotReportAge + 500*time.Millisecond
 	// slotDrift bounds the relative drift of two monotonic clocks.
 	slotDrift = 0.05
 )
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -87,7 +87,8 @@
 // update takes in what the engine announced.
 func (o *ownedEngine) update(now time.Duration, n *Engine, noNewWork bool) {
 	o.ramp.Announce(now, n.Incarnation, n.Capacity)
-	if n.ReceivedAt > o.reportAt {
+	// A report that took longer could be from before a start that it does not show.
+	if n.ReceivedAt > o.reportAt && now-n.ReceivedAt <= slotReportAge {
 		o.reportAt = n.ReceivedAt
 		o.owner.Report(now, n.Incarnation, n.Load)
 		o.ramp.Report(now, n.Load)
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -61,6 +61,8 @@
 		r.Header.Set("X-Request-Id", string(a.request.ID))
 		r.Header.Set("X-Generation-Id", string(a.generation))
 		r.Header.Set("X-Priority", fmt.Sprint(int(a.request.Priority)))
+		// A restarted engine refuses what was granted to its predecessor.
+		r.Header.Set("X-Engine-Incarnation", fmt.Sprint(uint64(a.engine.Incarnation)))
 		return r, nil
 	}, startRefusal)
 }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -386,3 +386,16 @@
 	assert.Assert(t, done)
 	assert.DeepEqual(t, crossed, own)
 }
+
+// Guards against work that was granted to an earlier incarnation and reaches the
+// restarted, cold engine.
+func TestCheckIncarnation(t *testing.T) {
+	e := &Engine{Incarnation: 7}
+	tests := []struct {
+		header string
+		ok     bool
+	}{{"", true}, {"7", true}, {"6", false}, {"8", false}, {"x", false}}
+	for _, tt := range tests {
+		assert.Equal(t, e.checkIncarnation(tt.header) == nil, tt.ok, tt.header)
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -83,6 +83,10 @@
 		hashes: PrefixHashes(c.Prompt, e.Capacity.BlockTokens), readers: 1,
 	}
 	g.length, g.finish = AnswerLength(c)
+	if err := e.checkIncarnation(r.Header.Get("X-Engine-Incarnation")); err != nil {
+		reply(w, nil, err)
+		return
+	}
 	if err := e.submit(g, c.Model); err != nil {
 		reply(w, nil, err)
 		return
@@ -90,6 +94,20 @@
 	e.stream(w, r, g, 0)
 }
 
+// checkIncarnation refuses work that was granted to an earlier incarnation, if the
+// caller names one.
+func (e *Engine) checkIncarnation(header string) error {
+	if header == "" {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n, err := strconv.ParseUint(header, 10, 64); err != nil || serving.Incarnation(n) != e.Incarnation {
+		return serving.NewError(serving.KindConflict, "the work was granted to another incarnation of this engine")
+	}
+	return nil
+}
+
 // refusal tells whether a call is refused before anything runs.
 func (e *Engine) refusal() error {
 	e.mu.Lock()
