load: ask for slots near the caller first

Cause: each free slot holds memory for a typical generation. A request that asks all twelve engines for slots leaves memory unused and sends half of its traffic to other regions. Change: own region at once, a quarter of the engines in turn after 100 ms, all of them while a data centre is out or the queue is long.

--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -57,6 +57,7 @@
 		vary("no_slots", func(p *Policy) { p.Slots, p.OwnerMemory = NoSlots, false }),
 		vary("no_calibration", func(p *Policy) { p.Calibrate = 0 }),
 		vary("no_reserve", func(p *Policy) { p.Reserve = 0 }),
+		vary("remote_demand", func(p *Policy) { p.RemoteDemand = true }),
 		vary("no_affinity", func(p *Policy) {
 			p.Placer = func(rng serving.Random, lengths serving.LengthEstimator, admitter serving.Admitter) serving.Placer {
 				return &dispatch.CostPlacer{Lengths: lengths, Random: rng, Admitter: admitter}
--- a/internal/load/entry.go
+++ b/internal/load/entry.go
@@ -26,6 +26,7 @@
 	owners      map[serving.EngineID]*ownedEngine
 	preemptions map[serving.EngineID]int64
 	pumping     bool
+	queuedFrom  time.Duration
 	generations int
 }
 
@@ -271,14 +272,31 @@
 	return free <= r
 }
 
-// wantSlots asks for slots at all engines in proportion to the queue.
+// wantSlots asks for slots in proportion to the queue: at the engines of the
+// region at once, at a quarter of the others at a time after 100 ms, and at all
+// engines while a data centre is out of service or when the queue is long. Each free
+// slot holds memory for a generation, so that asking everywhere for every request
+// leaves memory unused.
 func (n *modelEntry) wantSlots(queued int) {
 	if n.x.cfg.Policy.Slots != OwnerSlots {
 		return
 	}
-	each := serving.Slots((queued + len(n.x.engines) - 1) / len(n.x.engines))
-	for _, h := range n.holders {
-		h.SetDemand(each)
+	if queued == 0 {
+		n.queuedFrom = n.x.now
+	}
+	all := len(n.x.engines)
+	each := serving.Slots((queued + all - 1) / all)
+	everywhere := n.x.cfg.Policy.RemoteDemand || n.x.out >= 0
+	turn := -1
+	if n.x.now-n.queuedFrom >= 100*time.Millisecond {
+		turn = int(n.x.now / (200 * time.Millisecond) % 4)
+	}
+	for i, e := range n.x.engines {
+		d := serving.Slots(queued / all)
+		if everywhere || e.region == n.region || i%4 == turn {
+			d = each
+		}
+		n.holders[e.id].SetDemand(d)
 	}
 }
 
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -50,6 +50,8 @@
 	ReserveAfter time.Duration
 	// Credit is that of account.QueueConfig.
 	Credit float64
+	// RemoteDemand asks all engines for slots for every waiting request.
+	RemoteDemand bool
 	// Quantile is the probability that the memory suffices.
 	Quantile float64
 	// Calibrate, if not 0, adjusts the risk quantile until this share of the load
