--- a/pkg/serving/dispatch/doc.go
+++ b/pkg/serving/dispatch/doc.go
@@ -26,9 +26,13 @@
 // The concurrency limit of an engine holds over all entries together: its
 // [Owner] grants expiring slots and every entry has a [Holder] per engine:
 //
-//	q, due := holder.Request(now)   // send q to the owner
+//	q, due := holder.Request(now)
+//	q.Forecast = tracker.OwnForecast(engine) // send q to the owner
 //	p := owner.Grant(now, q)        // send p back
 //	holder.Reply(now, p)
+//	tracker.SetLimit(engine, holder.Limit())
+//	others, at := holder.Others()
+//	tracker.SetOthers(at, engine, others)
 //	slot, ok := holder.Acquire(now) // start one generation under slot
 //
 // Errors returned to callers are [*serving.Error] values of kind
--- a/pkg/serving/dispatch/slots_test.go
+++ b/pkg/serving/dispatch/slots_test.go
@@ -398,3 +398,32 @@
 	_, ok = o.Grant(5*time.Second, dispatch.SlotRequest{Engine: "e", Entry: q.Entry, Seq: 2})
 	assert.Assert(t, !ok, "granted under an expired view")
 }
+
+// Guards against two entries that fill the same free memory, each by its own view.
+func TestOwnerGrantsByJointMemory(t *testing.T) {
+	o := dispatch.NewOwner(dispatch.SlotConfig{}, "e", dispatch.OwnerTerm{}, 0, &dispatch.Handover{})
+	o.SetLimit(64)
+	o.ViewConfirmed(0)
+	var typical serving.MemoryForecast
+	for i := range typical.Mean {
+		typical.Mean[i] = 1000
+	}
+	typical.Generations = 1
+	o.SetMemory(10_500, 0.95, typical)
+	var six serving.MemoryForecast
+	six.Merge(&typical, 6)
+	a := dispatch.SlotRequest{Engine: "e", Entry: dispatch.EntryID{Host: "a", Incarnation: 1}, Seq: 1, Want: 6}
+	p, ok := o.Grant(0, a)
+	assert.Assert(t, ok && len(p.Slots) == 6)
+	a.Seq, a.Want, a.Forecast = 2, 0, six
+	for i, id := range p.Slots {
+		a.Held = append(a.Held, dispatch.HeldSlot{ID: id, Uses: uint32(i + 1), Running: true})
+	}
+	_, ok = o.Grant(100*time.Millisecond, a)
+	assert.Assert(t, ok)
+	b := dispatch.SlotRequest{Engine: "e", Entry: dispatch.EntryID{Host: "b", Incarnation: 1}, Seq: 1, Want: 9}
+	p, ok = o.Grant(100*time.Millisecond, b)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(p.Slots), 4)
+	assert.Equal(t, p.Others.Peak(), 6000.0)
+}
