--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -12,8 +12,13 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 )
 
-// maxAnnouncement bounds the body of an announcement.
-const maxAnnouncement = 64 << 10
+const (
+	// maxAnnouncement bounds the body of an announcement.
+	maxAnnouncement = 64 << 10
+	// maxListed bounds the entries that the answer to an announcement lists; an
+	// engine needs a few to turn to when its owner fails.
+	maxListed = 8
+)
 
 // announced is the event of an engine's announcement.
 type announced struct {
@@ -84,7 +89,7 @@
 		}
 	}
 	for _, p := range e.board.load().Entries {
-		if p.State == engine.StateAlive {
+		if p.State == engine.StateAlive && len(all) < maxListed {
 			add(p.Address)
 		}
 	}
