--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -15,8 +15,10 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/alexflint/go-arg"
 	"k8s.io/klog/v2"
@@ -28,6 +30,8 @@
 )
 
 type arguments struct {
+	Verbosity int `arg:"-v,--verbosity" help:"detail of the logs, 0 to 3"`
+
 	Entry    *entryCommand      `arg:"subcommand:entry" help:"run an entry process"`
 	Control  *controlCommand    `arg:"subcommand:control" help:"run a control replica, or work on its data folder"`
 	Admin    *admin.Command     `arg:"subcommand:admin" help:"operate the system"`
@@ -46,6 +50,11 @@
 	if p.Subcommand() == nil {
 		p.Fail("name a subcommand")
 	}
+	flags := flag.NewFlagSet("logs", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if err := flags.Set("v", strconv.Itoa(args.Verbosity)); err != nil {
+		p.Fail(err.Error())
+	}
 	err := run(&args)
 	klog.Flush()
 	if err != nil {
--- a/cmd/turmericdrum/processes.go
+++ b/cmd/turmericdrum/processes.go
@@ -78,6 +78,6 @@
 
 func wrongSection(section, path string) error {
 	e := serving.NewError(serving.KindInvalid, path+" has no section "+section)
-	e.Remedy = "name the settings file of an " + section + " process"
+	e.Remedy = "name a settings file with the section " + section
 	return e
 }
--- a/internal/admin/members.go
+++ b/internal/admin/members.go
@@ -11,6 +11,7 @@
 type MembersCommand struct {
 	AddLearner *AddLearner    `arg:"subcommand:add-learner" help:"add a replica that receives the state without a vote"`
 	Replace    *ReplaceMember `arg:"subcommand:replace" help:"promote a learner and remove the replica it replaces"`
+	Promote    *PromoteMember `arg:"subcommand:promote" help:"give a learner a vote without removing another replica, as after a recovery"`
 	Remove     *RemoveMember  `arg:"subcommand:remove" help:"remove a replica"`
 }
 
@@ -20,6 +21,11 @@
 	Address string `arg:"positional,required" placeholder:"HOST:PORT"`
 }
 
+// PromoteMember names the learner to promote.
+type PromoteMember struct {
+	Replica string `arg:"positional,required" placeholder:"HOST/INCARNATION"`
+}
+
 // ReplaceMember names the replica to remove and the learner to promote.
 type ReplaceMember struct {
 	Old string `arg:"positional,required" placeholder:"OLD"`
@@ -36,12 +42,14 @@
 	switch {
 	case c.AddLearner != nil:
 		m = &schema.MemberChange{Action: "add_learner", Replica: c.AddLearner.Replica, Address: c.AddLearner.Address}
+	case c.Promote != nil:
+		m = &schema.MemberChange{Action: "promote", Replica: c.Promote.Replica}
 	case c.Replace != nil:
 		m = &schema.MemberChange{Action: "replace", Replica: c.Replace.New, OldReplica: c.Replace.Old}
 	case c.Remove != nil:
 		m = &schema.MemberChange{Action: "remove", Replica: c.Remove.Replica}
 	default:
-		return invalid("no subcommand of members is given", "give add-learner, replace or remove")
+		return invalid("no subcommand of members is given", "give add-learner, replace, promote or remove")
 	}
 	for _, id := range []string{m.GetReplica(), m.GetOldReplica()} {
 		if _, err := serving.ParseReplicaID(id); id != "" && err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,12 @@
 // Run serves until ctx ends, then drains: it turns not ready, takes no new work
 // and returns when every stream in progress has ended.
 func (e *Entry) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", string(e.Settings.Listen))
+	if err != nil {
+		failed := serving.WrapError(err, serving.KindInvalid, "listen on "+string(e.Settings.Listen))
+		failed.Remedy = "free the address, or change listen in the settings"
+		return failed
+	}
 	e.warnOfExpiredViews()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -81,7 +88,7 @@
 
 	server := e.newServer()
 	g.Go(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -25,6 +25,9 @@
 	var a errorAnswer
 	a.Error.Kind = e.Kind
 	a.Error.Message = e.Message
+	if cause := e.Unwrap(); cause != nil && e.Kind == serving.KindInvalid {
+		a.Error.Message = cause.Error() // It says what to correct.
+	}
 	a.Error.Remedy = e.Remedy
 	a.Error.Ran = e.Ran
 	a.Error.RetryAfterMS = e.RetryAfter.Milliseconds()
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -60,13 +60,15 @@
 	limit, burst := l.limitOf(id)
 	if limit == 0 {
 		delete(l.held, id)
-		l.tokens.SetRate(id, account.Rate{})
+		l.tokens.SetRate(now, id, account.Rate{})
 		return nil
 	}
 	h := l.held[id]
 	if h == nil {
 		h = &heldShare{holder: account.NewShareHolder(account.ShareConfig{TTL: shareTTL}, l.s.self.Host, l.s.self.Incarnation)}
 		l.held[id] = h
+		// The first report does not wait, since the own part of a limit is small.
+		l.report(now, id, h, float64(n))
 	}
 	h.asked += n
 	h.usedAt = now
@@ -86,7 +88,7 @@
 	}
 	h.holder.SetLimit(limit, entries)
 	rate := h.holder.Rate(now)
-	l.tokens.SetRate(id, account.Rate{PerSecond: rate, Burst: serving.Tokens(burst * rate / limit)})
+	l.tokens.SetRate(now, id, account.Rate{PerSecond: rate, Burst: serving.Tokens(burst * rate / limit)})
 }
 
 // limitOf returns the limit in tokens a second and the burst in tokens; 0 means none.
@@ -116,22 +118,35 @@
 			delete(l.held, id)
 			continue
 		}
-		owner, ok := l.ownerOf(id)
-		if !ok {
-			continue
+		if owner, ok := l.ownerOf(id); ok {
+			byOwner[owner] = append(byOwner[owner], l.demandOf(now, id, h, float64(h.asked)/span))
+			h.asked = 0
 		}
-		q := h.holder.Request(now, float64(h.asked)/span)
-		h.asked = 0
-		byOwner[owner] = append(byOwner[owner], &schema.ShareDemand{ClientAccount: string(id), Seq: q.Seq, Ack: q.Ack, Demand: q.Demand})
 	}
 	for owner, demands := range byOwner {
-		r := &schema.ShareRequest{Entry: string(l.s.self.Host), Incarnation: uint64(l.s.self.Incarnation), Demands: demands}
-		if owner.Host == l.s.self.Host {
-			l.takeShares(l.divide(now, r))
-			continue
-		}
-		go l.ask(owner.Address, r)
+		l.send(now, owner, demands)
+	}
+}
+
+// report tells the owner of one account its demand.
+func (l *limits) report(now time.Duration, id serving.ClientAccountID, h *heldShare, demand float64) {
+	if owner, ok := l.ownerOf(id); ok {
+		l.send(now, owner, []*schema.ShareDemand{l.demandOf(now, id, h, demand)})
+	}
+}
+
+func (l *limits) demandOf(now time.Duration, id serving.ClientAccountID, h *heldShare, demand float64) *schema.ShareDemand {
+	q := h.holder.Request(now, demand)
+	return &schema.ShareDemand{ClientAccount: string(id), Seq: q.Seq, Ack: q.Ack, Demand: q.Demand}
+}
+
+func (l *limits) send(now time.Duration, owner engine.Entry, demands []*schema.ShareDemand) {
+	r := &schema.ShareRequest{Entry: string(l.s.self.Host), Incarnation: uint64(l.s.self.Incarnation), Demands: demands}
+	if owner.Host == l.s.self.Host {
+		l.takeShares(l.divide(now, r))
+		return
 	}
+	go l.ask(owner.Address, r)
 }
 
 func (l *limits) ownerOf(id serving.ClientAccountID) (engine.Entry, bool) {
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -46,7 +46,8 @@
 func trackedAnnouncement(v *View, n *Engine) dispatch.Announcement {
 	a := dispatch.Announcement{
 		Engine: n.Engine, DataCentre: n.DataCentre, Region: n.Region, Incarnation: n.Incarnation,
-		Role: n.Role, State: dispatch.EngineState(n.Announcement.State), Capacity: n.Capacity, Load: n.Load,
+		Uptime: time.Duration(n.UptimeMS) * time.Millisecond,
+		Role:   n.Role, State: dispatch.EngineState(n.Announcement.State), Capacity: n.Capacity, Load: n.Load,
 	}
 	if n.State == engine.StateLeaving {
 		a.State = dispatch.EngineLeaving
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -87,6 +87,7 @@
 // update takes in what the engine announced.
 func (o *ownedEngine) update(now time.Duration, n *Engine, reference time.Duration, noNewWork bool) {
 	o.ramp.Announce(now, n.Incarnation, n.Capacity)
+	o.ramp.SetUptime(now, time.Duration(n.UptimeMS)*time.Millisecond)
 	o.ramp.SetReference(reference)
 	// A report that took longer could be from before a start that it does not show.
 	if n.ReceivedAt > o.reportAt && now-n.ReceivedAt <= slotReportAge {
--- a/internal/load/entry.go
+++ b/internal/load/entry.go
@@ -110,6 +110,7 @@
 		return
 	}
 	o.ramp.Announce(now, a.Incarnation, a.Capacity)
+	o.ramp.SetUptime(now, a.Uptime)
 	o.ramp.Report(now, a.Load)
 
 	o.owner.Report(now, a.Incarnation, a.Load)
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -150,6 +150,7 @@
 		e := &modelEngine{
 			s: &x.schedule, id: serving.EngineID(fmt.Sprintf("engine-%d", i)), region: i % cfg.Regions,
 			capacity: cfg.Capacity, incarnation: 1, cache: map[uint64]int{},
+			startedAt: -time.Hour, // The engines have long been warm when the run begins.
 		}
 		e.onPreempted = func() {
 			if x.measuring() {
@@ -287,7 +288,7 @@
 	a := dispatch.Announcement{
 		Engine: e.id, DataCentre: dataCentre(e.region), Region: region(e.region), Incarnation: e.incarnation,
 		State: dispatch.EngineReady, Models: []dispatch.Carried{{Model: "m"}}, Capacity: e.capacity, Load: e.load(),
-		CacheEvents: e.cacheEvents,
+		CacheEvents: e.cacheEvents, Uptime: e.s.now - e.startedAt,
 	}
 	e.cacheEvents = nil
 	for _, n := range x.entries {
--- a/internal/load/model.go
+++ b/internal/load/model.go
@@ -87,6 +87,7 @@
 	stepping     bool
 	stalledUntil time.Duration
 	cold         int
+	startedAt    time.Duration
 	used         serving.Blocks
 	running      []*run
 	queue        []*run
@@ -299,6 +300,7 @@
 func (e *modelEngine) revive() {
 	e.dead = false
 	e.incarnation++
+	e.startedAt = e.s.now
 	e.cold = coldSteps
 	e.cache, e.cacheUses, e.cacheSeq, e.cacheEvents = map[uint64]int{}, nil, 0, nil
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"net/netip"
+	"strings"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/registry"
 )
 
 // maxViewLease keeps a change in force everywhere within 3 s at a clock drift of 5%.
@@ -32,6 +35,12 @@
 			return keyError(r.key, "is missing", "add the key "+r.key)
 		}
 	}
+	if strings.ContainsAny(string(s.Host), " \t/") {
+		return keyError("host", "has a space or a slash", "use letters, digits, dots and dashes")
+	}
+	if a, err := netip.ParseAddrPort(string(s.Advertise)); err != nil || a.Addr().IsUnspecified() {
+		return keyError("advertise", "is no address that others can reach", "write the IP number of this host and the port")
+	}
 	if (s.Entry == nil) == (s.Control == nil) {
 		return keyError("entry", "and control are both present or both missing", "keep the one section that this process needs")
 	}
@@ -57,6 +66,20 @@
 	if e.ViewPoll.Duration*2 > e.ViewLease.Duration {
 		return keyError("entry.view_poll", "is over half of view_lease", "lower it, so that one lost poll does not expire the view")
 	}
+	ranges := []struct {
+		key              string
+		value, low, high time.Duration
+	}{
+		{"entry.view_poll", e.ViewPoll.Duration, 50 * time.Millisecond, time.Second},
+		{"entry.slot_ttl", e.SlotTTL.Duration, 200 * time.Millisecond, 5 * time.Second},
+		{"entry.queue_timeout", e.QueueTimeout.Duration, time.Second, 10 * time.Minute},
+		{"entry.write_timeout", e.WriteTimeout.Duration, 100 * time.Millisecond, 10 * time.Minute},
+	}
+	for _, r := range ranges {
+		if r.value < r.low || r.value > r.high {
+			return keyError(r.key, fmt.Sprintf("is %v", r.value), fmt.Sprintf("use at least %v and at most %v", r.low, r.high))
+		}
+	}
 	if err := checkOneOf("entry.on_expired_view", e.OnExpiredView, RefuseOnExpiredView, ServeOnExpiredView); err != nil {
 		return err
 	}
@@ -96,6 +119,16 @@
 	if c.ElectionMin.Duration >= c.ElectionMax.Duration {
 		return keyError("control.election_max", "is not over election_min", "raise election_max")
 	}
+	if c.SnapshotEntries < 1 {
+		return keyError("control.snapshot_entries", "is not positive", "use a number like 10000")
+	}
+	_, err := registry.New(registry.Config{
+		Schemes: c.NamingSchemes, ResultRetention: c.ResultRetention.Duration,
+		ClaimRetention: c.ClaimRetention.Duration, ClaimTimeout: c.ClaimTimeout.Duration,
+	})
+	if err != nil {
+		return keyError("control", "is refused by the registry: "+serving.AsError(err).Message, "correct naming_schemes, claim_retention or claim_timeout")
+	}
 	if !(c.WeightStoreRate > 0) || c.WeightStoreBurst < 1 {
 		return keyError("control.weight_store_rate", "or weight_store_burst is not positive", "write loads a second, like 0.5, and loads at once, like 2")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,6 +52,12 @@
 		{"missing key", entryYAML, "cluster_key: secret\n", "", "cluster_key"},
 		{"even number of replicas", controlYAML, "    - {host: pue-1, address: 127.0.0.1:7203}\n", "", "control.replicas"},
 		{"bad hash", controlYAML, "2bb80d", "xyz", "control.operator_key_hash"},
+		{"scheme with a space", controlYAML, "control:\n", "control:\n  naming_schemes: [\"a b\"]\n", "control"},
+		{"claims kept for too long", controlYAML, "control:\n", "control:\n  claim_retention: 9999h\n", "control"},
+		{"slots that hardly last", entryYAML, "view_poll: 500ms", "slot_ttl: 1ms", "entry.slot_ttl"},
+		{"negative number of entries", controlYAML, "control:\n", "control:\n  snapshot_entries: -5\n", "control.snapshot_entries"},
+		{"address of all interfaces", entryYAML, "127.0.0.1:7101", "0.0.0.0:7101", "advertise"},
+		{"host with a space", entryYAML, "host: leon-1", "host: leon 1", "host"},
 		{"broken YAML", entryYAML, "host:", "host", "settings"},
 	}
 	for _, tt := range tests {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -86,6 +86,7 @@
 	e.reports.announced++
 	a := &Announcement{Announcement: engine.Announcement{
 		Engine: e.Name, Host: e.Host, Address: cmp.Or(e.Advertise, e.Addr()), DataCentre: e.DataCentre, Seq: e.reports.announced,
+		UptimeMS:    now.Sub(e.startedAt).Milliseconds(),
 		Incarnation: e.Incarnation, Kind: e.Kind, Services: e.Services, Models: slices.Clone(e.Models),
 		Role: e.Role, State: e.state, Capacity: e.Capacity, Load: e.reports.loads[0],
 		ChecksFencing: e.ChecksFencing, CacheEvents: due,
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -131,6 +131,7 @@
 	batch     batch
 	random    *rand.Rand
 	state     engine.Phase
+	startedAt time.Time
 	coldUntil time.Time
 	// tolerant is the time until which overload in the cold does not fail the engine.
 	tolerant time.Time
@@ -162,7 +163,8 @@
 	if e.Kind == engine.KindModel && len(e.Models) == 0 {
 		e.state = engine.PhaseStarting
 	}
-	e.coldUntil = time.Now().Add(e.ColdFor)
+	e.startedAt = time.Now()
+	e.coldUntil = e.startedAt.Add(e.ColdFor)
 	var err error
 	e.listener, err = net.Listen("tcp", cmp.Or(e.Address, "127.0.0.1:0"))
 	return eris.Wrap(err, "listen")
@@ -337,6 +339,7 @@
 	e.batch.cache.blocks = nil
 	e.batch.preemptions, e.batch.tokensOut = 0, 0
 	e.Incarnation++
+	e.startedAt = now
 	e.coldUntil = now.Add(e.ColdFor)
 }
 
--- a/pkg/serving/account/account_test.go
+++ b/pkg/serving/account/account_test.go
@@ -19,7 +19,7 @@
 	fmt.Println(id, ok)
 
 	limiter := account.NewTokenLimiter()
-	limiter.SetRate(id, account.Rate{PerSecond: 100, Burst: 200})
+	limiter.SetRate(0, id, account.Rate{PerSecond: 100, Burst: 200})
 	_, ok = limiter.Take(0, id, 150)
 	fmt.Println(ok)
 	limiter.Charge(0, id, 100) // ran 100 tokens longer than expected
@@ -53,7 +53,7 @@
 func TestLimiterNeverExceedsRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := account.NewTokenLimiter()
-		l.SetRate("a", account.Rate{PerSecond: 50, Burst: 100})
+		l.SetRate(0, "a", account.Rate{PerSecond: 50, Burst: 100})
 		var now time.Duration
 		var spent serving.Tokens
 		for _, n := range rapid.SliceOf(rapid.Int64Range(1, 100)).Draw(t, "takes") {
@@ -196,3 +196,21 @@
 	assert.Equal(t, q.Len(), 4)
 	assert.Assert(t, q.Remove("8"))
 }
+
+// Guards against an account that stays locked out at the rate it had when it
+// spent, after its rate has risen.
+func TestSetRateKeepsTheDebtInTokens(t *testing.T) {
+	l := account.NewTokenLimiter()
+	l.SetRate(0, "a", account.Rate{PerSecond: 1, Burst: 2})
+	_, ok := l.Take(0, "a", 100)
+	assert.Assert(t, ok)
+	wait, ok := l.Take(0, "a", 1)
+	assert.Assert(t, !ok)
+	assert.Assert(t, wait > 90*time.Second, wait)
+	l.SetRate(0, "a", account.Rate{PerSecond: 100, Burst: 200})
+	_, ok = l.Take(0, "a", 100)
+	assert.Assert(t, ok, "100 tokens of 200 were spent")
+	wait, ok = l.Take(0, "a", 100)
+	assert.Assert(t, !ok)
+	assert.Equal(t, wait, time.Second)
+}
--- a/pkg/serving/account/doc.go
+++ b/pkg/serving/account/doc.go
@@ -12,7 +12,7 @@
 //	id, ok := ring.Authenticate(key)
 //
 //	limiter := account.NewTokenLimiter()
-//	limiter.SetRate(id, account.Rate{PerSecond: 10_000, Burst: 50_000})
+//	limiter.SetRate(now, id, account.Rate{PerSecond: 10_000, Burst: 50_000})
 //	wait, ok := limiter.Take(now, id, prompt+expected) // before the request runs
 //	limiter.Charge(now, id, ran-expected)              // after it ran
 //
--- a/pkg/serving/account/limiter.go
+++ b/pkg/serving/account/limiter.go
@@ -30,17 +30,22 @@
 	return &TokenLimiter{accounts: map[serving.ClientAccountID]*limited{}}
 }
 
-// SetRate sets the rate of an account. What it has spent stays spent.
-func (l *TokenLimiter) SetRate(account serving.ClientAccountID, r Rate) {
+// SetRate sets the rate of an account. What it has spent stays spent: a debt in
+// tokens is paid off at the new rate.
+func (l *TokenLimiter) SetRate(now time.Duration, account serving.ClientAccountID, r Rate) {
 	if r.PerSecond <= 0 {
 		delete(l.accounts, account)
 		return
 	}
-	if a := l.accounts[account]; a != nil {
-		a.rate = r
+	a := l.accounts[account]
+	if a == nil {
+		l.accounts[account] = &limited{rate: r}
 		return
 	}
-	l.accounts[account] = &limited{rate: r}
+	if a.full > now {
+		a.full = now + time.Duration(float64(a.full-now)*a.rate.PerSecond/r.PerSecond)
+	}
+	a.rate = r
 }
 
 // Take asks to spend n tokens. A request larger than the burst passes when the
--- a/pkg/serving/dispatch/ramp.go
+++ b/pkg/serving/dispatch/ramp.go
@@ -59,8 +59,10 @@
 	coldStep  float64
 	// inherited is true for an engine that may have been warm before it was known.
 	inherited bool
-	running   serving.Slots
-	slowed    bool
+	// started is true while the engine is cold because its incarnation is new.
+	started bool
+	running serving.Slots
+	slowed  bool
 }
 
 // NewRamp returns a ramp for an engine of which nothing is known.
@@ -85,14 +87,23 @@
 	first := !r.known
 	r.known, r.incarnation = true, incarnation
 	r.TurnCold(now)
-	r.inherited = first
+	r.inherited, r.started = first, true
+}
+
+// SetUptime takes in how long the engine says that its incarnation has run, which
+// counts towards the cold period unless it turned cold since.
+func (r *Ramp) SetUptime(now, uptime time.Duration) {
+	if r.started {
+		r.coldSince = min(r.coldSince, now-uptime)
+	}
 }
 
 // TurnCold drops the limit to the cold limit, also when a data centre returns.
 func (r *Ramp) TurnCold(now time.Duration) {
 	r.cold, r.limit = true, float64(max(1, r.capacity.ColdRunning))
 	r.good, r.slow, r.slowFirst = 0, 0, 0
-	r.proven, r.proof, r.coldSince, r.coldStep, r.inherited = false, 0, now, 0, false
+	r.proven, r.proof, r.coldSince, r.coldStep = false, 0, now, 0
+	r.inherited, r.started = false, false
 	r.resetWindow(now)
 }
 
--- a/pkg/serving/dispatch/tracker.go
+++ b/pkg/serving/dispatch/tracker.go
@@ -32,6 +32,8 @@
 	DataCentre  serving.DataCentreID
 	Region      serving.RegionID
 	Incarnation serving.Incarnation
+	// Uptime is how long the incarnation has run, as the engine says; 0 means unknown.
+	Uptime      time.Duration
 	Role        string
 	State       EngineState
 	Models      []Carried
@@ -187,6 +189,7 @@
 		t.link(e)
 	}
 	e.ramp.Announce(now, a.Incarnation, a.Capacity)
+	e.ramp.SetUptime(now, a.Uptime)
 	e.ramp.SetReference(t.referenceStep(e))
 	e.prefixes.apply(now, a.CacheEvents)
 	e.report(now, a.Load)
--- a/pkg/serving/engine/announcement.go
+++ b/pkg/serving/engine/announcement.go
@@ -34,7 +34,9 @@
 	DataCentre  serving.DataCentreID `json:"data_centre"`
 	Incarnation serving.Incarnation  `json:"incarnation"`
 	// Seq grows with each announcement of an incarnation; as_of_ms stands in for it where it is 0.
-	Seq      uint64              `json:"seq,omitempty"`
+	Seq uint64 `json:"seq,omitempty"`
+	// UptimeMS is how long the incarnation has run, in milliseconds; 0 means unknown.
+	UptimeMS int64               `json:"uptime_ms,omitempty"`
 	Kind     Kind                `json:"kind"`
 	Services []serving.ServiceID `json:"services,omitempty"`
 	Models   []ModelRef          `json:"models"`
@@ -112,6 +114,7 @@
 func (a *Announcement) describesSame(b *Announcement) bool {
 	x, y := *a, *b
 	x.Seq, y.Seq = 0, 0
+	x.UptimeMS, y.UptimeMS = 0, 0
 	x.Load, y.Load = serving.Load{}, serving.Load{}
 	x.CacheEvents, y.CacheEvents = nil, nil
 	return reflect.DeepEqual(x, y)
