--- a/cmd/turmericdrum/processes.go
+++ b/cmd/turmericdrum/processes.go
@@ -50,7 +50,7 @@
 	if s.Entry == nil {
 		return wrongSection("entry", c.Settings)
 	}
-	e := &entry.Entry{Settings: s, Clock: serving.NewMonotonicClock()}
+	e := entry.Construct(s)
 	return e.Run(terminated())
 }
 
@@ -73,7 +73,7 @@
 	if c.Data != "" {
 		s.Control.Data = c.Data
 	}
-	p := &control.Process{Settings: s, Bootstrap: c.Bootstrap, Clock: serving.NewMonotonicClock()}
+	p := control.Construct(s, control.Bootstrap(c.Bootstrap))
 	return p.Run(terminated())
 }
 
--- a/internal/entry/slots_holder.go
+++ b/internal/entry/slots_holder.go
@@ -84,7 +84,7 @@
 func (s *dispatcher) ask(address string, q dispatch.SlotRequest) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.TTL)
 	defer cancel()
-	client := schema.NewSlotsProtobufClient("http://"+address, s.entry.clusterClient)
+	client := schema.NewSlotsProtobufClient("http://"+address, s.entry.cluster)
 	res, err := client.Update(ctx, encodeSlotRequest(q))
 	if err != nil {
 		klog.V(2).InfoS("Slot request failed", "engine", q.Engine, "owner", address, "err", err)
