--- /dev/null
+++ b/internal/entry/scripted_test.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/engine"
+	"turmericdrum.org/turmericdrum/pkg/serving/generation"
+)
+
+// scriptedEngine answers each opening of a stream by the next step of its script.
+type scriptedEngine struct {
+	*Engine
+	server *httptest.Server
+	length int
+
+	mu        sync.Mutex
+	script    []func(o *opening)
+	opened    int
+	starts    int
+	cancelled []string
+}
+
+// opening is one opened stream of a scripted engine.
+type opening struct {
+	w            http.ResponseWriter
+	r            *http.Request
+	engine       *scriptedEngine
+	request, id  string
+	from, length int
+}
+
+// newScriptedEngine returns an engine; openings beyond its script are answered whole.
+func newScriptedEngine(t testing.TB, name string, length int, script ...func(*opening)) *scriptedEngine {
+	t.Helper()
+	s := &scriptedEngine{length: length, script: script}
+	requests := map[string]string{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("X-Generation-Id")
+		s.mu.Lock()
+		requests[id] = r.Header.Get("X-Request-Id")
+		s.starts++
+		s.mu.Unlock()
+		s.open(&opening{w: w, r: r, engine: s, request: r.Header.Get("X-Request-Id"), id: id, length: length})
+	})
+	mux.HandleFunc("GET /v1/generations/{id}", func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		request := requests[r.PathValue("id")]
+		s.mu.Unlock()
+		o := &opening{w: w, r: r, engine: s, request: request, id: r.PathValue("id"), length: length}
+		_, _ = fmt.Sscan(r.FormValue("from"), &o.from)
+		s.open(o)
+	})
+	mux.HandleFunc("DELETE /v1/generations/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.cancelled = append(s.cancelled, r.PathValue("id"))
+	})
+	s.server = httptest.NewServer(mux)
+	t.Cleanup(s.server.Close)
+	s.Engine = &Engine{Announcement: &engine.Announcement{
+		Engine: serving.EngineID(name), Address: s.server.Listener.Addr().String(), DataCentre: "dc-a",
+		Incarnation: 1, State: engine.PhaseReady, Models: []engine.ModelRef{{Model: "guide"}},
+	}, State: engine.StateAlive, counters: newEngineCounters()}
+	return s
+}
+
+func (s *scriptedEngine) open(o *opening) {
+	s.mu.Lock()
+	step := (*opening).whole
+	if s.opened < len(s.script) {
+		step = s.script[s.opened]
+	}
+	s.opened++
+	s.mu.Unlock()
+	step(o)
+}
+
+func (s *scriptedEngine) count() (opened, starts, cancelled int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened, s.starts, len(s.cancelled)
+}
+
+func (o *opening) frame(request, id string, i int) {
+	f := generation.Frame{RequestID: serving.RequestID(request), GenerationID: serving.GenerationID(id), Index: serving.TokenIndex(i), Token: token(id, i)}
+	if i == o.length-1 {
+		f.FinishReason = "stop"
+	}
+	b, _ := json.Marshal(f)
+	fmt.Fprintf(o.w, "data: %s\n\n", b)
+	_ = http.NewResponseController(o.w).Flush()
+}
+
+// frames sends the frames of some indexes.
+func (o *opening) frames(indexes ...int) {
+	for _, i := range indexes {
+		o.frame(o.request, o.id, i)
+	}
+}
+
+func (o *opening) upTo(n int) {
+	for i := o.from; i < n; i++ {
+		o.frames(i)
+	}
+}
+
+func (o *opening) done() { fmt.Fprint(o.w, "data: [DONE]\n\n") }
+
+func (o *opening) whole() {
+	o.upTo(o.length)
+	o.done()
+}
+
+func (o *opening) gone() { o.w.WriteHeader(http.StatusNotFound) }
+
+// cut ends the connection without an end of the response.
+func (o *opening) cut() { panic(http.ErrAbortHandler) }
+
+// wait blocks until the reader leaves.
+func (o *opening) wait() { <-o.r.Context().Done() }
