Keep the cold limit until an engine has shown that its cold start is over

Cause: end-to-end histories showed three generations on an engine that carries two while cold: without a reference step time every window counted as evidence, and a step three times as long as the reference did not exceed the slow factor. Change: the limit rises only after steps as short as those of warm engines, a drop to less than half of the first step time, more generations than the cold limit when first heard of, or a minute. An entry that sees an engine turn cold lowers its own limit at once and tells the owner. Ruled out: a longer wait before each step up, which is blind to how long a cold start takes. Conclusion: no cold start may last longer than a minute without such signs; the settings page says so.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -13,8 +13,10 @@
 	// generationGrace is the time for which a generation without a reader may still
 	// run at its engine; engines end it after 10 s.
 	generationGrace = 12 * time.Second
-	// progressStep is the number of tokens between two notes of a generation's progress.
-	progressStep = 16
+	// progressStep is the number of tokens between two notes of a generation's
+	// progress, and progressInterval the time, so that slow steps are seen soon.
+	progressStep     = 16
+	progressInterval = 100 * time.Millisecond
 	// maxStarts bounds the starts that are undone because the engine left service
 	// between the decision and the use.
 	maxStarts = 5
@@ -124,15 +126,15 @@
 }
 
 // noteProgress passes an attempt's progress on, not for every token.
-func (e *Entry) noteProgress(a *attempt) {
+func (e *Entry) noteProgress(a *attempt, now time.Duration) {
 	next := a.sequencer.Next()
 	switch {
 	case a.start.slot == (dispatch.Slot{}):
 	case a.noted == 0:
 		e.admission.firstToken(a.engine.Engine, a.generation)
-		a.noted = next
-	case next-a.noted >= progressStep:
+		a.noted, a.notedAt = next, now
+	case next-a.noted >= progressStep || now-a.notedAt >= progressInterval:
 		e.admission.progress(a.engine.Engine, a.generation, serving.Tokens(next))
-		a.noted = next
+		a.noted, a.notedAt = next, now
 	}
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -57,7 +57,8 @@
 	// start is empty for a generation that is only resumed here.
 	start start
 	// noted is the progress that was passed on last.
-	noted serving.TokenIndex
+	noted   serving.TokenIndex
+	notedAt time.Duration
 	// sent is true once a byte of the request may have left.
 	sent atomic.Bool
 
@@ -233,7 +234,7 @@
 func (e *Entry) progress(a *attempt, n int64) {
 	now := e.Clock.Now()
 	e.metrics.tokens.Add(n)
-	e.noteProgress(a)
+	e.noteProgress(a, now)
 	if a.sequencer.Next() > a.firstIndex+serving.TokenIndex(n) {
 		gap := (now - a.lastFrame) / time.Duration(n)
 		a.engine.counters.observeGap(gap)
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -29,6 +29,7 @@
 	reply := make(chan *schema.SlotResult, 1)
 	sent := s.do(ctx, func() {
 		q := decodeSlotRequest(r)
+		s.slowed(q.Engine, r.GetSlowed())
 		p, ok := s.grant(q)
 		if !ok {
 			reply <- nil
--- a/internal/entry/slots_holder.go
+++ b/internal/entry/slots_holder.go
@@ -77,21 +77,25 @@
 		return
 	}
 	q.Forecast = s.tracker.OwnForecast(id)
+	slowed := s.tracker.Slowed(id)
 	if owner.Host == s.self.Host {
+		s.slowed(id, slowed)
 		if p, ok := s.grant(q); ok {
 			s.take(id, p)
 		}
 		return
 	}
-	go s.ask(owner.Address, q)
+	go s.ask(owner.Address, q, slowed)
 }
 
 // ask calls the owner and passes its answer back.
-func (s *dispatcher) ask(address string, q dispatch.SlotRequest) {
+func (s *dispatcher) ask(address string, q dispatch.SlotRequest, slowed bool) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.TTL)
 	defer cancel()
 	client := schema.NewSlotsProtobufClient("http://"+address, s.entry.cluster)
-	res, err := client.Update(ctx, encodeSlotRequest(q))
+	r := encodeSlotRequest(q)
+	r.Slowed = slowed
+	res, err := client.Update(ctx, r)
 	if err != nil {
 		klog.V(2).InfoS("Slot request failed", "engine", q.Engine, "owner", address, "err", err)
 		return
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -55,7 +55,7 @@
 			o.ramp.TurnCold(now)
 			s.tracker.TurnCold(now, id)
 		}
-		o.update(now, n, !n.takesWork(b.View))
+		o.update(now, n, s.tracker.Reference(id), !n.takesWork(b.View))
 		if len(n.Models) > 0 {
 			memory := serving.Tokens(n.Capacity.MemoryBlocks) * n.Capacity.BlockTokens
 			o.owner.SetMemory(memory, s.calibration.Quantile(), s.tracker.Typical(canonicalModel(b.View, n.Models[0].Model)))
@@ -85,8 +85,9 @@
 }
 
 // update takes in what the engine announced.
-func (o *ownedEngine) update(now time.Duration, n *Engine, noNewWork bool) {
+func (o *ownedEngine) update(now time.Duration, n *Engine, reference time.Duration, noNewWork bool) {
 	o.ramp.Announce(now, n.Incarnation, n.Capacity)
+	o.ramp.SetReference(reference)
 	// A report that took longer could be from before a start that it does not show.
 	if n.ReceivedAt > o.reportAt && now-n.ReceivedAt <= slotReportAge {
 		o.reportAt = n.ReceivedAt
@@ -97,6 +98,16 @@
 	o.owner.SetLimit(o.ramp.Limit())
 }
 
+// slowed takes in that an entry saw an engine turn cold, before its reports show it.
+func (s *dispatcher) slowed(id serving.EngineID, seen bool) {
+	o := s.owned[id]
+	if o == nil || o.ramp == nil || !seen || o.ramp.Cold() {
+		return
+	}
+	o.ramp.TurnCold(s.entry.Clock.Now())
+	o.owner.SetLimit(o.ramp.Limit())
+}
+
 // returnedDataCentres returns the data centres that operators have just brought back.
 func (s *dispatcher) returnedDataCentres(b *Blackboard) map[serving.DataCentreID]bool {
 	returned := map[serving.DataCentreID]bool{}
--- a/pkg/serving/dispatch/candidates.go
+++ b/pkg/serving/dispatch/candidates.go
@@ -68,7 +68,12 @@
 	limit, cold := e.ramp.Limit(), e.ramp.Cold()
 	if e.hasLimit {
 		// The owner sees all of the evidence on the engine, this entry a part.
+		own := limit
 		limit, cold = e.limit, e.limit < e.Capacity.MaxRunning
+		if e.ramp.Slowed() {
+			// What this entry sees itself is newer than what the owner knows.
+			limit, cold = min(limit, own), true
+		}
 	}
 
 	load := e.Load
--- a/pkg/serving/dispatch/dispatch_test.go
+++ b/pkg/serving/dispatch/dispatch_test.go
@@ -209,6 +209,48 @@
 	assert.Equal(t, r.Limit(), serving.Slots(2))
 }
 
+// Guards against a limit that rises while an engine is still in its cold start:
+// without a reference, every window used to count as evidence.
+func TestRampKeepsTheColdLimitUntilTheColdStartIsOver(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name      string
+		reference time.Duration
+		running   serving.Slots
+		// step gives the step time at a time since the start.
+		step func(at time.Duration) time.Duration
+		span time.Duration
+		cold bool
+	}{
+		{"slow all along", 0, 2, func(time.Duration) time.Duration { return 30 * ms }, 50 * time.Second, true},
+		{"three times the reference", 10 * ms, 2, func(time.Duration) time.Duration { return 30 * ms }, 50 * time.Second, true},
+		{"long prefills at first", 0, 2, func(at time.Duration) time.Duration {
+			if at < time.Second {
+				return 45 * ms
+			}
+			return 30 * ms
+		}, 50 * time.Second, true},
+		{"steps get short", 0, 2, func(at time.Duration) time.Duration {
+			if at < 10*time.Second {
+				return 30 * ms
+			}
+			return 10 * ms
+		}, 12 * time.Second, false},
+		{"as short as the reference", 10 * ms, 2, func(time.Duration) time.Duration { return 12 * ms }, 2 * time.Second, false},
+		{"carried more when first heard of", 0, 9, func(time.Duration) time.Duration { return 10 * ms }, 2 * time.Second, false},
+		{"cold period is over", 0, 2, func(time.Duration) time.Duration { return 10 * ms }, 62 * time.Second, false},
+	}
+	for _, tt := range tests {
+		r := dispatch.NewRamp(dispatch.RampConfig{})
+		r.Announce(0, 1, testCapacity)
+		r.SetReference(tt.reference)
+		for at := time.Duration(0); at <= tt.span; at += 50 * ms {
+			r.Report(at, serving.Load{Running: tt.running, StepMS: float64(tt.step(at)) / float64(ms)})
+		}
+		assert.Equal(t, r.Limit() == testCapacity.ColdRunning, tt.cold, "%s: limit %d", tt.name, r.Limit())
+	}
+}
+
 // Guards against a breaker that misses an engine failing one call in four, or
 // that closes without successful probes.
 func TestBreakerGreyFailure(t *testing.T) {
--- a/pkg/serving/dispatch/ramp.go
+++ b/pkg/serving/dispatch/ramp.go
@@ -14,16 +14,28 @@
 	Evidence int
 	// SlowWindows is the number of consecutive slow windows that show a cold engine (default 4).
 	SlowWindows int
-	// SlowFactor is the ratio to the reference time that counts as slow (default 3).
+	// SlowFactor is the ratio to the reference time that counts as slow (default 2.5).
 	SlowFactor float64
+	// WarmFactor is the ratio to the reference time up to which a cold engine counts
+	// as warm (default 1.5).
+	WarmFactor float64
+	// DropFactor is the ratio to its step time at first below which an engine without
+	// reference counts as warm (default 0.45).
+	DropFactor float64
+	// ColdPeriod is the age from which an engine counts as warm without such
+	// evidence (default 60 s); no cold start may last longer.
+	ColdPeriod time.Duration
 	// Window is the time over which step times are averaged (default 250 ms).
 	Window time.Duration
 }
 
-// Ramp limits a cold engine and raises the limit by evidence: windows in which
-// the engine was used up to its limit and its steps were not slow. An engine is
-// cold when its incarnation is new, when it was told so, or when its step times
-// stay far above its own history.
+// Ramp limits a cold engine. The cold limit stays in force until the engine has
+// shown that its cold start is over: its steps are as short as those of warm
+// engines or of its own history, or far shorter than at first, or it carries more
+// than the cold limit already when it is first heard of. Then the limit rises by
+// evidence: windows in which the engine was used up to its limit and its steps
+// were not slow. An engine is cold when its incarnation is new, when it was told
+// so, or when its step times stay far above its own history.
 type Ramp struct {
 	cfg         RampConfig
 	capacity    serving.Capacity
@@ -39,6 +51,16 @@
 	slow, good  int
 	slowFirst   int
 	firstRef    float64
+	// proven is true once the cold start is over, and proof counts the windows in
+	// a row that show it.
+	proven    bool
+	proof     int
+	coldSince time.Duration
+	coldStep  float64
+	// inherited is true for an engine that may have been warm before it was known.
+	inherited bool
+	running   serving.Slots
+	slowed    bool
 }
 
 // NewRamp returns a ramp for an engine of which nothing is known.
@@ -46,7 +68,10 @@
 	cfg.Growth = orDefault(cfg.Growth, 1.5)
 	cfg.Evidence = orDefault(cfg.Evidence, 3)
 	cfg.SlowWindows = orDefault(cfg.SlowWindows, 4)
-	cfg.SlowFactor = orDefault(cfg.SlowFactor, 3)
+	cfg.SlowFactor = orDefault(cfg.SlowFactor, 2.5)
+	cfg.WarmFactor = orDefault(cfg.WarmFactor, 1.5)
+	cfg.DropFactor = orDefault(cfg.DropFactor, 0.45)
+	cfg.ColdPeriod = orDefault(cfg.ColdPeriod, time.Minute)
 	cfg.Window = orDefault(cfg.Window, 250*time.Millisecond)
 	return &Ramp{cfg: cfg}
 }
@@ -57,17 +82,23 @@
 	if r.known && incarnation <= r.incarnation {
 		return
 	}
+	first := !r.known
 	r.known, r.incarnation = true, incarnation
 	r.TurnCold(now)
+	r.inherited = first
 }
 
 // TurnCold drops the limit to the cold limit, also when a data centre returns.
 func (r *Ramp) TurnCold(now time.Duration) {
 	r.cold, r.limit = true, float64(max(1, r.capacity.ColdRunning))
 	r.good, r.slow, r.slowFirst = 0, 0, 0
+	r.proven, r.proof, r.coldSince, r.coldStep, r.inherited = false, 0, now, 0, false
 	r.resetWindow(now)
 }
 
+// Slowed tells whether step times showed that the engine turned cold.
+func (r *Ramp) Slowed() bool { return r.cold && r.slowed }
+
 // MarkWarm ends the ramp, for an engine that other evidence shows to be warm.
 func (r *Ramp) MarkWarm() { r.cold = false }
 
@@ -112,6 +143,7 @@
 		return
 	}
 	busy := l.Running
+	r.running = max(r.running, l.Running)
 	if m := r.capacity.MemoryBlocks; m > 0 {
 		busy = max(busy, r.Limit()*serving.Slots(l.BlocksUsed)/serving.Slots(m))
 	}
@@ -150,7 +182,7 @@
 }
 
 func (r *Ramp) resetWindow(now time.Duration) {
-	r.windowStart, r.sum, r.count, r.busiest = now, 0, 0, 0
+	r.windowStart, r.sum, r.count, r.busiest, r.running = now, 0, 0, 0, 0
 }
 
 func (r *Ramp) closeWindow() {
@@ -159,9 +191,10 @@
 	}
 	mean := r.sum / float64(r.count)
 	if r.reference > 0 && mean > r.cfg.SlowFactor*r.reference {
-		r.good = 0
+		r.good, r.proof = 0, 0
 		if r.slow++; r.slow >= r.cfg.SlowWindows && !r.cold {
 			r.TurnCold(r.windowStart)
+			r.slowed = true
 		}
 		// Without this an engine that is slower for good would stay cold forever.
 		r.reference += (mean - r.reference) / 256
@@ -175,6 +208,9 @@
 		r.reference += (mean - r.reference) / 32
 		return
 	}
+	if !r.prove(mean) {
+		return
+	}
 	// Evidence counts only if the engine carried nearly its current limit.
 	if float64(r.busiest) < 0.75*float64(r.Limit()) {
 		return
@@ -185,6 +221,30 @@
 	r.good = 0
 	r.limit = max(r.limit+1, r.limit*r.cfg.Growth)
 	if serving.Slots(r.limit) >= r.capacity.MaxRunning {
-		r.cold = false
+		r.cold, r.slowed = false, false
+	}
+}
+
+// prove takes in the mean step time of a window and tells whether the cold start
+// is over.
+func (r *Ramp) prove(mean float64) bool {
+	if r.proven || r.windowStart-r.coldSince >= r.cfg.ColdPeriod {
+		r.proven = true
+		return true
+	}
+	warm := r.reference > 0 && mean <= r.cfg.WarmFactor*r.reference ||
+		r.coldStep > 0 && mean <= r.cfg.DropFactor*r.coldStep ||
+		r.inherited && r.running > r.capacity.ColdRunning
+	if !warm {
+		r.proof = 0
+		if r.coldStep == 0 {
+			r.coldStep = mean
+		}
+		r.coldStep += (mean - r.coldStep) / 8
+		return false
+	}
+	if r.proof++; r.proof >= r.cfg.Evidence {
+		r.proven = true
 	}
+	return r.proven
 }
--- a/pkg/serving/dispatch/tracker.go
+++ b/pkg/serving/dispatch/tracker.go
@@ -339,6 +339,22 @@
 	}
 }
 
+// Slowed tells whether step times that this entry saw show that an engine turned cold.
+func (t *Tracker) Slowed(id serving.EngineID) bool {
+	e := t.engines[id]
+	return e != nil && e.ramp.Slowed()
+}
+
+// Reference returns the step time of an engine when it is warm, by its own history
+// or that of engines with the same model; 0 means unknown.
+func (t *Tracker) Reference(id serving.EngineID) time.Duration {
+	e := t.engines[id]
+	if e == nil {
+		return 0
+	}
+	return max(e.ramp.Reference(), t.referenceStep(e))
+}
+
 // Sent records that r was sent to an engine as generation g.
 func (t *Tracker) Sent(now time.Duration, id serving.EngineID, g serving.GenerationID, r *serving.Request) {
 	e := t.engines[id]
