entry: send the request id with refusals

Change: the header is set as soon as the request has an id. Before: refusals without the header; after: with it.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -22,6 +22,8 @@
 		writeError(w, err)
 		return
 	}
+	// Refusals carry the request id too, so that they can be found in records and logs.
+	w.Header().Set("X-Request-Id", string(call.request.ID))
 	caller := newCallerWriter(w.ResponseWriter, e.Settings.Entry.WriteTimeout.Duration)
 	var out answerWriter = &wholeAnswer{w: caller}
 	if call.stream {
