--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -28,6 +28,7 @@
 	DataCentre    string        `arg:"--data-centre,required" help:"data centre id"`
 	Kind          string        `arg:"--kind" default:"model" help:"model or service"`
 	Listen        string        `arg:"--listen" default:"127.0.0.1:0" help:"listen address"`
+	Advertise     string        `arg:"--advertise" help:"address to announce; default: the listen address"`
 	Entries       []string      `arg:"--entry,separate" help:"address of an entry to announce to; may be repeated"`
 	ClusterKey    string        `arg:"--cluster-key,env:CLUSTER_KEY" help:"key for announcements"`
 	Incarnation   uint64        `arg:"--incarnation" help:"default: start time in milliseconds"`
@@ -58,7 +59,7 @@
 func (a *args) engine() *standin.Engine {
 	e := &standin.Engine{
 		Name: serving.EngineID(a.Name), Host: serving.HostID(a.Host), DataCentre: serving.DataCentreID(a.DataCentre),
-		Kind: engine.Kind(a.Kind), Address: a.Listen, Entries: a.Entries, ClusterKey: a.ClusterKey,
+		Kind: engine.Kind(a.Kind), Address: a.Listen, Advertise: a.Advertise, Entries: a.Entries, ClusterKey: a.ClusterKey,
 		Incarnation: serving.Incarnation(a.Incarnation), Role: a.Role, ChecksFencing: a.ChecksFencing,
 		Capacity: serving.Capacity{
 			MaxRunning: serving.Slots(a.MaxRunning), ColdRunning: serving.Slots(a.ColdRunning),
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -84,7 +85,7 @@
 	}
 	e.reports.announced++
 	a := &Announcement{Announcement: engine.Announcement{
-		Engine: e.Name, Host: e.Host, Address: e.Addr(), DataCentre: e.DataCentre, Seq: e.reports.announced,
+		Engine: e.Name, Host: e.Host, Address: cmp.Or(e.Advertise, e.Addr()), DataCentre: e.DataCentre, Seq: e.reports.announced,
 		Incarnation: e.Incarnation, Kind: e.Kind, Services: e.Services, Models: slices.Clone(e.Models),
 		Role: e.Role, State: e.state, Capacity: e.Capacity, Load: e.reports.loads[0],
 		ChecksFencing: e.ChecksFencing, CacheEvents: due,
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -81,6 +81,8 @@
 	Kind engine.Kind
 	// Address is the listen address; default 127.0.0.1:0.
 	Address string
+	// Advertise is the address to announce; default the listen address.
+	Advertise string
 	// Entries are the addresses to announce to, in order of preference.
 	Entries    []string
 	ClusterKey string
