--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -281,3 +281,11 @@
 	sum := sha256.Sum256([]byte(key))
 	return sum[:]
 }
+
+// run runs turmericdrum to its end and returns its output.
+func (f *fleet) run(args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, filepath.Join(f.programs, "turmericdrum"), args...).CombinedOutput()
+	return string(out), err
+}
