control: take HOST:PORT as the address of a new member

Cause: admin members add-learner passes HOST:PORT, but the log sends to base URLs, so the learner never got a message and replace never ended. A control host that lost its disk could not be repaired with the command line. Ruled out: the learner's catch-up, which works with a base URL. Before: TestRepairThenSecondLoss (both cases) fails, replace ends with deadline_exceeded.

--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -97,6 +98,11 @@
 	if s.Replica == nil {
 		return nil, serving.NewError(serving.KindInternal, "this process has no replica of its own")
 	}
+	c = proto.CloneOf(c)
+	// Operators give HOST:PORT; the log's members have base URLs.
+	if c.GetAddress() != "" && !strings.Contains(c.GetAddress(), "://") {
+		c.Address = "http://" + c.GetAddress()
+	}
 	res, err := s.Replica.ChangeMember(ctx, c)
 	if err == nil {
 		return res, nil
