--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -55,6 +56,8 @@
 	sequencer  *generation.Sequencer
 	parser     frameParser
 	slot       dispatch.Slot
+	// noted is the progress that was passed on last.
+	noted serving.TokenIndex
 	// sent is true once a byte of the request may have left.
 	sent atomic.Bool
 
@@ -148,8 +151,12 @@
 		a.resumes++
 		e.metrics.resumes.Add(1)
 		stream, err := e.resumeGeneration(ctx, a)
-		if err == nil || errors.Is(err, errGenerationGone) || ctx.Err() != nil {
-			return stream, err
+		if err == nil {
+			e.events.add(eventResumed, a.request.ID, "engine", string(a.engine.Engine), "next", strconv.FormatInt(int64(a.sequencer.Next()), 10))
+			return stream, nil
+		}
+		if errors.Is(err, errGenerationGone) || ctx.Err() != nil {
+			return nil, err
 		}
 		now := e.Clock.Now()
 		a.fail(now)
@@ -226,12 +233,14 @@
 func (e *Entry) progress(a *attempt, n int64) {
 	now := e.Clock.Now()
 	e.metrics.tokens.Add(n)
+	e.noteProgress(a)
 	if a.sequencer.Next() > a.firstIndex+serving.TokenIndex(n) {
 		gap := (now - a.lastFrame) / time.Duration(n)
 		a.engine.counters.observeGap(gap)
 		e.metrics.interToken.observe(gap, n)
 	} else if a.firstIndex == 0 {
 		e.metrics.firstToken.observe(now-a.lastFrame, 1)
+		e.events.add(eventFirstToken, a.request.ID, "engine", string(a.engine.Engine))
 	}
 	a.lastFrame, a.failing, a.resumes = now, false, 0
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -48,17 +48,18 @@
 	container.Add(ws)
 
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", container)
+	mux.Handle("/v1/", e.inProgress(container))
+	mux.HandleFunc("/v1/engines/announce", container.ServeHTTP)
 	mux.Handle(schema.ViewsPathPrefix, e.requireCluster(schema.NewViewsServer(e, twirp.WithServerInterceptors(rpc.MapErrors))))
 	mux.Handle(schema.MembersPathPrefix, e.requireCluster(schema.NewMembersServer(e)))
-	mux.Handle(schema.SlotsPathPrefix, e.requireCluster(schema.NewSlotsServer(e.controller)))
+	mux.Handle(schema.SlotsPathPrefix, e.requireCluster(schema.NewSlotsServer(e.dispatcher)))
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", e.ready)
 	mux.HandleFunc("/debug/vars", e.vars)
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, serving.NewError(serving.KindNotFound, "no such path"))
 	})
-	return recoverPanics(mux)
+	return e.events.handler(recoverPanics(mux))
 }
 
 // routeError answers a request that no route takes.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -24,6 +24,9 @@
 	// maxDrain bounds the events handled before the next sync.
 	maxDrain  = 4096
 	inboxSize = 4096
+	// snapshotFormat is the first byte of a snapshot; it tells an empty state of
+	// the machine from the empty first snapshot of a cluster.
+	snapshotFormat = 1
 )
 
 var _ serving.ReplicatedLog = (*Node)(nil)
@@ -66,6 +69,9 @@
 	// addresses holds the address of each identity that sent a message.
 	addresses sync.Map
 
+	// syncEach handles one request per sync, which benchmarks compare with.
+	syncEach bool
+
 	journal  *journal.Journal
 	replica  *ledger.Replica
 	applied  ledger.Index
@@ -102,6 +108,9 @@
 	if n.Transport == nil {
 		n.Transport = NewHTTPTransport()
 	}
+	if n.Config.Heartbeat == 0 {
+		n.Config.Heartbeat = ledger.DefaultHeartbeat
+	}
 	if n.SnapshotEvery == 0 {
 		n.SnapshotEvery = DefaultSnapshotEvery
 	}
@@ -131,21 +140,15 @@
 		return err
 	}
 	n.journal = j
-	if len(state.Snapshot.Data) > 0 {
-		if err := n.Machine.Restore(state.Snapshot.Data); err != nil {
-			_ = j.Close()
-			return serving.WrapError(err, serving.KindDamaged, "restore the state machine")
-		}
+	if err := n.restore(state.Snapshot.Data); err != nil {
+		_ = j.Close()
+		return err
 	}
 	cfg := n.Config
 	cfg.Self = j.Self()
 	if cfg.Random == nil {
 		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	n.Config.Heartbeat = max(cfg.Heartbeat, 0)
-	if n.Config.Heartbeat == 0 {
-		n.Config.Heartbeat = ledger.DefaultHeartbeat
-	}
 	n.replica, err = ledger.New(cfg, state, n.Clock.Now())
 	if err != nil {
 		_ = j.Close()
@@ -190,6 +193,9 @@
 			continue
 		default:
 		}
+		if n.syncEach {
+			return
+		}
 		select {
 		case q := <-n.requests:
 			n.handle(q)
@@ -220,13 +226,13 @@
 	}
 	n.publish()
 	n.settleWaiting()
-	return nil
+	return n.replica.Err()
 }
 
 func (n *Node) apply(rd ledger.Ready) error {
 	if rd.Install && rd.Snapshot.Index > n.applied {
-		if err := n.Machine.Restore(rd.Snapshot.Data); err != nil {
-			return serving.WrapError(err, serving.KindDamaged, "restore the state machine")
+		if err := n.restore(rd.Snapshot.Data); err != nil {
+			return err
 		}
 		n.applied, n.snapshot = rd.Snapshot.Index, rd.Snapshot.Index
 	}
@@ -258,7 +264,22 @@
 		klog.ErrorS(err, "snapshot failed; the log grows until the next one", "index", n.applied)
 		return
 	}
-	n.replica.Compact(n.applied, state)
+	n.replica.Compact(n.applied, append([]byte{snapshotFormat}, state...))
+}
+
+// restore sets the machine to a stored snapshot. Only the first snapshot of a
+// cluster is empty, and the machine is still in its initial state then.
+func (n *Node) restore(snapshot []byte) error {
+	if len(snapshot) == 0 {
+		return nil
+	}
+	if snapshot[0] != snapshotFormat {
+		return serving.NewError(serving.KindDamaged, "the snapshot was written by a newer version")
+	}
+	if err := n.Machine.Restore(snapshot[1:]); err != nil {
+		return serving.WrapError(err, serving.KindDamaged, "restore the state machine")
+	}
+	return nil
 }
 
 func (n *Node) send(messages []ledger.Message) {
@@ -266,7 +287,7 @@
 		return
 	}
 	byAddress := map[string][]*schema.LogMessage{}
-	membership := n.replica.Status().Membership
+	membership := n.replica.Membership()
 	for _, m := range messages {
 		address := ""
 		if member, ok := membership.Find(m.To); ok {
--- a/pkg/serving/dispatch/tracker.go
+++ b/pkg/serving/dispatch/tracker.go
@@ -86,6 +86,8 @@
 	engines map[serving.EngineID]*engine
 	// rings holds the engines of each model, ordered by hash.
 	rings map[serving.ModelID][]*engine
+	// prompts is the smoothed prompt length of each model.
+	prompts map[serving.ModelID]float64
 }
 
 // engine is one entry's view of an engine.
@@ -105,6 +107,9 @@
 	forecast   serving.MemoryForecast
 	forecastAt time.Duration
 	dirty      bool
+	others     serving.MemoryForecast
+	othersAt   time.Duration
+	hasOthers  bool
 	sinceCount serving.Slots
 	busyNow    serving.Slots
 	usedNow    serving.Tokens
@@ -136,7 +141,7 @@
 	if cfg.Lengths == nil {
 		cfg.Lengths = NewLengths(LengthsConfig{})
 	}
-	return &Tracker{cfg: cfg, engines: map[serving.EngineID]*engine{}, rings: map[serving.ModelID][]*engine{}}
+	return &Tracker{cfg: cfg, engines: map[serving.EngineID]*engine{}, rings: map[serving.ModelID][]*engine{}, prompts: map[serving.ModelID]float64{}}
 }
 
 // Announce takes in an announcement; one of an older incarnation is ignored.
@@ -166,9 +171,8 @@
 	e.ramp.SetReference(t.referenceStep(e))
 	e.prefixes.apply(now, a.CacheEvents)
 	e.report(now, a.Load)
-	if a.Load.StepMS > 0 {
-		e.ramp.Step(now, time.Duration(a.Load.StepMS*float64(time.Millisecond)), a.Load.Running)
-	}
+	e.ramp.Report(now, a.Load)
+
 }
 
 // renew creates the state of a new incarnation; what ran at the old one is gone.
@@ -255,6 +259,39 @@
 	e.dirty = true
 }
 
+// SetOthers sets the memory forecast of what the other entries run at an engine,
+// as its owner says. While it is recent it replaces the estimate from reports.
+func (t *Tracker) SetOthers(at time.Duration, id serving.EngineID, f serving.MemoryForecast) {
+	if e := t.engines[id]; e != nil && at >= e.othersAt {
+		e.others, e.othersAt, e.hasOthers, e.dirty = f, at, true, true
+	}
+}
+
+// OwnForecast returns the memory forecast of what this entry runs at an engine.
+func (t *Tracker) OwnForecast(id serving.EngineID) serving.MemoryForecast {
+	var f serving.MemoryForecast
+	if e := t.engines[id]; e != nil {
+		for _, g := range e.running {
+			e.addGeneration(&f, t.cfg.Lengths, g)
+		}
+	}
+	return f
+}
+
+// Typical returns the memory forecast of one new generation of a model.
+func (t *Tracker) Typical(model serving.ModelID) serving.MemoryForecast {
+	var f serving.MemoryForecast
+	var survival [serving.ForecastPoints]float64
+	t.cfg.Lengths.Survival(serving.LengthKey{Model: model}, 0, &survival)
+	prompt, ok := t.prompts[model]
+	if !ok {
+		prompt = 256
+	}
+	f.Add(serving.Tokens(prompt), 0, &survival, 1)
+
+	return f
+}
+
 // Remove forgets an engine.
 func (t *Tracker) Remove(id serving.EngineID) {
 	if e := t.engines[id]; e != nil {
@@ -290,7 +327,13 @@
 	for _, p := range r.PrefixHashes {
 		e.prefixes.add(now, p)
 	}
+	if p, ok := t.prompts[r.Model]; ok {
+		t.prompts[r.Model] = p + (float64(r.PromptTokens)-p)/64
+	} else {
+		t.prompts[r.Model] = float64(r.PromptTokens)
+	}
 	e.breaker.Begin(now)
+
 	// The forecast grows at once, so that the next decision sees this request.
 	e.addTo(t.cfg.Lengths, n)
 	e.sinceCount++
