--- a/internal/e2e/check_test.go
+++ b/internal/e2e/check_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -28,6 +30,7 @@
 		history.OrdersOnce(events),
 		history.ColdLimit(events, coldLimit, w.c.silent),
 		history.LeavingGetNoWork(events),
+		history.OrdersFenced(events),
 		history.InForce(w.allChanges(), w.samples, viewLease),
 		history.NeverReverts(w.samples),
 	}
@@ -35,6 +38,7 @@
 		errs = append(errs, history.Linearizable(w.ops), history.AppliedOnce(w.commandIDs()))
 	}
 	t.Log(w.summary())
+	w.keepFailed(errors.Join(errs...))
 	assert.NilError(t, errors.Join(errs...))
 }
 
@@ -109,3 +113,16 @@
 	}
 	return n
 }
+
+// keepFailed copies the records of a failed check to the folder that KEEP_RECORDS
+// names, since the test's own folder is removed.
+func (w *workload) keepFailed(err error) {
+	dir := os.Getenv("KEEP_RECORDS")
+	if err == nil || dir == "" {
+		return
+	}
+	target := filepath.Join(dir, strings.ReplaceAll(w.c.t.Name(), "/", "_"))
+	if err := os.CopyFS(target, os.DirFS(w.c.dir)); err != nil {
+		w.c.t.Log(err)
+	}
+}
--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	// idleLimit is the time without bytes after which a caller gives a connection up;
-	// it then resumes its stream at another entry.
+	// firstLimit is the time without a first byte after which a caller gives a call
+	// up; requests wait for an engine for up to 10 s.
+	firstLimit = 15 * time.Second
+	// idleLimit is the time without further bytes after which a caller gives a
+	// stream up; it then resumes it at another entry.
 	idleLimit = 4 * time.Second
 	// maxResumes bounds the resumptions of one stream by its caller.
 	maxResumes = 5
@@ -177,11 +180,7 @@
 func (c *client) read(call *history.Call, r *http.Request) (last string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	limit := idleLimit
-	if !call.Stream {
-		limit = 12 * time.Second // A whole answer has no bytes before its end.
-	}
-	idle := time.AfterFunc(limit, cancel)
+	idle := time.AfterFunc(firstLimit, cancel)
 	defer idle.Stop()
 	r = r.WithContext(ctx)
 	r.Header.Set("Authorization", "Bearer "+callerKey)
@@ -196,7 +195,7 @@
 		call.RequestID = serving.RequestID(id)
 	}
 	if res.Header.Get("Content-Type") == "text/event-stream" {
-		return readStream(call, res.Body, func() { idle.Reset(limit) })
+		return readStream(call, res.Body, func() { idle.Reset(idleLimit) })
 	}
 	b, err := io.ReadAll(res.Body)
 	switch {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -87,13 +88,26 @@
 	return &fleet{t: t, programs: programs, dir: t.TempDir()}
 }
 
+// nextPort counts through the ports that tests hand out. They are below the range
+// from which the system takes the ports of outgoing connections, which would
+// otherwise occupy one before its process listens. Processes of the test binary
+// start at different ports.
+var nextPort atomic.Uint32
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	const first, count = 12_000, 20_000
+	for range count {
+		n := (nextPort.Add(1) + uint32(os.Getpid())*97) % count
+		address := fmt.Sprintf("127.0.0.1:%d", first+n)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // start runs a program until the test ends; its log is printed if the test fails.
--- a/internal/e2e/history/engines.go
+++ b/internal/e2e/history/engines.go
@@ -84,3 +84,16 @@
 	}
 	return nil
 }
+
+// OrdersFenced checks that no engine was given an order with a lower fencing
+// number than one before it, be it that the engine refuses such orders or that the
+// controllers never send them.
+func OrdersFenced(events []standin.Event) error {
+	for i := range events {
+		ev := &events[i]
+		if ev.Event == "order" && ev.Stale {
+			return fmt.Errorf("fencing: %s ran the stale order %+v at %s", ev.Engine, *ev.Order, wall(ev).Format(clock))
+		}
+	}
+	return nil
+}
--- a/internal/e2e/history/history_test.go
+++ b/internal/e2e/history/history_test.go
@@ -88,6 +88,9 @@
 	given := func(ms int, request serving.RequestID) standin.Event {
 		return with(event(ms, "given", "n1"), func(ev *standin.Event) { ev.RequestID = request })
 	}
+	order1 := func(stale bool) standin.Event {
+		return with(event(1, "order", "n1"), func(ev *standin.Event) { ev.Order, ev.Stale = &standin.Order{FencingNumber: 1}, stale })
+	}
 	started := func(ms int, engine, key string) standin.Event {
 		return with(event(ms, "call_started", engine), func(ev *standin.Event) { ev.Key = key })
 	}
@@ -136,6 +139,8 @@
 		{"call after the bound", takenOut(time.Time{}), []standin.Event{started(3100, "n1", "a:k")}, true},
 		{"work after the return", takenOut(at(3050)), []standin.Event{given(3100, "r1")}, false},
 		{"leaving gets no work", LeavingGetNoWork, []standin.Event{event(0, "leaving", "n1"), given(2000, "r1")}, false},
+		{"order", OrdersFenced, []standin.Event{order1(false)}, false},
+		{"stale order", OrdersFenced, []standin.Event{order1(true)}, true},
 		{"leaving gets work", LeavingGetNoWork, []standin.Event{event(0, "leaving", "n1"), given(4000, "r1")}, true},
 	}
 	for _, test := range tests {
--- a/internal/e2e/scenarios_test.go
+++ b/internal/e2e/scenarios_test.go
@@ -71,11 +71,6 @@
 		c.fault(c.engines[1], standin.Fault{Fault: "crossed", DurationMS: 2000})
 		pause(4 * time.Second)
 	}},
-	{"engine turns cold silently", cold, mixed, func(c *cluster, _ *workload) {
-		pause(2 * time.Second)
-		c.fault(c.engines[0], standin.Fault{Fault: "cold"})
-		pause(6 * time.Second)
-	}},
 	{"engine reclaimed", small, mixed, func(c *cluster, _ *workload) {
 		c.post(c.engines[0], "/v1/reclaim", map[string]int{"deadline_ms": 1500})
 		pause(4 * time.Second)
@@ -156,9 +151,19 @@
 		pause(4 * time.Second)
 		leader.signal(syscall.SIGCONT)
 	}},
-	{"entry frozen and engine cold silently", cold, mixed, func(c *cluster, _ *workload) {
-		c.fault(c.engines[0], standin.Fault{Fault: "cold"})
-		freeze(c.entries[0], 6*time.Second)
+	{"engines start cold", cold, load{callers: 16, orders: 1}, func(c *cluster, _ *workload) {
+		restart(c, c.engines[0], 500*time.Millisecond)
+		pause(2 * time.Second)
+	}},
+	{"engine starts cold while its owner is killed", cold, load{callers: 16}, func(c *cluster, _ *workload) {
+		c.engines[0].kill()
+		c.entries[0].kill()
+		c.launch(c.engines[0])
+		pause(3 * time.Second)
+		c.launch(c.entries[0])
+	}},
+	{"entry frozen while engines are cold", cold, load{callers: 16}, func(c *cluster, _ *workload) {
+		freeze(c.entries[0], 5*time.Second)
 	}},
 	{"entry and service killed", small, mixed, func(c *cluster, _ *workload) {
 		for i := range 3 {
@@ -199,3 +204,23 @@
 		t.Run(scenarios[i].name, scenarios[i].test)
 	}
 }
+
+var silentColdTurns = []scenario{
+	{"engine turns cold silently", cold, mixed, func(c *cluster, _ *workload) {
+		pause(2 * time.Second)
+		c.fault(c.engines[0], standin.Fault{Fault: "cold"})
+		pause(6 * time.Second)
+	}},
+	{"entry frozen and engine cold silently", cold, mixed, func(c *cluster, _ *workload) {
+		c.fault(c.engines[0], standin.Fault{Fault: "cold"})
+		freeze(c.entries[0], 6*time.Second)
+	}},
+}
+
+// Guards against a warm engine that turns cold without saying so and is given more
+// than it carries later than 2 s after that.
+func TestSilentColdTurn(t *testing.T) {
+	for i := range silentColdTurns {
+		t.Run(silentColdTurns[i].name, silentColdTurns[i].test)
+	}
+}
