--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -303,3 +303,5 @@
 	out, err := exec.CommandContext(ctx, filepath.Join(f.programs, "turmericdrum"), args...).CombinedOutput()
 	return string(out), err
 }
+
+func bytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -17,7 +17,14 @@
 	// firstTokenLead is the time from a start to a first token that a deadline must leave.
 	firstTokenLead = 400 * time.Millisecond
 	// memoryRisk is the share of load reports that may show a preemption.
-	memoryRisk = 0.001
+	memoryRisk = 0.005
+	// reservedSlots are kept free for accounts below their share from accounts that
+	// have waited without a break for reserveAfter.
+	reservedSlots = 2
+	reserveAfter  = 5 * time.Second
+	// queueCredit is the service in tokens per weight that an account which had
+	// less than its share may catch up on.
+	queueCredit = 10_000
 	// affinityBound is the largest ratio to the mean load that affinity accepts.
 	affinityBound = 1.25
 	// One-way delays that placement assumes between places.
@@ -47,6 +54,7 @@
 	calibration *dispatch.Calibration
 	placer      serving.Placer
 	queue       *account.Queue
+	limits      *limits
 	waiting     map[serving.RequestID]*waiter
 	reports     map[serving.EngineID]report
 	candidates  []serving.Candidate
@@ -60,6 +68,8 @@
 	avoid   map[serving.EngineID]bool
 	weight  float64
 	started chan start
+	// cost is the number of tokens that the account was charged in advance.
+	cost serving.Tokens
 }
 
 // start is the outcome of waiting.
@@ -67,7 +77,11 @@
 	engine     serving.EngineID
 	slot       dispatch.Slot
 	generation serving.GenerationID
-	err        error
+	// account is a slot of the account, if its requests in progress are limited.
+	account dispatch.Slot
+	// cost is the number of tokens that the account was charged in advance.
+	cost serving.Tokens
+	err  error
 }
 
 func newDispatcher(e *Entry, incarnation serving.Incarnation) *dispatcher {
@@ -90,10 +104,11 @@
 		wasOut:      map[serving.DataCentreID]bool{},
 		lengths:     dispatch.NewLengths(dispatch.LengthsConfig{}),
 		calibration: dispatch.NewCalibration(memoryRisk),
-		queue:       account.NewQueue(account.QueueConfig{Lead: firstTokenLead}),
+		queue:       account.NewQueue(account.QueueConfig{Lead: firstTokenLead, Credit: queueCredit}),
 		waiting:     map[serving.RequestID]*waiter{},
 		reports:     map[serving.EngineID]report{},
 	}
+	s.limits = newLimits(s)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.tracker = dispatch.NewTracker(dispatch.TrackerConfig{
 		Lengths: s.lengths, Random: random,
@@ -145,6 +160,7 @@
 	}
 	s.pump()
 	s.updateHeld(b)
+	s.limits.tick(s.entry.Clock.Now())
 }
 
 // do runs f on the goroutine that owns the state.
@@ -175,12 +191,21 @@
 
 func (s *dispatcher) push(w *waiter) {
 	r := w.request
-	cost := r.PromptTokens + s.lengths.Remaining(serving.LengthKey{Service: r.Service, Model: r.Model, Account: r.Account}, 0, 0.5)
-	evicted, err := s.queue.Push(s.entry.Clock.Now(), account.Item{Request: r, Cost: cost, Weight: w.weight})
+	now := s.entry.Clock.Now()
+	w.cost = r.PromptTokens + s.lengths.Remaining(serving.LengthKey{Service: r.Service, Model: r.Model, Account: r.Account}, 0, 0.5)
+	if r.MaxTokens > 0 {
+		w.cost = min(w.cost, r.PromptTokens+r.MaxTokens)
+	}
+	if err := s.limits.take(now, r.Account, w.cost); err != nil {
+		w.started <- start{err: err}
+		return
+	}
+	evicted, err := s.queue.Push(now, account.Item{Request: r, Cost: w.cost, Weight: w.weight})
 	if evicted != nil {
 		s.refuse(evicted.Request.ID, s.queue.Refused(evicted))
 	}
 	if err != nil {
+		s.limits.tokens.Charge(now, r.Account, -w.cost)
 		w.started <- start{err: err}
 		return
 	}
@@ -193,12 +218,15 @@
 	select {
 	case st := <-w.started:
 		if st.err == nil {
-			s.tracker.Done(s.entry.Clock.Now(), st.engine, st.generation, dispatch.OutcomeCancelled)
-			s.held[st.engine].holder.Release(s.entry.Clock.Now(), st.slot.ID)
+			s.tracker.Done(s.entry.Clock.Now(), st.engine, st.generation, dispatch.OutcomeCanceled)
+			s.giveBack(st.slot)
+			s.giveBack(st.account)
+			s.limits.tokens.Charge(s.entry.Clock.Now(), w.request.Account, -w.cost)
 		}
 	default:
 		s.queue.Remove(w.request.ID)
 		delete(s.waiting, w.request.ID)
+		s.limits.tokens.Charge(s.entry.Clock.Now(), w.request.Account, -w.cost)
 	}
 	s.pump()
 }
@@ -206,6 +234,7 @@
 func (s *dispatcher) refuse(id serving.RequestID, err error) {
 	if w := s.waiting[id]; w != nil {
 		delete(s.waiting, id)
+		s.limits.tokens.Charge(s.entry.Clock.Now(), w.request.Account, -w.cost)
 		w.started <- start{err: err}
 	}
 }
@@ -220,10 +249,15 @@
 	for s.queue.Len() > 0 {
 		var chosen serving.EngineID
 		now := s.entry.Clock.Now()
-		it, ok := s.queue.Pop(now, func(it *account.Item) bool {
+		it, ok := s.queue.Pop(now, func(it *account.Item) account.Verdict {
+			if !s.hasAccountSlot(now, it.Request.Account) || s.reserved(now, it.Request.Account) {
+				return account.Reserved
+			}
 			var ok bool
-			chosen, ok = s.choose(now, s.waiting[it.Request.ID])
-			return ok
+			if chosen, ok = s.choose(now, s.waiting[it.Request.ID]); !ok {
+				return account.NoRoom
+			}
+			return account.Start
 		})
 		if !ok {
 			break
@@ -233,13 +267,29 @@
 	s.wantSlots()
 }
 
+// reserved tells whether the last free slots of the region are kept from an
+// account that has had its share for long.
+func (s *dispatcher) reserved(now time.Duration, id serving.ClientAccountID) bool {
+	if !s.queue.Backlogged(now, id, reserveAfter) {
+		return false
+	}
+	var free serving.Slots
+	for engineID, h := range s.held {
+		if n := s.entry.board.load().Engines[engineID]; n != nil && n.Region == s.entry.Settings.Region {
+			free += h.holder.Free(now)
+		}
+	}
+	return free <= reservedSlots
+}
+
 // begin gives a waiting request the slot of the chosen engine.
 func (s *dispatcher) begin(now time.Duration, w *waiter, id serving.EngineID) {
-	st := start{engine: id, generation: serving.GenerationID(newID())}
+	st := start{engine: id, generation: serving.GenerationID(newID()), cost: w.cost}
 	var ok bool
 	if st.slot, ok = s.holderOf(id).holder.Acquire(now); !ok {
 		st.err = serving.NewError(serving.KindOverloaded, "engine "+string(id)+" has no free slot").WithRetryAfter(time.Second)
 	} else {
+		st.account = s.takeAccountSlot(now, w.request.Account)
 		s.tracker.Sent(now, id, st.generation, w.request)
 	}
 	delete(s.waiting, w.request.ID)
@@ -269,6 +319,7 @@
 	if len(s.waiting) == 0 {
 		return
 	}
+	s.wantAccountSlots()
 	now := s.entry.Clock.Now()
 	for _, w := range s.waiting {
 		s.candidates = s.tracker.Candidates(now, w.request, s.candidates[:0])
