--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -32,7 +32,7 @@
 	// slotTTL is shorter than the default, since a new owner of an engine waits for it.
 	slotTTL = time.Second
 	// maxFleets bounds the fleets that run at a time.
-	maxFleets = 6
+	maxFleets = 8
 	// coldLimit is the number of generations that a cold stand-in survives.
 	coldLimit = 2
 	account   = "bench"
