--- a/pkg/serving/dispatch/tracker.go
+++ b/pkg/serving/dispatch/tracker.go
@@ -81,6 +81,10 @@
 	Stall          StallConfig
 }
 
+// maxReferences bounds the engines that are looked at for a reference step time;
+// without it, many cold engines cost a time that grows with their square.
+const maxReferences = 64
+
 // Tracker keeps the state of all engines as one entry sees it and produces the
 // candidates of a decision.
 type Tracker struct {
@@ -238,10 +242,15 @@
 	}
 }
 
-// referenceStep returns the step time of a warm engine that carries the same model.
+// referenceStep returns the step time of a warm engine that carries the same
+// model, looked for among some of them; 0 if e has a history of its own.
 func (t *Tracker) referenceStep(e *engine) time.Duration {
+	if e.ramp.Reference() > 0 {
+		return 0
+	}
 	for _, m := range e.Models {
-		for _, other := range t.rings[m.Model] {
+		ring := t.rings[m.Model]
+		for _, other := range ring[:min(len(ring), maxReferences)] {
 			if other != e && !other.ramp.Cold() && other.ramp.Reference() > 0 {
 				return other.ramp.Reference()
 			}
@@ -330,6 +339,22 @@
 	}
 }
 
+// Slowed tells whether step times that this entry saw show that an engine turned cold.
+func (t *Tracker) Slowed(id serving.EngineID) bool {
+	e := t.engines[id]
+	return e != nil && e.ramp.Slowed()
+}
+
+// Reference returns the step time of an engine when it is warm, by its own history
+// or that of engines with the same model; 0 means unknown.
+func (t *Tracker) Reference(id serving.EngineID) time.Duration {
+	e := t.engines[id]
+	if e == nil {
+		return 0
+	}
+	return max(e.ramp.Reference(), t.referenceStep(e))
+}
+
 // Sent records that r was sent to an engine as generation g.
 func (t *Tracker) Sent(now time.Duration, id serving.EngineID, g serving.GenerationID, r *serving.Request) {
 	e := t.engines[id]
