--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -21,6 +21,8 @@
 		e.refuse(w, err)
 		return
 	}
+	// Refusals carry the request id too, so that they can be found in records and logs.
+	w.Header().Set("X-Request-Id", string(call.request.ID))
 	e.events.add(eventRequestReceived, call.request.ID, "account", string(call.request.Account), "model", string(call.request.Model))
 	// Refusals carry the request id too, so that they can be found in records and logs.
 	w.Header().Set("X-Request-Id", string(call.request.ID))
