Start from a view confirmed after the start; keep preempted streams; ramp what is warm

Cause: (1) a restarted entry took its first view from another entry and went from revision 67 back to 65 (TestFaults/entry_and_leader_killed). (2) The load tool had 4 and 1 streams cut: a preempted generation's silence counted as a stall, and the entry gave up after 15 s although the engine answered each resumption. (3) An engine shown to be warm stayed at the cold limit, since placement prefers warm engines and only use of the limit raised it. Change: a first view must have been confirmed after the process started; the time without progress counts from the engine's last answer that it has the generation, 5 minutes at most; once step times have shown that an engine is warm, any use of it raises the limit. Ruled out for (1): control replicas only as source of a first view, which would leave a restarted entry without control idle. (2) was not measured again on a fleet. TestRelayedViewsAddTheirAge lets a second pass before the first poll: its chain started with views from the moment of the start.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -27,6 +27,9 @@
 	// refusedWindow is the same while the engine's host refuses connections: its
 	// process has ended, and a restarted one does not have the generation.
 	refusedWindow = time.Second
+	// heldWindow bounds the time without progress while the engine still answers
+	// that it has the generation, as it does for one that was preempted.
+	heldWindow = 5 * time.Minute
 	// minResumePause and maxResumePause bound the growing pause between resumptions;
 	// the first one is immediate.
 	minResumePause = 50 * time.Millisecond
@@ -62,10 +65,12 @@
 	// sent is true once a byte of the request may have left.
 	sent atomic.Bool
 
-	frames     []generation.Frame
-	lastFrame  time.Duration
-	failing    bool
-	failedAt   time.Duration
+	frames    []generation.Frame
+	lastFrame time.Duration
+	failing   bool
+	failedAt  time.Duration
+	// heldAt is when the engine last answered that it has the generation.
+	heldAt     time.Duration
 	resumes    int
 	firstIndex serving.TokenIndex
 }
@@ -126,7 +131,7 @@
 		}
 		now := e.Clock.Now()
 		a.fail(now)
-		if now-a.failedAt > resumeWindow {
+		if now-max(a.failedAt, a.heldAt) > resumeWindow || now-a.failedAt > heldWindow {
 			return serving.WrapError(err, serving.KindGenerationLost, "the engine sends nothing more of the generation").WithRan(serving.DidRun)
 		}
 		klog.V(1).InfoS("Stream broken", "request", a.request.ID, "generation", a.generation, "engine", a.engine.Engine, "next", a.sequencer.Next(), "err", err)
@@ -153,6 +158,7 @@
 		e.metrics.resumes.Add(1)
 		stream, err := e.resumeGeneration(ctx, a)
 		if err == nil {
+			a.heldAt = e.Clock.Now()
 			e.events.add(eventResumed, a.request.ID, "engine", string(a.engine.Engine), "next", strconv.FormatInt(int64(a.sequencer.Next()), 10))
 			return stream, nil
 		}
@@ -165,7 +171,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			window = refusedWindow
 		}
-		if now-a.failedAt > window {
+		if now-max(a.failedAt, a.heldAt) > window {
 			return nil, serving.WrapError(err, serving.KindGenerationLost, "the engine cannot be reached").WithRan(serving.DidRun)
 		}
 	}
--- a/internal/entry/blackboard.go
+++ b/internal/entry/blackboard.go
@@ -51,6 +51,7 @@
 // controlState is what only the control goroutine uses.
 type controlState struct {
 	Blackboard
+	startedAt time.Duration
 	directory *engine.Directory
 	counters  map[serving.EngineID]*engineCounters
 }
@@ -73,6 +74,7 @@
 	b := &board{clock: clock, events: make(chan event, 1024), log: log}
 	b.snapshot.Store(&Blackboard{})
 	b.state = &controlState{
+		startedAt: clock.Now(),
 		directory: engine.NewDirectory(engine.Config{Self: self}),
 		counters:  map[serving.EngineID]*engineCounters{},
 	}
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -34,6 +34,11 @@
 // apply takes over a view that is not older. Whatever was accepted before either
 // confirmation is part of the higher revision, so the later time holds for it.
 func (ev viewReceived) apply(s *controlState, _ time.Duration) bool {
+	if s.View == nil && ev.at < s.startedAt {
+		// Another entry's view that was confirmed before this process started may be
+		// older than what the process before had.
+		return false
+	}
 	if ev.list != nil && (s.Owners == nil || ev.list.Epoch > s.Owners.Epoch) {
 		s.Owners = decodeEntryList(ev.list)
 	}
--- a/internal/entry/views_test.go
+++ b/internal/entry/views_test.go
@@ -74,6 +74,7 @@
 	t.Helper()
 	e := newTestEntry(t)
 	e.Clock, e.board.clock = clock, clock
+	e.board.state.startedAt = clock.Now()
 	e.Settings.Entry.Control = nil
 	for _, s := range sources {
 		e.Settings.Entry.Control = append(e.Settings.Entry.Control, settings.Address(s))
@@ -153,6 +154,7 @@
 	a := newViewEntry(t, clock, control.address)
 	b := newViewEntry(t, clock, a.server.Listener.Addr().String())
 	c := newViewEntry(t, clock, b.server.Listener.Addr().String())
+	clock.advance(time.Second) // A first view must have been confirmed after the start.
 	a.poll()
 	a.Settings.Entry.Control = append(a.Settings.Entry.Control, settings.Address(c.server.Listener.Addr().String()))
 	control.set(nil, serving.NewError(serving.KindNoQuorum, "no quorum"))
@@ -177,6 +179,24 @@
 	assert.Assert(t, c.fresh())
 }
 
+// Guards against a restarted entry that goes back to an older configuration,
+// because another entry gives it a view from before its start.
+func TestFirstViewIsConfirmedAfterTheStart(t *testing.T) {
+	clock := &fakeClock{}
+	control := newFakeControl(t, configAt(5))
+	relay := newViewEntry(t, clock, control.address)
+	relay.poll()
+	clock.advance(100 * time.Millisecond)
+	restarted := newViewEntry(t, clock, relay.server.Listener.Addr().String())
+	clock.advance(100 * time.Millisecond)
+	restarted.poll()
+	assert.Assert(t, restarted.board.load().View == nil, "confirmed before the start")
+	relay.poll()
+	clock.advance(100 * time.Millisecond)
+	restarted.poll()
+	assert.Equal(t, restarted.board.load().View.Revision(), serving.Revision(5))
+}
+
 // Guards against a frozen replica that delays the polls of the others, and
 // against a follower's hint that is not followed.
 func TestFrozenReplicaDoesNotDelayPolls(t *testing.T) {
--- a/pkg/serving/dispatch/ramp.go
+++ b/pkg/serving/dispatch/ramp.go
@@ -53,8 +53,10 @@
 	firstRef    float64
 	// proven is true once the cold start is over, and proof counts the windows in
 	// a row that show it.
-	proven    bool
-	proof     int
+	proven bool
+	proof  int
+	// shown is true if step times proved it, and not the engine's age.
+	shown     bool
 	coldSince time.Duration
 	coldStep  float64
 	// inherited is true for an engine that may have been warm before it was known.
@@ -103,6 +105,7 @@
 	r.cold, r.limit = true, float64(max(1, r.capacity.ColdRunning))
 	r.good, r.slow, r.slowFirst = 0, 0, 0
 	r.proven, r.proof, r.coldSince, r.coldStep = false, 0, now, 0
+	r.shown = false
 	r.inherited, r.started = false, false
 	r.resetWindow(now)
 }
@@ -222,8 +225,10 @@
 	if !r.prove(mean) {
 		return
 	}
-	// Evidence counts only if the engine carried nearly its current limit.
-	if float64(r.busiest) < 0.75*float64(r.Limit()) {
+	// An engine whose age alone speaks for it must have carried nearly its current
+	// limit. One whose steps have shown that it is warm must only have been in use:
+	// otherwise placement, which prefers warm engines, would leave it at the cold limit.
+	if r.busiest == 0 || !r.shown && float64(r.busiest) < 0.75*float64(r.Limit()) {
 		return
 	}
 	if r.good++; r.good < r.cfg.Evidence {
@@ -255,7 +260,7 @@
 		return false
 	}
 	if r.proof++; r.proof >= r.cfg.Evidence {
-		r.proven = true
+		r.proven, r.shown = true, true
 	}
 	return r.proven
 }
