load: add the load subcommand

Ruled out: reusing Recorder, whose stall bound is fixed at 200 ms and which has no patience, cut streams or rates per second.

Change: load.Command sends seeded calls and orders over HTTP, checks every answer against the stand-in's tokens, carries out a schedule of operators' steps and faults, and reports as table or JSON.

--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -7,6 +7,7 @@
 //	turmericdrum admin --server 10.0.0.1:7200 --key KEY list models
 //	turmericdrum check FILE...
 //	turmericdrum timeline FILE...
+//	turmericdrum load --entry 10.0.0.1:7111 --account NAME:KEY --model guide --rate 20
 //	turmericdrum demo
 //
 // The exit status is 0 on success, 1 on failure and 2 on a wrong command line.
@@ -23,6 +24,7 @@
 
 	"turmericdrum.org/turmericdrum/internal/admin"
 	"turmericdrum.org/turmericdrum/internal/demo"
+	"turmericdrum.org/turmericdrum/internal/load"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/internal/timelines"
 )
@@ -33,6 +35,7 @@
 	Admin    *admin.Command     `arg:"subcommand:admin" help:"operate the system"`
 	Check    *checkCommand      `arg:"subcommand:check" help:"check settings files without starting"`
 	Timeline *timelines.Command `arg:"subcommand:timeline" help:"merge event logs into one time line"`
+	Load     *load.Command      `arg:"subcommand:load" help:"send load to running entries and measure as callers would"`
 	Demo     *demo.Command      `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
 }
 
@@ -64,6 +67,8 @@
 		return args.Admin.Run(context.Background(), os.Stdout)
 	case args.Timeline != nil:
 		return args.Timeline.Run(os.Stdout)
+	case args.Load != nil:
+		return args.Load.Run(context.Background(), os.Stdout)
 	case args.Demo != nil:
 		return args.Demo.Run(context.Background(), os.Stdout)
 	default:
