scripts: compare placements with the load command

Cause: no script compared the placement settings on running fleets. Ruled out: one fleet restarted per placement; a machine busy with other work would then disturb the placements differently.

--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -3,6 +3,7 @@
 # 12 model engines and 3 plain services.
 #
 #   scripts/local.sh start  [--fleet aguja|klubba] [--dir DIR] [--port-base N]
+#                           [--placement cost|least_in_flight|round_robin] [--engine-flags 'FLAG...']
 #   scripts/local.sh status [--dir DIR]
 #   scripts/local.sh stop   [--dir DIR]
 #
@@ -10,26 +11,29 @@
 # records under DIR (default: a fresh folder under ${TMPDIR:-/tmp}) and creates the
 # data centres, the model, the service and one client account. status and stop use
 # the DIR of the last start from this checkout unless one is given. A start in the
-# DIR of a stopped run continues with its data and keys.
+# DIR of a stopped run continues with its data and keys. --placement is a setting of
+# all entries; --engine-flags are further flags of the model engines' standin-engine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
 last=$root/bin/.local-run
 
-usage() { sed -n '2,13s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+usage() { sed -n '2,15s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 
 command=${1:-}
 [ $# -gt 0 ] && shift
-fleet=aguja dir='' base=7100
+fleet=aguja dir='' base=7100 placement=cost engine_flags=()
 while [ $# -gt 0 ]; do
 	case $1 in
-	--fleet | --dir | --port-base) [ $# -gt 1 ] || usage ;;
+	--fleet | --dir | --port-base | --placement | --engine-flags) [ $# -gt 1 ] || usage ;;
 	*) usage ;;
 	esac
 	case $1 in
 	--fleet) fleet=$2 ;;
 	--dir) dir=$2 ;;
 	--port-base) base=$2 ;;
+	--placement) placement=$2 ;;
+	--engine-flags) read -ra engine_flags <<<"$2" ;;
 	esac
 	shift 2
 done
@@ -98,7 +102,7 @@
 			for j in 0 1 2 3 4 5 6; do
 				[ "$j" = "$i" ] || printf '%s, ' "$(address $((11 + j)))"
 			done
-			printf ']\n'
+			printf ']\n  placement: %s\n' "$placement"
 		} >"$dir/$n.yaml"
 		launch "$n" turmericdrum entry --settings "$dir/$n.yaml"
 	done
@@ -111,7 +115,7 @@
 		n=engine-${regions[i % 3]}-$((i / 3 + 1))
 		launch "$n" standin-engine --name "$n" --data-centre "${regions[i % 3]}-1" --listen "$(address $((21 + i)))" \
 			--entry "$(address $((11 + i % 3)))" --entry "$(address $((11 + (i + 1) % 3)))" --entry "$(address $((11 + (i + 2) % 3)))" \
-			--model "$model@1" --event-log "$dir/$n.events.jsonl" --record "$dir/engines.record.jsonl"
+			--model "$model@1" --event-log "$dir/$n.events.jsonl" --record "$dir/engines.record.jsonl" "${engine_flags[@]}"
 	done
 	for i in 0 1 2; do
 		n=$service-${regions[i]}
