--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -2,20 +2,21 @@
 # Measures the placements cost, least_in_flight and round_robin as callers see them.
 #
 #   scripts/compare.sh [--dir DIR] [--port-base N] [--seconds N] [--warm-up N]
-#                      [--loads 'F...'] [--seed N] [--modes 'steady move']
+#                      [--loads 'F...'] [--seed N] [--modes 'steady move'] [--entries N]
 #
 # Starts one fleet for each placement (scripts/local.sh), sends the same seeded calls
 # to all fleets at the same time, so that a busy machine disturbs all of them, and
 # prints one table. In the mode "move" a data centre is taken out after a third of the
 # measured time and brought back after two thirds. Reports and logs remain in DIR.
-# Slots and the fair queue stay in force for all three placements.
+# Slots and the fair queue stay in force for all three placements. --entries sends to
+# the first N entries only: 7 call one region more than the others, 6 all equally.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
 
-usage() { sed -n '2,11s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+usage() { sed -n '2,12s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 
-dir='' base=21100 seconds=30 warm=8 loads='0.5 0.8 0.95 1.3' seed=7 modes='steady move'
+dir='' base=21100 seconds=30 warm=8 loads='0.5 0.8 0.95 1.3' seed=7 modes='steady move' entries_called=7
 while [ $# -gt 0 ]; do
 	[ $# -gt 1 ] || usage
 	case $1 in
@@ -26,6 +27,7 @@
 	--loads) loads=$2 ;;
 	--seed) seed=$2 ;;
 	--modes) modes=$2 ;;
+	--entries) entries_called=$2 ;;
 	*) usage ;;
 	esac
 	shift 2
@@ -81,7 +83,7 @@
 measure() {
 	local b i a entries=() callers=() steps=()
 	b=$(fleet_base "$1")
-	for i in 11 12 13 14 15 16 17; do entries+=(--entry "127.0.0.1:$((b + i))"); done
+	for i in $(seq 11 $((10 + entries_called))); do entries+=(--entry "127.0.0.1:$((b + i))"); done
 	for a in $accounts; do callers+=(--account "${a%:*}:$(key "$1" caller_key)-${a%:*}:${a#*:}"); done
 	if [ "$3" = move ]; then
 		steps+=(--step "$(($5 + ($4 - $5) / 3))s:take-out:data-centre:leon-1" --step "$(($5 + 2 * ($4 - $5) / 3))s:bring-back:data-centre:leon-1")
@@ -94,6 +96,18 @@
 		--records "$dir/$1/engines.record.jsonl"
 }
 
+# cpu_ticks: processor time used by all fleets and by the finished load processes, in
+# hundredths of a second.
+cpu_ticks() {
+	local pid
+	{
+		for pid in $(cat "$dir"/*/*.pid); do
+			awk '{print $14 + $15}' "/proc/$pid/stat" 2>/dev/null || true
+		done
+		awk '{print $16 + $17}' "/proc/$$/stat"
+	} | awk '{s += $1} END {print s}'
+}
+
 failed=0
 # measure_all LOAD MODE SECONDS WARM_UP NAME: all fleets at the same time.
 measure_all() {
@@ -111,17 +125,19 @@
 reports=()
 for mode in $modes; do
 	for load in $loads; do
-		echo "$(date +%T) $mode $load, load average $(cut -d' ' -f1-3 /proc/loadavg)" >>"$dir/machine.log"
+		at=$(date +%T) average=$(cut -d' ' -f1-3 /proc/loadavg) ticks=$(cpu_ticks) began=$SECONDS
 		measure_all "$load" "$mode" "$((seconds + warm))" "$warm" "$mode-$load"
+		cores=$(awk -v t="$(($(cpu_ticks) - ticks))" -v s="$((SECONDS - began))" 'BEGIN {printf "%.1f", t / 100 / s}')
+		echo "$at $mode $load: load average $average, $cores cores used by fleets and load" >>"$dir/machine.log"
 		for p in $placements; do reports+=("$dir/$mode-$load-$p.json"); done
 	done
 done
 stop_fleets
-echo "Three fleets at the same time; seed $seed, $seconds s measured after $warm s of warm-up."
+echo "Three fleets at the same time; seed $seed, $seconds s measured after $warm s of warm-up, $entries_called of 7 entries called."
 echo "Slots and the fair queue stay in force for all three placements."
 bin/turmericdrum load --show "${reports[@]}"
 cat "$dir"/*.log | grep -E '^(wrong answer|step )' || true
-echo "Load average of the machine at the start of each run:"
+echo "Machine at the start of each run:"
 cat "$dir/machine.log"
 echo "reports and logs: $dir"
 exit $failed
