--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -263,7 +263,7 @@
 // writeReports writes reports as one table with a row for each.
 func writeReports(w io.Writer, reports []*Report) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "run\tload\trate/s\toffered\twhole\torders\tgave up\tcut\tlost\twrong\tnot sent\tstall s\tstall %\tpreempt/1k\tbetween p50\tp99\tp99.9\tfirst p50\tp99\tp99.9\tgood/s\tgood tok/s\tworst first p99\tmean\tworst stall %\tmean\tdone/s\tlowest 1s\tlowest 5s\trefused\t")
+	fmt.Fprintln(t, "run\tload\trate/s\toffered\twhole\torders\tgave up\tcut\tlost\twrong\tnot sent\tstall s\tstall %\tpreempt/1k\tbetween p50\tp99\tp99.9\tfirst p50\tp99\tp99.9\tgood/s\tgood tok/s\tworst first p99\tmean\tworst stall %\tmean\tdone/s\tlowest 1s\tlowest 5s\trefused\tcut by\t")
 	for _, r := range reports {
 		preempted := "-"
 		if r.PreemptedPer1k != nil {
@@ -271,10 +271,10 @@
 		}
 		fmt.Fprintf(t, "%s\t%.2f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.3f\t%s\t", r.Name, r.Load, r.RatePerSec,
 			r.Offered, r.Completed, r.Orders, r.GaveUp, r.Cut, r.Lost, r.WrongAnswers, r.NotSent, r.StallS, 100*r.StallShare, preempted)
-		fmt.Fprintf(t, "%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f\t%.1f\t%d\t%.1f\t%s\t\n",
+		fmt.Fprintf(t, "%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f\t%.1f\t%d\t%.1f\t%s\t%s\t\n",
 			r.BetweenMS.P50, r.BetweenMS.P99, r.BetweenMS.P999, r.FirstMS.P50, r.FirstMS.P99, r.FirstMS.P999,
 			r.GoodPerSec, r.GoodTokensPerSec, r.WorstFirstP99MS, r.MeanFirstP99MS, 100*r.WorstStallShare, 100*r.MeanStallShare,
-			r.MeanPerSec, r.LowestSecond, r.Lowest5s, counts(r.Refused))
+			r.MeanPerSec, r.LowestSecond, r.Lowest5s, counts(r.Refused), counts(r.CutBy))
 	}
 	return t.Flush()
 }
