load: let tests take the messages of the load command

Cause: tests of wrong answers filled the output of go test ./... with messages. Ruled out: dropping the messages; callers of the command need the request ids. Change: Command.Errors, the standard error by default.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -67,6 +67,9 @@
 	Name        string   `arg:"--name" default:"load" help:"name of the run in the report"`
 	Output      string   `arg:"--output" default:"table" help:"table or json"`
 	Show        []string `arg:"--show" placeholder:"FILE" help:"send nothing; print JSON reports as one table"`
+
+	// Errors gets the wrong answers and failed steps; nil means the standard error.
+	Errors io.Writer `arg:"-"`
 }
 
 // maxDuration bounds the time of a run.
@@ -85,6 +88,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Errors == nil {
+		c.Errors = os.Stderr
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.Duration+c.Drain)
 	defer cancel()
 	g := newGenerator(c, p)
@@ -94,7 +100,7 @@
 		report.addPreemptions(c.Records, g.started.Add(c.WarmUp), g.started.Add(c.Duration))
 	}
 	for _, s := range report.Wrong {
-		fmt.Fprintln(os.Stderr, "wrong answer:", s)
+		fmt.Fprintln(c.Errors, "wrong answer:", s)
 	}
 	if err := c.write(w, report); err != nil {
 		return err
--- a/internal/load/command_test.go
+++ b/internal/load/command_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -95,7 +96,7 @@
 		Seed: 3, Rate: 100, Duration: 200 * time.Millisecond, Drain: 2 * time.Second, Arrivals: "poisson",
 		Dwell: time.Second, Lengths: "lognormal:20:0.5:40", Prompts: "pareto:5:1.5:50", Prefixes: 2, PrefixTokens: 8,
 		Streamed: 1, Patience: time.Second, Bound: 73 * time.Millisecond, Service: "counter", OrderPath: "/orders",
-		MaxCalls: 10, MaxInFlight: 10, Output: "json",
+		MaxCalls: 10, MaxInFlight: 10, Output: "json", Errors: io.Discard,
 	}
 	if change != nil {
 		change(c)
--- a/internal/load/steps.go
+++ b/internal/load/steps.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -71,7 +70,7 @@
 		err := g.runStep(ctx, &s)
 		if err != nil {
 			err = eris.Wrapf(err, "step %s", s.text)
-			fmt.Fprintln(os.Stderr, err)
+			fmt.Fprintln(g.Errors, err)
 		}
 		if first == nil {
 			first = err
