Make experiments a subcommand; do less while idle

Change: turmericdrum experiment; the tick runs every 50 ms, memory forecasts are made for new reports only, and returned data centres are looked for when the view changes.

--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -34,13 +34,14 @@
 type arguments struct {
 	Verbosity int `arg:"-v,--verbosity" help:"detail of the logs, 0 to 3"`
 
-	Entry    *entryCommand      `arg:"subcommand:entry" help:"run an entry process"`
-	Control  *controlCommand    `arg:"subcommand:control" help:"run a control replica, or work on its data folder"`
-	Admin    *admin.Command     `arg:"subcommand:admin" help:"operate the system"`
-	Check    *checkCommand      `arg:"subcommand:check" help:"check settings files without starting"`
-	Timeline *timelines.Command `arg:"subcommand:timeline" help:"merge event logs into one time line"`
-	Load     *load.Command      `arg:"subcommand:load" help:"send load to running entries and measure as callers would"`
-	Demo     *demo.Command      `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
+	Entry      *entryCommand           `arg:"subcommand:entry" help:"run an entry process"`
+	Control    *controlCommand         `arg:"subcommand:control" help:"run a control replica, or work on its data folder"`
+	Admin      *admin.Command          `arg:"subcommand:admin" help:"operate the system"`
+	Check      *checkCommand           `arg:"subcommand:check" help:"check settings files without starting"`
+	Timeline   *timelines.Command      `arg:"subcommand:timeline" help:"merge event logs into one time line"`
+	Load       *load.Command           `arg:"subcommand:load" help:"send load to running entries and measure as callers would"`
+	Experiment *load.ExperimentCommand `arg:"subcommand:experiment" help:"compare placement policies in virtual time"`
+	Demo       *demo.Command           `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
 }
 
 type checkCommand struct {
@@ -78,6 +79,8 @@
 		return args.Timeline.Run(os.Stdout)
 	case args.Load != nil:
 		return args.Load.Run(context.Background(), os.Stdout)
+	case args.Experiment != nil:
+		return args.Experiment.Run(os.Stdout)
 	case args.Demo != nil:
 		return args.Demo.Run(context.Background(), os.Stdout)
 	default:
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -13,7 +13,7 @@
 
 const (
 	// dispatchTick is the time between looks at reports, deadlines and due requests.
-	dispatchTick = 20 * time.Millisecond
+	dispatchTick = 50 * time.Millisecond
 	// firstTokenLead is the time from a start to a first token that a deadline must leave.
 	firstTokenLead = 400 * time.Millisecond
 	// memoryRisk is the share of load reports that may show a preemption.
@@ -48,6 +48,8 @@
 	owned     map[serving.EngineID]*ownedEngine
 	held      map[serving.EngineID]*heldEngine
 	wasOut    map[serving.DataCentreID]bool
+	// outRevision is the revision of the view that wasOut was read from.
+	outRevision serving.Revision
 
 	tracker     *dispatch.Tracker
 	lengths     *dispatch.Lengths
--- a/internal/entry/slots_owner.go
+++ b/internal/entry/slots_owner.go
@@ -5,6 +5,7 @@
 
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/dispatch"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
@@ -55,8 +56,7 @@
 			o.ramp.TurnCold(now)
 			s.tracker.TurnCold(now, id)
 		}
-		o.update(now, n, s.tracker.Reference(id), !n.takesWork(b.View))
-		if len(n.Models) > 0 {
+		if o.update(now, n, s.tracker.Reference(id), !n.takesWork(b.View)) && len(n.Models) > 0 {
 			memory := serving.Tokens(n.Capacity.MemoryBlocks) * n.Capacity.BlockTokens
 			o.owner.SetMemory(memory, s.calibration.Quantile(), s.tracker.Typical(canonicalModel(b.View, n.Models[0].Model)))
 		}
@@ -84,8 +84,8 @@
 	}
 }
 
-// update takes in what the engine announced.
-func (o *ownedEngine) update(now time.Duration, n *Engine, reference time.Duration, noNewWork bool) {
+// update takes in what the engine announced and tells whether that was new.
+func (o *ownedEngine) update(now time.Duration, n *Engine, reference time.Duration, noNewWork bool) (reported bool) {
 	o.ramp.Announce(now, n.Incarnation, n.Capacity)
 	o.ramp.SetUptime(now, time.Duration(n.UptimeMS)*time.Millisecond)
 	o.ramp.SetReference(reference)
@@ -94,9 +94,11 @@
 		o.reportAt = n.ReceivedAt
 		o.owner.Report(now, n.Incarnation, n.Load)
 		o.ramp.Report(now, n.Load)
+		reported = true
 	}
 	o.owner.SetNoNewWork(noNewWork)
 	o.owner.SetLimit(o.ramp.Limit())
+	return reported
 }
 
 // slowed takes in that an entry saw an engine turn cold, before its reports show it.
@@ -111,15 +113,15 @@
 
 // returnedDataCentres returns the data centres that operators have just brought back.
 func (s *dispatcher) returnedDataCentres(b *Blackboard) map[serving.DataCentreID]bool {
-	returned := map[serving.DataCentreID]bool{}
-	for _, n := range b.Engines {
-		out := s.entry.dataCentreOut(b, n.DataCentre)
-		if s.wasOut[n.DataCentre] && !out {
-			returned[n.DataCentre] = true
-		}
+	if s.outRevision == b.View.Revision() {
+		return nil
 	}
-	for _, n := range b.Engines {
-		s.wasOut[n.DataCentre] = s.entry.dataCentreOut(b, n.DataCentre)
+	s.outRevision = b.View.Revision()
+	returned := map[serving.DataCentreID]bool{}
+	for _, o := range b.View.List(schema.ObjectKind_OBJECT_KIND_DATA_CENTRE) {
+		id, out := serving.DataCentreID(o.GetId()), o.GetDataCentre().GetOut()
+		returned[id] = s.wasOut[id] && !out
+		s.wasOut[id] = out
 	}
 	return returned
 }
@@ -144,8 +146,3 @@
 	return n.State == engine.StateAlive && n.Announcement.State == engine.PhaseReady &&
 		!v.DataCentreOut(string(n.DataCentre)) && !v.EngineOut(string(n.Engine))
 }
-
-// dataCentreOut tells whether operators have taken a data centre out.
-func (e *Entry) dataCentreOut(b *Blackboard, id serving.DataCentreID) bool {
-	return b.View.DataCentreOut(string(id))
-}
