--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -115,7 +115,7 @@
 			w.samples = append(w.samples, s)
 			w.mu.Unlock()
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond) // Real processes: there is no virtual clock to wait on.
 	}
 }
 
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -361,7 +361,7 @@
 // freeze stops a process for a time.
 func freeze(n *node, d time.Duration) {
 	n.signal(syscall.SIGSTOP)
-	time.Sleep(d)
+	time.Sleep(d) // A stopped process has no virtual clock.
 	n.signal(syscall.SIGCONT)
 }
 
--- a/internal/e2e/link_test.go
+++ b/internal/e2e/link_test.go
@@ -198,7 +198,7 @@
 		case up && r.holdUp, !up && r.holdDown:
 			<-changed
 		default:
-			time.Sleep(r.delay)
+			time.Sleep(r.delay) // The delay of the link itself.
 			return true
 		}
 	}
