Run the whole path on the users' platform: gateway, hub and the adapter

Cause: nothing of the product spoke the platform's protocols. Change: platform/ translates settings, headers, calls and configurations; internal/hub keeps the replicated deployment state, engines' heartbeats and the joint use of engines; internal/gateway routes, places and relays calls and moves streams away from engines that leave; pkg/serving has the decisions (routing, deployment, presence, usage, placement, relocation).

--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -9,6 +9,8 @@
 //	turmericdrum timeline FILE...
 //	turmericdrum load --entry 10.0.0.1:7111 --account NAME:KEY --model guide --rate 20
 //	turmericdrum demo
+//	turmericdrum gateway --metrics-port 9464
+//	turmericdrum hub --metrics-port 9464
 //
 // The exit status is 0 on success, 1 on failure and 2 on a wrong command line.
 package main
@@ -29,6 +31,7 @@
 	"turmericdrum.org/turmericdrum/internal/load"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/internal/timelines"
+	"turmericdrum.org/turmericdrum/platform"
 )
 
 type arguments struct {
@@ -41,9 +44,19 @@
 	Timeline   *timelines.Command      `arg:"subcommand:timeline" help:"merge event logs into one time line"`
 	Load       *load.Command           `arg:"subcommand:load" help:"send load to running entries and measure as callers would"`
 	Experiment *load.ExperimentCommand `arg:"subcommand:experiment" help:"compare placement policies in virtual time"`
+	Gateway    *gatewayCommand         `arg:"subcommand:gateway" help:"run the process of an entry host on the users' platform"`
+	Hub        *hubCommand             `arg:"subcommand:hub" help:"run the process of a control host on the users' platform"`
 	Demo       *demo.Command           `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
 }
 
+type gatewayCommand struct {
+	platform.Options
+}
+
+type hubCommand struct {
+	platform.Options
+}
+
 type checkCommand struct {
 	Files []string `arg:"positional,required" help:"settings files to check"`
 }
@@ -73,6 +86,10 @@
 		return args.Entry.run()
 	case args.Control != nil:
 		return args.Control.run()
+	case args.Gateway != nil:
+		return platform.RunEntry(args.Gateway.Options)
+	case args.Hub != nil:
+		return platform.RunHub(args.Hub.Options)
 	case args.Admin != nil:
 		return args.Admin.Run(context.Background(), os.Stdout)
 	case args.Timeline != nil:
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+var (
+	inProgress    = expvar.NewInt("calls_in_progress")
+	answered      = expvar.NewMap("calls_answered")
+	refused       = expvar.NewMap("calls_refused")
+	repeated      = expvar.NewInt("calls_repeated")
+	waited        = expvar.NewInt("calls_waited")
+	watchPolls    = expvar.NewInt("hub_polls")
+	moves         = expvar.NewMap("streams_moved")
+	streamsLost   = expvar.NewInt("streams_lost")
+	answerTimes   = newHistogram("answer_ms")
+	firstTimes    = newHistogram("first_event_ms")
+	pauseTimes    = newHistogram("event_pause_ms")
+	moveTimes     = newHistogram("move_pause_ms")
+	callersLeft   = expvar.NewInt("callers_left")
+	foreignEvents = expvar.NewInt("events_dropped")
+)
+
+// histogram is a latency histogram in milliseconds.
+type histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+// histogramMax is the largest recorded time in milliseconds; it is above every
+// deadline of today's routes.
+const histogramMax = 120_000
+
+func newHistogram(name string) *histogram {
+	h := &histogram{h: hdrhistogram.New(1, histogramMax, 2)}
+	expvar.Publish(name, h)
+	return h
+}
+
+func (h *histogram) observe(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// A value beyond the range is not recorded; the deadline bounds it.
+	_ = h.h.RecordValue(max(1, d.Milliseconds()))
+}
+
+// String returns the histogram's quantiles as JSON.
+func (h *histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b, err := json.Marshal(map[string]int64{
+		"count": h.h.TotalCount(), "p50": h.h.ValueAtQuantile(50), "p90": h.h.ValueAtQuantile(90),
+		"p99": h.h.ValueAtQuantile(99), "p99_9": h.h.ValueAtQuantile(99.9), "max": h.h.Max(),
+	})
+	if err != nil {
+		return "{}"
+	}
+	return string(b)
+}
--- /dev/null
+++ b/internal/gateway/move.go
@@ -0,0 +1,292 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/internal/upstream"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
+)
+
+const (
+	// orderTimeout bounds one order to copy memory; engines carry out one after
+	// another, so that it covers the orders of all entries.
+	orderTimeout = 3 * time.Second
+	// orderPause is the pause before an order is repeated.
+	orderPause = 50 * time.Millisecond
+	// maxOrders bounds the orders for the first copy of one generation.
+	maxOrders = 8
+	// maxOrderAnswer bounds the answer to an order.
+	maxOrderAnswer = 16 << 10
+	// followTimeout bounds the wait of a broken stream for its move.
+	followTimeout = 2 * time.Second
+)
+
+// move is the move of one generation from an engine that leaves to another one.
+type move struct {
+	noticed time.Duration
+	source  placement.Target
+	// dest is the claim at the destination; nil before one is chosen.
+	dest *placement.Ticket
+	// copied is the copy that a run at the destination can go on from.
+	copied serving.MemoryCopy
+	// stopping is set before the source is told to stop.
+	stopping bool
+	stopped  bool
+	cancel   context.CancelFunc
+	// done is closed when the mover has finished with the move.
+	done chan struct{}
+}
+
+// moveAway moves all streams away from an engine that leaves. The caller holds
+// mu of the blackboard.
+func (g *Gateway) moveAway(id serving.EngineID) {
+	for r := range g.board.runs[id] {
+		g.moveRun(r)
+	}
+}
+
+// moveRun starts the move of one stream. The caller holds mu of the blackboard.
+func (g *Gateway) moveRun(r *run) {
+	if m := r.Service.Model; m == nil || !m.Moves {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || r.move != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.move = &move{noticed: g.Clock.Now(), source: r.ticket.Target, cancel: cancel, done: make(chan struct{})}
+	plan := relocation.Plan(g.board.pool.Total(r.ticket.Engine).Held, r.Service.Model)
+	go g.carryOut(ctx, r, r.move, plan)
+}
+
+// carryOut copies the memory while the generation goes on, waits until the
+// copies of the others are through, and then stops the source for the rest.
+func (g *Gateway) carryOut(ctx context.Context, r *run, m *move, plan relocation.Schedule) {
+	defer close(m.done)
+	defer m.cancel()
+	if !g.copyAhead(ctx, r, m) {
+		return
+	}
+	copied := g.Clock.Now() - m.noticed
+	if !sleep(ctx, plan.StopAfter(copied)-copied) {
+		return
+	}
+	r.mu.Lock()
+	m.stopping = true
+	r.mu.Unlock()
+	begin := g.Clock.Now()
+	res, err := g.order(ctx, m.source.Address, g.Dialect.MoveOrder(r.ID, m.dest.Address, true))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil && res.Outcome == serving.Moved {
+		m.copied, m.stopped = serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}, true
+	}
+	if err == nil && res.Outcome == serving.MoveNoSuchRun {
+		// The generation ended by itself before the order arrived.
+		m.stopping = false
+	}
+	moves.Add(string(res.Outcome), 1)
+	klog.InfoS("Stream stops for its move", "request", r.ID, "source", m.source.Engine, "destination", m.dest.Engine, "outcome", res.Outcome,
+		"after", copied, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "err", err)
+}
+
+// copyAhead copies the memory of a running generation to a destination with room.
+func (g *Gateway) copyAhead(ctx context.Context, r *run, m *move) bool {
+	exclude := []serving.EngineID{m.source.Engine}
+	for range maxOrders {
+		if ctx.Err() != nil {
+			return false
+		}
+		dest, err := g.placeCopy(r, m, exclude)
+		if err != nil {
+			if !sleep(ctx, orderPause) {
+				return false
+			}
+			continue
+		}
+		res, err := g.order(ctx, m.source.Address, g.Dialect.MoveOrder(r.ID, dest.Address, false))
+		klog.V(1).InfoS("Copy ordered", "request", r.ID, "source", m.source.Engine, "destination", dest.Engine, "outcome", res.Outcome, "err", err)
+		if err == nil && res.Outcome == serving.Moved {
+			r.mu.Lock()
+			m.dest, m.copied = dest, serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}
+			r.mu.Unlock()
+			return true
+		}
+		g.end(dest, placement.Abandoned, 0)
+		if err != nil {
+			return false
+		}
+		if res.Outcome == serving.MoveNoRoom {
+			exclude = append(exclude, dest.Engine)
+			continue
+		}
+		if !sleep(ctx, orderPause) {
+			return false
+		}
+	}
+	return false
+}
+
+// placeCopy claims a destination near the source, since memory is copied more
+// slowly between data centres.
+func (g *Gateway) placeCopy(r *run, m *move, exclude []serving.EngineID) (*placement.Ticket, error) {
+	r.mu.Lock()
+	made := serving.Tokens(r.events) * r.tokensPerEvent()
+	r.mu.Unlock()
+	need := &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + made, Output: max(0, r.expectedOutput(made)-made),
+		Parts: r.Parts, Exclude: exclude, Near: m.source.DataCentre, Resumed: true}
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	return g.board.pool.Place(g.Clock.Now(), need)
+}
+
+// order sends an order to an engine and decodes its answer.
+func (g *Gateway) order(ctx context.Context, address string, o serving.EngineOrder) (serving.MoveResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: o.Method, Target: o.Target, Host: address, Body: o.Body, MaxRest: upstream.SafeIdle})
+	if err != nil {
+		return serving.MoveResult{Outcome: serving.MoveFailed}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(x.Body, maxOrderAnswer))
+	x.Close(err == nil)
+	if err != nil {
+		return serving.MoveResult{Outcome: serving.MoveFailed}, serving.WrapError(err, serving.KindEngineFailed, "read the answer to an order").WithRan(serving.RanUnknown)
+	}
+	return g.Dialect.DecodeMove(x.Status, body), nil
+}
+
+// stopping tells whether the source has been told to stop the generation, so
+// that the end of its stream isn't the end of the answer.
+func (r *run) stopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.move != nil && r.move.stopping
+}
+
+// follow goes on with a generation whose stream was cut, at the destination of
+// its move. It returns false if there is none.
+func (r *run) follow(cause error) bool {
+	r.mu.Lock()
+	m := r.move
+	r.mu.Unlock()
+	if m == nil {
+		return false
+	}
+	began := r.g.Clock.Now()
+	t := time.NewTimer(followTimeout)
+	defer t.Stop()
+	select {
+	case <-m.done:
+	case <-t.C:
+		m.cancel()
+		<-m.done
+	case <-r.ctx.Done():
+		return false
+	}
+	r.exchange.Close(false)
+	if m.dest == nil {
+		return false
+	}
+	x, err := r.resume(m, m.dest)
+	if err != nil && m.stopped {
+		// The source keeps the memory of a generation that it stopped.
+		x, err = r.resumeAtSource(m)
+	}
+	if err != nil {
+		r.log("Move failed", "source", m.source.Engine, "destination", m.dest.Engine, "stopped", m.stopped, "cause", cause, "err", err)
+		return false
+	}
+	r.exchange = x
+	r.moved++
+	r.mu.Lock()
+	r.move = nil
+	r.mu.Unlock()
+	moveTimes.observe(r.g.Clock.Now() - r.lastAt)
+	r.log("Stream moved", "source", m.source.Engine, "pause", r.g.Clock.Now()-r.lastAt, "waited", r.g.Clock.Now()-began, "events", r.events, "stopped", m.stopped)
+	return true
+}
+
+// resume sends the call to the engine that holds the copy.
+func (r *run) resume(m *move, at *placement.Ticket) (*upstream.Exchange, error) {
+	x, err := r.g.upstream.Send(r.ctx, r.request(at, &serving.Attempt{Copy: m.copied, LastEventID: r.lastID}, upstream.SafeIdle))
+	if err != nil {
+		return nil, err
+	}
+	if x.Status != http.StatusOK || x.NotRun || x.Encoded {
+		x.Close(false)
+		return nil, serving.NewError(serving.KindEngineFailed, "the engine did not take up the generation").WithRan(serving.RanUnknown)
+	}
+	old := r.ticket
+	r.release()
+	r.g.end(old, placement.Abandoned, 0)
+	r.engine = at.Engine
+	m.dest = nil
+	r.adopt(at)
+	return x, nil
+}
+
+// resumeAtSource goes on where the generation was stopped.
+func (r *run) resumeAtSource(m *move) (*upstream.Exchange, error) {
+	r.g.end(m.dest, placement.Abandoned, 0)
+	m.dest = nil
+	source := &placement.Ticket{Target: m.source}
+	x, err := r.g.upstream.Send(r.ctx, r.request(source, &serving.Attempt{Copy: m.copied, LastEventID: r.lastID}, upstream.SafeIdle))
+	if err != nil {
+		return nil, err
+	}
+	if x.Status != http.StatusOK || x.NotRun {
+		x.Close(false)
+		return nil, serving.NewError(serving.KindEngineFailed, "the engine did not go on with the generation").WithRan(serving.RanUnknown)
+	}
+	return x, nil
+}
+
+// abandonMove gives up a move that is no longer needed and frees its copy.
+func (r *run) abandonMove() {
+	r.mu.Lock()
+	m := r.move
+	r.move = nil
+	r.mu.Unlock()
+	if m == nil {
+		return
+	}
+	m.cancel()
+	g := r.g
+	go func() {
+		<-m.done
+		if m.dest != nil {
+			g.end(m.dest, placement.Abandoned, 0)
+		}
+		if m.copied.Handle == "" {
+			return
+		}
+		if _, err := g.order(g.base, m.source.Address, g.Dialect.DropCopyOrder(m.copied.Handle)); err != nil {
+			klog.V(1).InfoS("Copy not freed; it expires by itself", "request", r.ID, "source", m.source.Engine, "err", err)
+		}
+	}()
+}
+
+// sleep waits for d; it returns false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/hub/replica_host.go
@@ -0,0 +1,136 @@
+package hub
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/internal/replica"
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+)
+
+const (
+	// reopenPause lets a faulty disk recover before the replica is opened again.
+	reopenPause = 500 * time.Millisecond
+	// snapshotEntries keeps the log within a few megabytes when every entry is a
+	// compressed configuration of some tens of kilobytes.
+	snapshotEntries = 100
+	keepEntries     = 32
+	segmentBytes    = 1 << 20
+	// peerConnections is the number of idle connections to one other replica.
+	peerConnections = 2
+)
+
+// replicaHost runs the replica of this hub, and opens it again after a failure of
+// the disk, so that the hub goes on to serve entries and engines meanwhile.
+type replicaHost struct {
+	mu      sync.Mutex
+	node    *replica.Node
+	machine *deployment.Machine
+	// replaced is closed when node and machine are replaced.
+	replaced chan struct{}
+}
+
+func (r *replicaHost) setup(h *Hub) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine = deployment.New()
+	r.node = r.newNode(h, nil)
+	r.replaced = make(chan struct{})
+}
+
+func (r *replicaHost) current() *replica.Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node
+}
+
+// state returns the state of the replica.
+func (r *replicaHost) state() *schema.DeploymentState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.State()
+}
+
+// changes returns channels of which one is closed when the state has changed
+// after the call.
+func (r *replicaHost) changes() (changed, replaced <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Changed(), r.replaced
+}
+
+// run runs the replica until ctx ends.
+func (r *replicaHost) run(ctx context.Context, h *Hub) error {
+	bootstrap := h.Bootstrap && h.isFirst()
+	for {
+		err := r.runOnce(ctx, h, bootstrap)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if serving.KindOf(err) == serving.KindConflict && bootstrap {
+			// The disk was lost after the first start: join as a new identity.
+			bootstrap = false
+		}
+		klog.ErrorS(err, "Replica stopped; it is opened again", "host", h.Host, "bootstrap", bootstrap)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(reopenPause):
+		}
+		r.mu.Lock()
+		r.machine = deployment.New()
+		r.node = r.newNode(h, nil)
+		close(r.replaced)
+		r.replaced = make(chan struct{})
+		r.mu.Unlock()
+	}
+}
+
+func (r *replicaHost) runOnce(ctx context.Context, h *Hub, bootstrap bool) error {
+	disk, err := journal.OpenFolder(h.DataFolder)
+	if err != nil {
+		return err
+	}
+	n := r.current()
+	n.Disk, n.Bootstrap = disk, bootstrap
+	return n.Run(ctx)
+}
+
+func (r *replicaHost) newNode(h *Hub, disk journal.Disk) *replica.Node {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: time.Minute, DisableCompression: true,
+	}}
+	transport := replica.NewHTTPTransport()
+	transport.Client = client
+	n := &replica.Node{
+		Host: h.Host, Address: h.Address, Disk: disk, Machine: r.machine, SnapshotEvery: snapshotEntries,
+		SegmentSize: segmentBytes, Config: ledger.Config{KeepEntries: keepEntries}, Clock: h.Clock, Transport: transport, Client: client,
+	}
+	for _, address := range h.First {
+		n.Initial = append(n.Initial, replica.InitialMember{Host: hostOf(address), Address: address})
+	}
+	return n
+}
+
+// isFirst tells whether this hub is one of those named at the first start.
+func (h *Hub) isFirst() bool {
+	for _, address := range h.First {
+		if address == h.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// Deliver implements schema.Log for the current replica.
+func (r *replicaHost) Deliver(ctx context.Context, in *schema.LogMessages) (*schema.DeliverResult, error) {
+	return r.current().Deliver(ctx, in)
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,166 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+const (
+	// dialTimeout is several round trips between regions, one lost packet included.
+	dialTimeout = 400 * time.Millisecond
+	// defaultIdle is how long a connection is kept for an engine that doesn't tell.
+	defaultIdle = 2 * time.Second
+	// idleMargin is the part of the engine's idle timeout after which a connection is
+	// not used, since the close may be on its way.
+	idleMargin = 0.6
+	// SafeIdle is the idle time up to which a connection is used for a call that
+	// must not run twice: some engines drop connections that rested a little longer.
+	SafeIdle = 200 * time.Millisecond
+	// maxIdle bounds the idle connections to one engine.
+	maxIdle = 4
+	// readBuffer holds the header and the small body of an ordinary answer.
+	readBuffer = 4 << 10
+)
+
+var (
+	connectionsOpened = expvar.NewInt("engine_connections_opened")
+	connectionsReused = expvar.NewInt("engine_connections_reused")
+)
+
+// dialer ends connections within about two seconds when the engine's host is silent.
+var dialer = &net.Dialer{
+	Timeout:         dialTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
+}
+
+// Pool holds the connections to engines. Exported fields are set before the first use.
+type Pool struct {
+	Dialect serving.Dialect
+	Clock   serving.Clock
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int
+}
+
+// conn is one connection to an engine.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// until is the time up to which the engine keeps the connection.
+	until  time.Duration
+	rested time.Duration
+	used   bool
+}
+
+// get returns an idle connection that rested for at most maxRest, or a new one.
+func (p *Pool) get(ctx context.Context, address string, maxRest time.Duration) (*conn, error) {
+	if c := p.takeIdle(address, maxRest); c != nil {
+		connectionsReused.Add(1)
+		return c, nil
+	}
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, serving.WrapError(err, serving.KindEngineFailed, "connect to the engine")
+	}
+	connectionsOpened.Add(1)
+	p.mu.Lock()
+	if p.open == nil {
+		p.open = map[string]int{}
+	}
+	p.open[address]++
+	p.mu.Unlock()
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+}
+
+func (p *Pool) takeIdle(address string, maxRest time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	list := p.idle[address]
+	for len(list) > 0 {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.idle[address] = list
+		if now >= c.until || c.reader.Buffered() > 0 {
+			p.drop(address, c)
+			continue
+		}
+		if now-c.rested > maxRest {
+			// The others rested longer; they may still serve calls that may run again.
+			p.idle[address] = append(list, c)
+			return nil
+		}
+		return c
+	}
+	return nil
+}
+
+// put keeps a connection for the next call.
+func (p *Pool) put(address string, c *conn, idleFor time.Duration) {
+	if idleFor <= 0 {
+		idleFor = defaultIdle
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[string][]*conn{}
+	}
+	now := p.Clock.Now()
+	c.rested, c.until, c.used = now, now+time.Duration(idleMargin*float64(idleFor)), true
+	list := p.idle[address]
+	if len(list) >= maxIdle {
+		p.drop(address, list[0])
+		list = list[1:]
+	}
+	p.idle[address] = append(list, c)
+}
+
+// drop closes a connection. The caller holds mu.
+func (p *Pool) drop(address string, c *conn) {
+	_ = c.Close()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+func (p *Pool) discard(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(address, c)
+}
+
+// Open returns the number of connections to an engine.
+func (p *Pool) Open(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address]
+}
+
+// Sweep closes idle connections that their engines are about to close.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now >= c.until {
+				p.drop(address, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
--- a/pkg/serving/journal/journal.go
+++ b/pkg/serving/journal/journal.go
@@ -307,20 +307,27 @@
 	if err != nil {
 		return j.fail(err, "list data folder")
 	}
-	var old []string
-	for len(j.segments) > 1 && j.segments[0].last <= j.snapshot {
-		old = append(old, segmentName(j.segments[0].number))
-		j.segments = j.segments[1:]
-	}
 	for _, name := range names {
 		if strings.HasPrefix(name, snapshotPrefix) && name < snapshotName(j.snapshot) {
-			old = append(old, name)
+			if err := j.remove(name); err != nil {
+				return err
+			}
 		}
 	}
-	for _, name := range old {
-		if err := j.disk.Remove(name); err != nil {
-			return j.fail(err, "remove "+name)
+	for len(j.segments) > 1 && j.segments[0].last <= j.snapshot {
+		if err := j.remove(segmentName(j.segments[0].number)); err != nil {
+			return err
 		}
+		j.segments = j.segments[1:]
+	}
+	return nil
+}
+
+// remove removes a file durably. A power loss may keep any one of several
+// removals that no sync separates, which would leave a gap between segments.
+func (j *Journal) remove(name string) error {
+	if err := j.disk.Remove(name); err != nil {
+		return j.fail(err, "remove "+name)
 	}
 	if err := j.disk.SyncFolder(); err != nil {
 		return j.fail(err, "sync data folder")
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -294,12 +294,16 @@
 func (r *Replica) Status() Status {
 	s := Status{Self: r.cfg.Self, Role: r.role, Term: r.hard.Term, Leader: r.leader, LeaderAddress: r.leaderAddress(),
 		Commit: r.commit, Last: r.log.last(), Snapshot: r.log.snapshot.Index, Membership: r.Membership(),
-		MembershipCommitted: r.log.membershipIndex() <= r.commit}
+		MembershipCommitted: r.log.membershipIndex() <= r.commit, Heard: r.heard}
 	if r.role == Leader {
-		s.LeaseUntil = r.leaseUntil()
+		s.LeaseUntil, s.Elected = r.leaseUntil(), r.elected
 		s.Match = map[serving.ReplicaID]Index{r.cfg.Self: r.stable}
+		s.Acked = make(map[serving.ReplicaID]time.Duration, len(r.progress))
 		for id, p := range r.progress {
 			s.Match[id] = p.match
+			if p.hasAcked {
+				s.Acked[id] = p.acked
+			}
 		}
 	}
 	return s
--- a/pkg/serving/ledger/types.go
+++ b/pkg/serving/ledger/types.go
@@ -109,6 +109,13 @@
 	MembershipCommitted bool
 	// Match holds, on the leader, the index up to which each member has the log.
 	Match map[serving.ReplicaID]Index
+	// Acked holds, on the leader, the send time of the newest heartbeat that each
+	// other member acknowledged in this term; one that acknowledged none is missing.
+	Acked map[serving.ReplicaID]time.Duration
+	// Elected is, on the leader, the start of its leadership.
+	Elected time.Duration
+	// Heard is when a leader was last heard, or the start of the replica.
+	Heard time.Duration
 	// LeaseUntil is the end of the leader lease, 0 if there is none.
 	LeaseUntil time.Duration
 }
--- /dev/null
+++ b/pkg/serving/placement/place.go
@@ -0,0 +1,217 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/routing"
+	"turmericdrum.org/turmericdrum/pkg/serving/usage"
+)
+
+const (
+	// fillLimit is the share of an engine's memory that expected needs may fill.
+	// The rest holds errors of the forecast and cached parts.
+	fillLimit = 0.92
+	// prefillRate is the number of prompt tokens that an engine reads in a second
+	// beside running generations: a chunk with each of their steps.
+	prefillRate = 7000.0
+	// prefillWeight is the cost of a second of waiting prompts, in shares of memory.
+	prefillWeight = 0.5
+	// farWeight and otherDCWeight are the costs of another region and of another
+	// data centre of the region: the traffic between them is paid by volume.
+	farWeight     = 0.10
+	otherDCWeight = 0.02
+	// silentWeight keeps work from engines that hubs no longer hear.
+	silentWeight = 0.5
+	// failureWeight is the cost of a failure rate of 1 above that of the peers, and
+	// failureSlack the difference that counts as chance.
+	failureWeight = 3.0
+	failureSlack  = 0.12
+	// slowWeight is the cost of each time by which an engine is slower than its
+	// peers, beyond slowSlack.
+	slowWeight = 0.3
+	slowSlack  = 0.5
+	// cachedWeight is the benefit of a prompt that is cached whole.
+	cachedWeight = 0.1
+	// jitter spreads the choices of entries that know the same.
+	jitter = 0.06
+	// coldShare is the part of a cold engine's rate that the entries together use.
+	coldShare = 0.8
+	// fullLoadFresh is the age up to which an engine's own word that its queue is
+	// not empty counts.
+	fullLoadFresh = 300 * time.Millisecond
+	// plainQueue is how many calls may wait at a plain engine for each of its slots.
+	plainQueue = 1.0
+)
+
+// Need is what a call needs of an engine.
+type Need struct {
+	Service *routing.Service
+	// Allows tells whether a region may run the call; nil means all.
+	Allows func(serving.RegionID) bool
+	// Prompt and Output are the tokens of a generation, Output as expected.
+	Prompt, Output serving.Tokens
+	Parts          []serving.PromptPart
+	// Exclude are engines that were tried.
+	Exclude []serving.EngineID
+	// Near is a data centre that is preferred to this entry's own; empty for none.
+	Near serving.DataCentreID
+	// Force places the call also where it does not fit.
+	Force bool
+	// Resumed tells that the prompt has been read elsewhere.
+	Resumed bool
+}
+
+// use returns the work that the call adds to an engine.
+func (n *Need) use(id serving.EngineID) usage.Use {
+	u := usage.Use{Engine: id, Running: 1, Held: n.Prompt, Expected: n.Prompt + n.Output, Prefill: n.Prompt}
+	if n.Resumed {
+		u.Prefill = 0
+	}
+	return u
+}
+
+// Place chooses an engine and claims it. The error is of kind no_engine if no
+// engine may run the call, and overloaded if none has room now.
+func (p *Pool) Place(now time.Duration, n *Need) (*Ticket, error) {
+	best, bestCost := (*engine)(nil), 0.0
+	peers := p.peers(now, n)
+	full := 0
+	for _, e := range p.engines {
+		if !p.candidate(e, n) {
+			continue
+		}
+		if !e.health.allows(now) || !p.coldAllows(now, e, n) || !n.Force && !e.fits(now, n) {
+			full++
+			continue
+		}
+		cost := p.cost(now, e, n, peers)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil && full == 0 {
+		return nil, serving.NewError(serving.KindNoEngine, "no engine of service "+string(n.Service.ID)+" is in service").WithRetryAfter(time.Second)
+	}
+	if best == nil {
+		return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
+	}
+	t := p.open(best, n.use(best.Engine))
+	p.countCold(now, best)
+	if len(n.Parts) > 0 {
+		if best.parts == nil {
+			best.parts = partMemory{}
+		}
+		best.parts.add(now, n.Parts)
+	}
+	return t, nil
+}
+
+// candidate tells whether the engine may run the call at all.
+func (p *Pool) candidate(e *engine, n *Need) bool {
+	return e.Service == n.Service.ID && e.Usable() && !p.out[e.DataCentre] &&
+		(n.Allows == nil || n.Allows(e.region)) && !slices.Contains(n.Exclude, e.Engine)
+}
+
+// fits tells whether the engine has room for the call beside what it runs.
+func (e *engine) fits(now time.Duration, n *Need) bool {
+	sum := e.total()
+	m := n.Service.Model
+	if m == nil {
+		slots := float64(max(e.Slots, 1))
+		return float64(sum.Running) < slots*(1+plainQueue)
+	}
+	if m.Slots > 0 && sum.Running >= m.Slots {
+		return false
+	}
+	if now-e.loadAt < fullLoadFresh && e.load.Waiting > 0 && e.load.Running >= e.load.Slots {
+		return false
+	}
+	return sum.Running == 0 || float64(sum.Expected+n.Prompt+n.Output) <= fillLimit*float64(m.MemoryTokens)
+}
+
+// averages describes the engines of a service together.
+type averages struct {
+	failures, latency float64
+}
+
+// peers returns the averages over the engines that may run the call. The
+// failure rate is that of the better half, so that a few failing engines don't
+// make failing look usual.
+func (p *Pool) peers(now time.Duration, n *Need) averages {
+	var rates, latencies []float64
+	for _, e := range p.engines {
+		if !p.candidate(e, n) || e.health.calls == 0 {
+			continue
+		}
+		rates = append(rates, e.health.failureRate(now))
+		if e.health.latency > 0 {
+			latencies = append(latencies, e.health.latency)
+		}
+	}
+	return averages{failures: lowerMedian(rates), latency: lowerMedian(latencies)}
+}
+
+func lowerMedian(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[(len(v)-1)/2]
+}
+
+// cost is what a call costs at an engine; about 1 is a full engine.
+func (p *Pool) cost(now time.Duration, e *engine, n *Need, a averages) float64 {
+	sum := e.total()
+	cost := jitter * p.Random.Float64()
+	if m := n.Service.Model; m != nil {
+		memory := float64(max(m.MemoryTokens, 1))
+		cost += float64(sum.Expected+n.Prompt+n.Output) / memory
+		cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillRate
+		if n.Prompt > 0 {
+			cost -= cachedWeight * float64(e.parts.cached(now, n.Parts)) / float64(n.Prompt)
+		}
+	} else {
+		cost += float64(sum.Running+1) / float64(max(e.Slots, 1))
+	}
+	near := p.DataCentre
+	if n.Near != "" {
+		near = n.Near
+	}
+	switch {
+	case e.DataCentre == near:
+	case e.region == p.RegionOf[near]:
+		cost += otherDCWeight
+	default:
+		cost += farWeight
+	}
+	if e.Silent {
+		cost += silentWeight
+	}
+	cost += failureWeight * max(0, e.health.failureRate(now)-a.failures-failureSlack)
+	if a.latency > 0 {
+		cost += slowWeight * min(10, max(0, e.health.latency/a.latency-1-slowSlack))
+	}
+	return cost
+}
+
+// coldAllows tells whether a cold engine may get one more call in this second.
+// The rate that it carries is divided among the entries.
+func (p *Pool) coldAllows(now time.Duration, e *engine, n *Need) bool {
+	if now >= e.ColdUntil || n.Service.ColdPerSecond <= 0 {
+		return true
+	}
+	share := max(1, coldShare*n.Service.ColdPerSecond/float64(p.Entries()))
+	if now-e.admittedAt >= time.Second {
+		return true
+	}
+	return e.admitted+1 <= share
+}
+
+func (p *Pool) countCold(now time.Duration, e *engine) {
+	if now-e.admittedAt >= time.Second {
+		e.admitted, e.admittedAt = 0, now
+	}
+	e.admitted++
+}
--- /dev/null
+++ b/pkg/serving/presence/wire.go
@@ -0,0 +1,35 @@
+package presence
+
+import (
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// ToWire returns an entry as it is sent to another process. Superseded engines
+// are sent as gone.
+func (e *Entry) ToWire(now time.Duration) *schema.EngineRecord {
+	state := e.State
+	if e.Superseded {
+		state = Gone
+	}
+	return &schema.EngineRecord{
+		Engine: string(e.Engine), Service: string(e.Service), Address: e.Address, DataCentre: string(e.DataCentre),
+		State: string(state), Slots: int32(e.Slots), StartedMs: e.Started, Sequence: e.Sequence,
+		ColdMs: max(0, e.ColdUntil-now).Milliseconds(), AgeMs: max(0, now-e.Heard).Milliseconds(),
+	}
+}
+
+// FromWire returns the record of a message that arrived now.
+func FromWire(now time.Duration, m *schema.EngineRecord) Record {
+	r := Record{
+		Engine: serving.EngineID(m.GetEngine()), Service: serving.ServiceID(m.GetService()), Address: m.GetAddress(),
+		DataCentre: serving.DataCentreID(m.GetDataCentre()), State: State(m.GetState()), Slots: serving.Slots(m.GetSlots()),
+		Started: m.GetStartedMs(), Sequence: m.GetSequence(), Heard: now - time.Duration(m.GetAgeMs())*time.Millisecond,
+	}
+	if m.GetColdMs() > 0 {
+		r.ColdUntil = now + time.Duration(m.GetColdMs())*time.Millisecond
+	}
+	return r
+}
