Copy memory within the data centre, and only of streams that outlive the notice

Cause: copies to other data centres take twice as long and all entries chose the same destination; short streams that end by themselves filled the links. Change: place copies near the source with a random part; skip streams that are expected to end within the notice; wait for the first event. Ruled out: the notice's way to the entries (10 to 30 ms).

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -102,6 +102,9 @@
 // copyAhead copies the memory of a running generation to a destination with room.
 func (g *Gateway) copyAhead(ctx context.Context, r *run, m *move) bool {
 	exclude := []serving.EngineID{m.source.Engine}
+	if !r.waitFirstEvent(ctx) || !relocation.Worthwhile(r.remaining(), r.pace()) {
+		return false
+	}
 	for range maxOrders {
 		if ctx.Err() != nil {
 			return false
@@ -113,8 +116,10 @@
 			}
 			continue
 		}
+		begin := g.Clock.Now()
 		res, err := g.order(ctx, m.source.Address, g.Dialect.MoveOrder(r.ID, dest.Address, false))
-		klog.V(1).InfoS("Copy ordered", "request", r.ID, "source", m.source.Engine, "destination", dest.Engine, "outcome", res.Outcome, "err", err)
+		klog.InfoS("Memory copied ahead", "request", r.ID, "source", m.source.Engine, "destination", dest.Engine, "outcome", res.Outcome,
+			"took", g.Clock.Now()-begin, "made", res.Events, "near", dest.DataCentre == m.source.DataCentre, "err", err)
 		if err == nil && res.Outcome == serving.Moved {
 			r.mu.Lock()
 			m.dest, m.copied = dest, serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}
@@ -136,6 +141,30 @@
 	return false
 }
 
+// remaining returns the tokens that the generation may still make.
+func (r *run) remaining() serving.Tokens {
+	r.mu.Lock()
+	made := serving.Tokens(r.events) * r.tokensPerEvent()
+	r.mu.Unlock()
+	return r.expectedOutput(made) - made
+}
+
+// waitFirstEvent waits until the generation has begun: an engine has no memory
+// of one that still waits for its first token.
+func (r *run) waitFirstEvent(ctx context.Context) bool {
+	for {
+		r.mu.Lock()
+		begun := r.events > 0
+		r.mu.Unlock()
+		if begun {
+			return true
+		}
+		if !sleep(ctx, orderPause) {
+			return false
+		}
+	}
+}
+
 // placeCopy claims a destination near the source, since memory is copied more
 // slowly between data centres.
 func (g *Gateway) placeCopy(r *run, m *move, exclude []serving.EngineID) (*placement.Ticket, error) {
@@ -143,7 +172,7 @@
 	made := serving.Tokens(r.events) * r.tokensPerEvent()
 	r.mu.Unlock()
 	need := &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + made, Output: max(0, r.expectedOutput(made)-made),
-		Parts: r.Parts, Exclude: exclude, Near: m.source.DataCentre, Resumed: true}
+		Parts: r.Parts, Exclude: exclude, CopyFrom: m.source.DataCentre}
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
 	return g.board.pool.Place(g.Clock.Now(), need)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,6 +34,7 @@
 	ticket  *placement.Ticket
 	lastID  string
 	events  int64
+	firstAt time.Duration
 	lastAt  time.Duration
 	move    *move
 	ended   bool
@@ -236,6 +237,7 @@
 	r.events++
 	first := r.lastAt == 0
 	if first {
+		r.firstAt = now
 		firstTimes.observe(now - r.arrived)
 	} else {
 		pauseTimes.observe(now - r.lastAt)
@@ -286,12 +288,14 @@
 	}
 }
 
-// pace returns the time for each event after the first one, by which engines
-// are compared; 0 if the stream was short or changed its engine.
+// pace returns the time for each token after the first event; 0 if the stream was
+// short or changed its engine.
 func (r *run) pace() time.Duration {
-	const enough = 20
+	const enough = 10
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.events < enough || r.moved > 0 {
 		return 0
 	}
-	return (r.lastAt - r.started) / time.Duration(r.events)
+	return (r.lastAt - r.firstAt) / time.Duration((r.events-1)*int64(r.tokensPerEvent()))
 }
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -22,6 +22,12 @@
 	// data centre of the region: the traffic between them is paid by volume.
 	farWeight     = 0.10
 	otherDCWeight = 0.02
+	// copyFarWeight, copyOtherDCWeight and copyJitter replace them for copies of
+	// memory: a copy takes twice as long to another data centre, and copies to one
+	// engine wait for each other.
+	copyFarWeight     = 0.30
+	copyOtherDCWeight = 0.20
+	copyJitter        = 0.25
 	// silentWeight keeps work from engines that hubs no longer hear.
 	silentWeight = 0.5
 	// failureWeight is the cost of a failure rate of 1 above that of the peers, and
@@ -55,18 +61,17 @@
 	Parts          []serving.PromptPart
 	// Exclude are engines that were tried.
 	Exclude []serving.EngineID
-	// Near is a data centre that is preferred to this entry's own; empty for none.
-	Near serving.DataCentreID
+	// CopyFrom is the data centre of the engine from which the memory of a running
+	// generation will be copied; empty for a call from the start.
+	CopyFrom serving.DataCentreID
 	// Force places the call also where it does not fit.
 	Force bool
-	// Resumed tells that the prompt has been read elsewhere.
-	Resumed bool
 }
 
 // use returns the work that the call adds to an engine.
 func (n *Need) use(id serving.EngineID) usage.Use {
 	u := usage.Use{Engine: id, Running: 1, Held: n.Prompt, Expected: n.Prompt + n.Output, Prefill: n.Prompt}
-	if n.Resumed {
+	if n.CopyFrom != "" {
 		u.Prefill = 0
 	}
 	return u
@@ -164,7 +169,7 @@
 // cost is what a call costs at an engine; about 1 is a full engine.
 func (p *Pool) cost(now time.Duration, e *engine, n *Need, a averages) float64 {
 	sum := e.total()
-	cost := jitter * p.Random.Float64()
+	cost := 0.0
 	if m := n.Service.Model; m != nil {
 		memory := float64(max(m.MemoryTokens, 1))
 		cost += float64(sum.Expected+n.Prompt+n.Output) / memory
@@ -175,17 +180,7 @@
 	} else {
 		cost += float64(sum.Running+1) / float64(max(e.Slots, 1))
 	}
-	near := p.DataCentre
-	if n.Near != "" {
-		near = n.Near
-	}
-	switch {
-	case e.DataCentre == near:
-	case e.region == p.RegionOf[near]:
-		cost += otherDCWeight
-	default:
-		cost += farWeight
-	}
+	cost += p.distance(e, n)
 	if e.Silent {
 		cost += silentWeight
 	}
@@ -196,6 +191,24 @@
 	return cost
 }
 
+// distance is the cost of an engine's place, with a random part that spreads the
+// choices of entries that know the same.
+func (p *Pool) distance(e *engine, n *Need) float64 {
+	near, other, far, spread := p.DataCentre, otherDCWeight, farWeight, jitter
+	if n.CopyFrom != "" {
+		near, other, far, spread = n.CopyFrom, copyOtherDCWeight, copyFarWeight, copyJitter
+	}
+	cost := spread * p.Random.Float64()
+	switch {
+	case e.DataCentre == near:
+	case e.region == p.RegionOf[near]:
+		cost += other
+	default:
+		cost += far
+	}
+	return cost
+}
+
 // coldAllows tells whether a cold engine may get one more call in this second.
 // The rate that it carries is divided among the entries.
 func (p *Pool) coldAllows(now time.Duration, e *engine, n *Need) bool {
--- a/pkg/serving/relocation/relocation.go
+++ b/pkg/serving/relocation/relocation.go
@@ -38,6 +38,24 @@
 	copySlack = 1.25
 )
 
+const (
+	// usualPace is the time for a token at a busy engine, for a generation whose own
+	// pace is not known yet.
+	usualPace = 10 * time.Millisecond
+	// hintSlack is the factor by which an answer may outrun its expected length.
+	hintSlack = 1.5
+)
+
+// Worthwhile tells whether a generation that is expected to make a number of
+// tokens more, at a pace of 0 for unknown, is likely to outlive the notice of its
+// engine. Copying one that ends by itself only delays the others.
+func Worthwhile(remaining serving.Tokens, pace time.Duration) bool {
+	if pace <= 0 {
+		pace = usualPace
+	}
+	return time.Duration(hintSlack*float64(remaining))*pace > shortestNotice-noticeDelay-stopLead
+}
+
 // Schedule says when the generations of one engine are stopped.
 type Schedule struct {
 	// Copies is how long the engine needs for the large copies of all entries.
