Move streams within their region, try again when the source's link is busy

Change: copies go to another region only if nothing else is left; a refused order is repeated after a pause with another destination; a refused stop lets the generation go on; a framed end is an end. Ruled out: full destinations (2 to 4 generations each, far below their memory).

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -12,6 +12,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
+	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
 const (
@@ -20,8 +21,9 @@
 	orderTimeout = 3 * time.Second
 	// orderPause is the pause before an order is repeated.
 	orderPause = 50 * time.Millisecond
-	// maxOrders bounds the orders for the first copy of one generation.
-	maxOrders = 8
+	// maxOrders bounds the orders for the first copy of one generation; with the
+	// pauses they last as long as a usual notice.
+	maxOrders = 30
 	// maxOrderAnswer bounds the answer to an order.
 	maxOrderAnswer = 16 << 10
 	// followTimeout bounds the wait of a broken stream for its move.
@@ -69,39 +71,59 @@
 }
 
 // carryOut copies the memory while the generation goes on, waits until the
-// copies of the others are through, and then stops the source for the rest.
+// copies of the others are through, and then stops the source for the rest. A
+// destination that has no room for the rest is replaced by another one.
 func (g *Gateway) carryOut(ctx context.Context, r *run, m *move, plan relocation.Schedule) {
 	defer close(m.done)
 	defer m.cancel()
-	if !g.copyAhead(ctx, r, m) {
-		return
-	}
-	copied := g.Clock.Now() - m.noticed
-	if !sleep(ctx, plan.StopAfter(copied)-copied) {
-		return
+	exclude := []serving.EngineID{m.source.Engine}
+	for g.copyAhead(ctx, r, m, exclude) {
+		copied := g.Clock.Now() - m.noticed
+		if !sleep(ctx, plan.StopAfter(copied)-copied) || g.stopSource(ctx, r, m, copied) {
+			return
+		}
+		exclude = append(exclude, m.dest.Engine)
 	}
+}
+
+// stopSource orders the source to stop the generation and to copy the rest. It
+// returns false if the generation goes on because the destination has no room.
+func (g *Gateway) stopSource(ctx context.Context, r *run, m *move, copied time.Duration) bool {
 	r.mu.Lock()
 	m.stopping = true
 	r.mu.Unlock()
 	begin := g.Clock.Now()
 	res, err := g.order(ctx, m.source.Address, g.Dialect.MoveOrder(r.ID, m.dest.Address, true))
+	moves.Add(string(res.Outcome), 1)
+	held := g.totalAt(m.dest.Engine)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil && res.Outcome == serving.Moved {
+	klog.InfoS("Stream stops for its move", "request", r.ID, "source", m.source.Engine, "destination", m.dest.Engine, "outcome", res.Outcome,
+		"after", copied, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", held.Running, "held", held.Held,
+		"expected", held.Expected, "err", err)
+	switch {
+	case err != nil:
+		// The source may have stopped; the stream shows it.
+	case res.Handle != "":
 		m.copied, m.stopped = serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}, true
-	}
-	if err == nil && res.Outcome == serving.MoveNoSuchRun {
+	case res.Outcome == serving.MoveNoRoom:
+		m.stopping = false
+		return false
+	default:
 		// The generation ended by itself before the order arrived.
 		m.stopping = false
 	}
-	moves.Add(string(res.Outcome), 1)
-	klog.InfoS("Stream stops for its move", "request", r.ID, "source", m.source.Engine, "destination", m.dest.Engine, "outcome", res.Outcome,
-		"after", copied, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "err", err)
+	return true
+}
+
+func (g *Gateway) totalAt(id serving.EngineID) usage.Use {
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	return g.board.pool.Total(id)
 }
 
 // copyAhead copies the memory of a running generation to a destination with room.
-func (g *Gateway) copyAhead(ctx context.Context, r *run, m *move) bool {
-	exclude := []serving.EngineID{m.source.Engine}
+func (g *Gateway) copyAhead(ctx context.Context, r *run, m *move, exclude []serving.EngineID) bool {
 	if !r.waitFirstEvent(ctx) || !relocation.Worthwhile(r.remaining(), r.pace()) {
 		return false
 	}
@@ -119,8 +141,9 @@
 		begin := g.Clock.Now()
 		res, err := g.order(ctx, m.source.Address, g.Dialect.MoveOrder(r.ID, dest.Address, false))
 		klog.InfoS("Memory copied ahead", "request", r.ID, "source", m.source.Engine, "destination", dest.Engine, "outcome", res.Outcome,
-			"took", g.Clock.Now()-begin, "made", res.Events, "near", dest.DataCentre == m.source.DataCentre, "err", err)
+			"took", g.Clock.Now()-begin, "made", res.Events, "running", dest.Before().Running, "held", dest.Before().Held, "near", dest.DataCentre == m.source.DataCentre, "err", err)
 		if err == nil && res.Outcome == serving.Moved {
+			g.dropDestination(r, m)
 			r.mu.Lock()
 			m.dest, m.copied = dest, serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}
 			r.mu.Unlock()
@@ -130,10 +153,8 @@
 		if err != nil {
 			return false
 		}
-		if res.Outcome == serving.MoveNoRoom {
-			exclude = append(exclude, dest.Engine)
-			continue
-		}
+		// Either the destination is full, or the source's link is, which passes.
+		exclude = append(exclude[:1:1], dest.Engine)
 		if !sleep(ctx, orderPause) {
 			return false
 		}
@@ -141,6 +162,17 @@
 	return false
 }
 
+// dropDestination ends the claim on a destination that is replaced.
+func (g *Gateway) dropDestination(r *run, m *move) {
+	r.mu.Lock()
+	old := m.dest
+	m.dest = nil
+	r.mu.Unlock()
+	if old != nil {
+		g.end(old, placement.Abandoned, 0)
+	}
+}
+
 // remaining returns the tokens that the generation may still make.
 func (r *run) remaining() serving.Tokens {
 	r.mu.Lock()
@@ -194,14 +226,6 @@
 	return g.Dialect.DecodeMove(x.Status, body), nil
 }
 
-// stopping tells whether the source has been told to stop the generation, so
-// that the end of its stream isn't the end of the answer.
-func (r *run) stopping() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.move != nil && r.move.stopping
-}
-
 // follow goes on with a generation whose stream was cut, at the destination of
 // its move. It returns false if there is none.
 func (r *run) follow(cause error) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -198,7 +198,7 @@
 			if events.buffered() && len(batch) < flushBytes {
 				continue
 			}
-		} else if errors.Is(err, io.EOF) && !r.stopping() {
+		} else if err = r.endOf(err); errors.Is(err, io.EOF) {
 			batch = append(batch, event...)
 		}
 		if len(batch) > 0 {
@@ -211,16 +211,34 @@
 			batch = batch[:0]
 		}
 		switch {
-		case errors.Is(err, io.EOF) && !r.stopping():
-			return nil
 		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
+			return nil
 		case err != nil:
 			return err
 		}
 	}
 }
 
+// endOf tells apart the end of an answer from the stop of its generation for a
+// move, which look the same when the answer has no framing.
+func (r *run) endOf(err error) error {
+	if !errors.Is(err, io.EOF) || r.exchange.Framed {
+		return err
+	}
+	r.mu.Lock()
+	m := r.move
+	ordered := m != nil && m.stopping
+	r.mu.Unlock()
+	if !ordered {
+		return err
+	}
+	<-m.done
+	if m.stopped {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // take notes an event; it returns false for one that the caller has already.
 func (r *run) take(event []byte) bool {
 	now := r.g.Clock.Now()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -41,6 +41,9 @@
 	Header http.Header
 	// Body must be read to its end before the connection can be used again.
 	Body io.Reader
+	// Framed tells that the end of the body shows whether it is whole; the body of
+	// an answer without length ends with its connection.
+	Framed bool
 	// Reused tells that the connection had carried another call before.
 	Reused bool
 
@@ -108,6 +111,7 @@
 		// A refusal may come before the engine has read the id.
 		if r.ID == "" || answer.RequestID == r.ID || answer.RequestID == "" && answer.NotRun {
 			x.response, x.Answer, x.Header, x.Body = res, answer, res.Header, res.Body
+			x.Framed = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 			return nil
 		}
 		if foreign++; foreign > maxForeign || res.Close {
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -23,11 +23,12 @@
 	farWeight     = 0.10
 	otherDCWeight = 0.02
 	// copyFarWeight, copyOtherDCWeight and copyJitter replace them for copies of
-	// memory: a copy takes twice as long to another data centre, and copies to one
-	// engine wait for each other.
-	copyFarWeight     = 0.30
-	copyOtherDCWeight = 0.20
-	copyJitter        = 0.25
+	// memory. A copy to another region rarely ends within an engine's notice, and
+	// holds up all other copies of its source; one to another data centre takes
+	// twice as long; and copies to one engine wait for each other.
+	copyFarWeight     = 2.0
+	copyOtherDCWeight = 0.5
+	copyJitter        = 0.2
 	// silentWeight keeps work from engines that hubs no longer hear.
 	silentWeight = 0.5
 	// failureWeight is the cost of a failure rate of 1 above that of the peers, and
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -147,12 +147,16 @@
 	pool   *Pool
 	engine *engine
 	use    usage.Use
+	before usage.Use
 	ended  bool
 	trial  bool
 }
 
+// Before returns the work at the engine when it was chosen.
+func (t *Ticket) Before() usage.Use { return t.before }
+
 func (p *Pool) open(e *engine, use usage.Use) *Ticket {
-	t := &Ticket{Target: e.target(), pool: p, engine: e, use: use}
+	t := &Ticket{Target: e.target(), pool: p, engine: e, use: use, before: e.total()}
 	if e.health.suspect {
 		e.health.trial, t.trial = true, true
 	}
