Compare a generation at two engines instead of all

Cause: on the grown deployment each entry took the best of 45 engines by joint sums that are half a second old, so that all arrivals of that time went to one engine; its queue delayed first events to 5 s and rejected calls. Change: the cost is compared at two engines drawn among those with room, near ones first. A new process waits up to a second for its first view.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,7 +60,7 @@
 		g.Dialect.Refuse(w, nil, serving.AsError(err))
 		return
 	}
-	j := &job{g: g, w: w, Call: call, arrived: arrived}
+	j := &job{g: g, w: w, Call: call, arrived: arrived, ctx: r.Context()}
 	if err := j.decide(); err != nil {
 		j.refuse(err)
 		return
@@ -75,6 +75,28 @@
 	j.plain()
 }
 
+// awaitView returns the view in force. A process that has just started waits a
+// moment for its first one, which costs callers less than coming back.
+func (g *Gateway) awaitView(ctx context.Context) *view {
+	v := g.board.view.Load()
+	for waited := time.Duration(0); v == nil && waited < viewWait; waited += viewPause {
+		if !sleep(ctx, viewPause) {
+			return nil
+		}
+		v = g.board.view.Load()
+	}
+	return v
+}
+
+const (
+	// viewWait is the usual time from the start of all processes to the first view.
+	viewWait = time.Second
+	// viewPause is the pause between two looks for it.
+	viewPause = 20 * time.Millisecond
+	// viewRetry is the Retry-After of a call that found no view.
+	viewRetry = 500 * time.Millisecond
+)
+
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -92,9 +114,9 @@
 
 // decide finds the route of the call and how long it may take.
 func (j *job) decide() error {
-	v := j.g.board.view.Load()
+	v := j.g.awaitView(j.ctx)
 	if v == nil {
-		return serving.NewError(serving.KindViewExpired, "no configuration is known yet").WithRetryAfter(time.Second)
+		return serving.NewError(serving.KindViewExpired, "no configuration is known yet").WithRetryAfter(viewRetry)
 	}
 	j.revision = v.revision
 	d, err := v.table.Decide(j.Call, rand.Float64())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
 const (
@@ -28,6 +29,8 @@
 	exchange *upstream.Exchange
 	// started is when the call was sent to the engine.
 	started time.Duration
+	// before is the known work at the engine when it was chosen.
+	before  usage.Use
 	outcome placement.Outcome
 
 	mu      sync.Mutex
@@ -61,7 +64,7 @@
 			r.refuse(err)
 			return false
 		}
-		r.engine, r.started = ticket.Engine, r.g.Clock.Now()
+		r.engine, r.started, r.before = ticket.Engine, r.g.Clock.Now(), ticket.Before()
 		r.adopt(ticket)
 		x, err := r.g.upstream.Send(r.ctx, r.request(ticket, nil, upstream.SafeIdle))
 		if err == nil && x.Status == http.StatusOK && x.Signed && !x.Encoded && !x.NotRun {
@@ -302,7 +305,8 @@
 	if r.outcome == placement.OK {
 		answered.Add("stream", 1)
 		answerTimes.observe(r.g.Clock.Now() - r.arrived)
-		r.log("Stream answered", "events", r.events, "moved", r.moved, "first", r.started-r.arrived)
+		r.log("Stream answered", "events", r.events, "moved", r.moved, "waited", r.started-r.arrived,
+			"first", r.firstAt-r.started, "prefill_before", r.before.Prefill, "running_before", r.before.Running)
 	}
 }
 
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -43,6 +43,8 @@
 	cachedWeight = 0.1
 	// jitter spreads the choices of entries that know the same.
 	jitter = 0.06
+	// sampleSize is the number of engines that a generation is compared at.
+	sampleSize = 2
 	// coldShare is the part of a cold engine's rate that the entries together use.
 	coldShare = 0.8
 	// fullLoadFresh is the age up to which an engine's own word that its queue is
@@ -81,28 +83,14 @@
 // Place chooses an engine and claims it. The error is of kind no_engine if no
 // engine may run the call, and overloaded if none has room now.
 func (p *Pool) Place(now time.Duration, n *Need) (*Ticket, error) {
-	best, bestCost := (*engine)(nil), 0.0
-	peers := p.peers(now, n)
-	full := 0
-	for _, e := range p.engines {
-		if !p.candidate(e, n) {
-			continue
-		}
-		if !e.health.allows(now) || !p.coldAllows(now, e, n) || !n.Force && !e.fits(now, n) {
-			full++
-			continue
-		}
-		cost := p.cost(now, e, n, peers)
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
-		}
-	}
-	if best == nil && full == 0 {
+	fitting, full := p.fitting(now, n)
+	if len(fitting) == 0 && full == 0 {
 		return nil, serving.NewError(serving.KindNoEngine, "no engine of service "+string(n.Service.ID)+" is in service").WithRetryAfter(time.Second)
 	}
-	if best == nil {
+	if len(fitting) == 0 {
 		return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
 	}
+	best := p.cheapest(now, p.sample(fitting, n), n)
 	t := p.open(best, n.use(best.Engine))
 	p.countCold(now, best)
 	if len(n.Parts) > 0 {
@@ -114,6 +102,58 @@
 	return t, nil
 }
 
+// fitting returns the engines that have room for the call, and the number of
+// those that may run it but have none.
+func (p *Pool) fitting(now time.Duration, n *Need) (fitting []*engine, full int) {
+	for _, e := range p.engines {
+		switch {
+		case !p.candidate(e, n):
+		case !e.health.allows(now) || !p.coldAllows(now, e, n) || !n.Force && !e.fits(now, n):
+			full++
+		default:
+			fitting = append(fitting, e)
+		}
+	}
+	return fitting, full
+}
+
+// sample returns a few of the engines for a generation from the start. What
+// entries know of each other's work is some hundred milliseconds old; if each
+// took the best engine of all, everything that arrives in this time would go to
+// the same one.
+func (p *Pool) sample(fitting []*engine, n *Need) []*engine {
+	if n.Service.Model == nil || n.CopyFrom != "" {
+		return fitting
+	}
+	near := 0
+	for i, e := range fitting {
+		if e.region == p.RegionOf[p.DataCentre] {
+			fitting[near], fitting[i] = fitting[i], fitting[near]
+			near++
+		}
+	}
+	if near >= sampleSize {
+		fitting = fitting[:near]
+	}
+	for i := range min(sampleSize, len(fitting)-1) {
+		j := i + p.Random.IntN(len(fitting)-i)
+		fitting[i], fitting[j] = fitting[j], fitting[i]
+	}
+	return fitting[:min(sampleSize, len(fitting))]
+}
+
+// cheapest returns the engine with the lowest cost.
+func (p *Pool) cheapest(now time.Duration, engines []*engine, n *Need) *engine {
+	a := p.peers(now, n)
+	best, bestCost := engines[0], p.cost(now, engines[0], n, a)
+	for _, e := range engines[1:] {
+		if cost := p.cost(now, e, n, a); cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
 // candidate tells whether the engine may run the call at all.
 func (p *Pool) candidate(e *engine, n *Need) bool {
 	return e.Service == n.Service.ID && e.Usable() && !p.out[e.DataCentre] &&
