Draw engines by their room, poll every 100 ms

Cause: joint sums up to 0.65 s old; when engines leave, few others have room and all arrivals go to them (seven long generations on an engine believed to run three). Change: engines are drawn by room, another region keeps 0.15 of its weight; entries poll every 100 ms, hubs report every 80 ms.

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -21,7 +21,7 @@
 const (
 	// watchWait is the longest wait of one poll, and so the age of what the entry
 	// knows of the work of others.
-	watchWait = 250 * time.Millisecond
+	watchWait = 100 * time.Millisecond
 	// watchTimeout bounds one poll; a hub that does not answer in it is left.
 	watchTimeout = watchWait + 600*time.Millisecond
 	// avoidFor is how long a hub that failed is not asked while others answer.
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -15,7 +15,7 @@
 
 const (
 	// reportInterval is how often the use of engines is told to other hubs.
-	reportInterval = 200 * time.Millisecond
+	reportInterval = 80 * time.Millisecond
 	// reportTimeout bounds one report; the next one repeats what it said.
 	reportTimeout = 800 * time.Millisecond
 	// forgetPeer is how long a hub that was never or long not heard is still tried.
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -43,8 +43,12 @@
 	cachedWeight = 0.1
 	// jitter spreads the choices of entries that know the same.
 	jitter = 0.06
-	// sampleSize is the number of engines that a generation is compared at.
+	// sampleSize is the number of engines at which the cost of a generation is compared.
 	sampleSize = 2
+	// minWeight is the weight of an engine without room, and farShare the part of its
+	// weight that an engine in another region keeps.
+	minWeight = 0.02
+	farShare  = 0.15
 	// coldShare is the part of a cold engine's rate that the entries together use.
 	coldShare = 0.8
 	// fullLoadFresh is the age up to which an engine's own word that its queue is
@@ -117,29 +121,43 @@
 	return fitting, full
 }
 
-// sample returns a few of the engines for a generation from the start. What
-// entries know of each other's work is some hundred milliseconds old; if each
-// took the best engine of all, everything that arrives in this time would go to
-// the same one.
+// sample draws a few engines for a generation from the start, those with more
+// room more often. What entries know of each other's work is some hundred
+// milliseconds old; if each took the best engine of all, everything that arrives
+// in this time would go to the same one.
 func (p *Pool) sample(fitting []*engine, n *Need) []*engine {
-	if n.Service.Model == nil || n.CopyFrom != "" {
+	if n.Service.Model == nil || n.CopyFrom != "" || len(fitting) <= sampleSize {
 		return fitting
 	}
-	near := 0
+	weights := make([]float64, len(fitting))
+	sum := 0.0
 	for i, e := range fitting {
-		if e.region == p.RegionOf[p.DataCentre] {
-			fitting[near], fitting[i] = fitting[i], fitting[near]
-			near++
-		}
+		weights[i] = p.weight(e, n)
+		sum += weights[i]
 	}
-	if near >= sampleSize {
-		fitting = fitting[:near]
+	out := make([]*engine, 0, sampleSize)
+	for range sampleSize {
+		at, draw := 0, p.Random.Float64()*sum
+		for ; at < len(weights)-1 && draw >= weights[at]; at++ {
+			draw -= weights[at]
+		}
+		out = append(out, fitting[at])
+		sum -= weights[at]
+		weights[at] = 0
 	}
-	for i := range min(sampleSize, len(fitting)-1) {
-		j := i + p.Random.IntN(len(fitting)-i)
-		fitting[i], fitting[j] = fitting[j], fitting[i]
+	return out
+}
+
+// weight is the relative frequency with which an engine is drawn: its room for
+// further generations, less if it is far away.
+func (p *Pool) weight(e *engine, n *Need) float64 {
+	used := e.total()
+	room := fillLimit - float64(used.Expected+n.Prompt+n.Output)/float64(max(n.Service.Model.MemoryTokens, 1))
+	w := max(minWeight, room)
+	if e.region != p.RegionOf[p.DataCentre] {
+		w *= farShare
 	}
-	return fitting[:min(sampleSize, len(fitting))]
+	return w
 }
 
 // cheapest returns the engine with the lowest cost.
