Keep memory for the growth of two seconds, expect lengths from all hints of a route

Cause: the sum of all final lengths filled 25 to 31 of 38 engines on paper while a third of their memory was free, so that arrivals piled up on the few others; single hints are off by a factor of 3.2 in the standard deviation. Change: memory is kept for 256 tokens ahead; the expected length mixes a hint with the median of its route's hints.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,9 +181,10 @@
 type blackboard struct {
 	view atomic.Pointer[view]
 
-	mu   sync.Mutex
-	pool placement.Pool
-	line line
+	mu      sync.Mutex
+	pool    placement.Pool
+	lengths placement.Lengths
+	line    line
 	// runs are the streams in progress at each engine.
 	runs map[serving.EngineID]map[*run]bool
 }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -178,6 +178,8 @@
 	r.mu.Lock()
 	made := serving.Tokens(r.events) * r.tokensPerEvent()
 	r.mu.Unlock()
+	r.g.board.mu.Lock()
+	defer r.g.board.mu.Unlock()
 	return r.expectedOutput(made) - made
 }
 
@@ -203,10 +205,10 @@
 	r.mu.Lock()
 	made := serving.Tokens(r.events) * r.tokensPerEvent()
 	r.mu.Unlock()
-	need := &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + made, Output: max(0, r.expectedOutput(made)-made),
-		Parts: r.Parts, Exclude: exclude, CopyFrom: m.source.DataCentre}
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
+	need := &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + made, Output: r.growth(made),
+		Parts: r.Parts, Exclude: exclude, CopyFrom: m.source.DataCentre}
 	return g.board.pool.Place(g.Clock.Now(), need)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,6 +19,9 @@
 	// streamPatience is the part of the objective for which a stream waits for room;
 	// what is left must suffice to read its prompt.
 	streamPatience = 0.55
+	// growthHorizon is the number of tokens ahead for which memory is kept: about two
+	// seconds, in which a quarter of the generations of today's routes end.
+	growthHorizon = 256
 	// flushBytes bounds the events that go to the caller in one write.
 	flushBytes = 16 << 10
 )
@@ -30,8 +33,10 @@
 	// started is when the call was sent to the engine.
 	started time.Duration
 	// before is the known work at the engine when it was chosen.
-	before  usage.Use
-	outcome placement.Outcome
+	before usage.Use
+	// fitting and full count the engines with and without room then.
+	fitting, full int
+	outcome       placement.Outcome
 
 	mu      sync.Mutex
 	ticket  *placement.Ticket
@@ -49,6 +54,7 @@
 func (j *job) stream() {
 	j.countCall()
 	r := &run{job: j}
+	r.observeHint()
 	if !r.start() {
 		return
 	}
@@ -65,6 +71,7 @@
 			return false
 		}
 		r.engine, r.started, r.before = ticket.Engine, r.g.Clock.Now(), ticket.Before()
+		r.fitting, r.full = ticket.Fitting, ticket.Full
 		r.adopt(ticket)
 		x, err := r.g.upstream.Send(r.ctx, r.request(ticket, nil, upstream.SafeIdle))
 		if err == nil && x.Status == http.StatusOK && x.Signed && !x.Encoded && !x.NotRun {
@@ -97,9 +104,17 @@
 	return o
 }
 
+func (r *run) observeHint() {
+	r.g.board.mu.Lock()
+	defer r.g.board.mu.Unlock()
+	r.g.board.lengths.Observe(r.Route.Name, r.LengthHint, r.MaxTokens)
+}
+
 // need is what the generation needs of an engine.
 func (r *run) need() *placement.Need {
-	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens, Output: r.expectedOutput(0),
+	r.g.board.mu.Lock()
+	defer r.g.board.mu.Unlock()
+	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens, Output: r.growth(0),
 		Parts: r.Parts, Exclude: r.tried}
 }
 
@@ -110,18 +125,17 @@
 }
 
 // expectedOutput estimates the tokens of the whole answer when made tokens of it
-// exist. The caller's hint is right in the median only.
+// exist. The caller holds mu of the blackboard.
 func (r *run) expectedOutput(made serving.Tokens) serving.Tokens {
-	expected := r.LengthHint
-	if expected <= 0 {
-		expected = r.MaxTokens / 2
-	}
-	// An answer that has outrun its hint is expected to go on for a part of what it has.
-	expected = max(expected, made+made/4)
-	if r.MaxTokens > 0 {
-		expected = min(expected, r.MaxTokens)
-	}
-	return expected
+	return r.g.board.lengths.Expect(r.Route.Name, r.LengthHint, r.MaxTokens, made)
+}
+
+// growth estimates how much memory the generation still takes in the near
+// future. Others end in this time and free theirs, so that the sum of all final
+// lengths would leave much of an engine's memory unused. The caller holds mu of
+// the blackboard.
+func (r *run) growth(made serving.Tokens) serving.Tokens {
+	return min(max(0, r.expectedOutput(made)-made), growthHorizon)
 }
 
 // adopt makes the run one of those at the ticket's engine.
@@ -272,7 +286,7 @@
 	if first {
 		r.ticket.FirstEvent()
 	}
-	r.ticket.Progress(perEvent, r.PromptTokens+r.expectedOutput(made))
+	r.ticket.Progress(perEvent, r.PromptTokens+made+r.growth(made))
 	return true
 }
 
@@ -306,7 +320,7 @@
 		answered.Add("stream", 1)
 		answerTimes.observe(r.g.Clock.Now() - r.arrived)
 		r.log("Stream answered", "events", r.events, "moved", r.moved, "waited", r.started-r.arrived,
-			"first", r.firstAt-r.started, "prefill_before", r.before.Prefill, "running_before", r.before.Running)
+			"first", r.firstAt-r.started, "prompt", r.PromptTokens, "hint", r.LengthHint, "most", r.MaxTokens, "prefill_before", r.before.Prefill, "running_before", r.before.Running, "expected_before", r.before.Expected, "fitting", r.fitting, "full", r.full)
 	}
 }
 
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -96,6 +96,7 @@
 	}
 	best := p.cheapest(now, p.sample(fitting, n), n)
 	t := p.open(best, n.use(best.Engine))
+	t.Fitting, t.Full = len(fitting), full
 	p.countCold(now, best)
 	if len(n.Parts) > 0 {
 		if best.parts == nil {
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -148,6 +148,8 @@
 	engine *engine
 	use    usage.Use
 	before usage.Use
+	// Fitting and Full count the engines with and without room at the choice.
+	Fitting, Full int
 	ended  bool
 	trial  bool
 }
