A soak of the real programs under faults

Cause: faults were injected by the bench and by single tests only. Change: internal/soak starts hubs and entries as processes, stand-in engines behind loopback proxies, callers and an operator, injects signals and link faults by seed, and checks answers, runs, refusals and read-backs.

--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -11,6 +11,7 @@
 //	turmericdrum demo
 //	turmericdrum gateway --metrics-port 9464
 //	turmericdrum hub --metrics-port 9464
+//	turmericdrum soak --binary target/turmericdrum --seeds 50
 //
 // The exit status is 0 on success, 1 on failure and 2 on a wrong command line.
 package main
@@ -30,6 +31,7 @@
 	"turmericdrum.org/turmericdrum/internal/demo"
 	"turmericdrum.org/turmericdrum/internal/load"
 	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/internal/soak"
 	"turmericdrum.org/turmericdrum/internal/timelines"
 	"turmericdrum.org/turmericdrum/platform"
 )
@@ -46,6 +48,7 @@
 	Experiment *load.ExperimentCommand `arg:"subcommand:experiment" help:"compare placement policies in virtual time"`
 	Gateway    *gatewayCommand         `arg:"subcommand:gateway" help:"run the process of an entry host on the users' platform"`
 	Hub        *hubCommand             `arg:"subcommand:hub" help:"run the process of a control host on the users' platform"`
+	Soak       *soak.Command           `arg:"subcommand:soak" help:"run the real programs under faults and check the promises"`
 	Demo       *demo.Command           `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
 }
 
@@ -90,6 +93,8 @@
 		return platform.RunEntry(args.Gateway.Options)
 	case args.Hub != nil:
 		return platform.RunHub(args.Hub.Options)
+	case args.Soak != nil:
+		return args.Soak.Run(context.Background(), os.Stdout)
 	case args.Admin != nil:
 		return args.Admin.Run(context.Background(), os.Stdout)
 	case args.Timeline != nil:
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"turmericdrum.org/turmericdrum/platform/standin"
+)
+
+// restartPause is the pause before a process that ended is started again.
+const restartPause = 300 * time.Millisecond
+
+// process is one real program under the soak's control. It is started again
+// whenever it ends, as a service manager would.
+type process struct {
+	name     string
+	binary   string
+	role     string
+	settings func() (string, error)
+	log      *os.File
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	stopped bool
+	starts  int
+	done    chan struct{}
+}
+
+// startProcess starts a program; settings writes its file before each start.
+func startProcess(binary, role, name, folder string, settings func() (string, error)) (*process, error) {
+	log, err := os.Create(filepath.Join(folder, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	p := &process{name: name, binary: binary, role: role, settings: settings, log: log, done: make(chan struct{})}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	go p.supervise()
+	return p, nil
+}
+
+func (p *process) start() error {
+	path, err := p.settings()
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return nil
+	}
+	p.cmd = exec.Command(p.binary, p.role)
+	p.cmd.Env = append(os.Environ(), standin.BootVariable+"="+path, "GOMAXPROCS=1")
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	p.starts++
+	return p.cmd.Start()
+}
+
+func (p *process) supervise() {
+	defer close(p.done)
+	for {
+		p.mu.Lock()
+		cmd := p.cmd
+		p.mu.Unlock()
+		err := cmd.Wait()
+		p.mu.Lock()
+		stopped := p.stopped
+		p.mu.Unlock()
+		if stopped {
+			return
+		}
+		fmt.Fprintf(p.log, "soak: %s ended: %v\n", p.name, err)
+		time.Sleep(restartPause)
+		if err := p.start(); err != nil {
+			fmt.Fprintf(p.log, "soak: %s does not start: %v\n", p.name, err)
+			return
+		}
+	}
+}
+
+// signal sends a signal to the process that this soak started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		// The process may have just ended; then there is nothing to signal.
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// stop ends the process for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	_ = p.log.Close()
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// linkMode is what a proxy does to the connections through it.
+type linkMode int
+
+// Modes of a proxy.
+const (
+	linkPass linkMode = iota
+	// linkDelay holds each piece back for linkDelayTime.
+	linkDelay
+	// linkSilent takes bytes and passes none on, in both directions.
+	linkSilent
+	// linkOneWay passes requests on and no answers.
+	linkOneWay
+)
+
+// linkDelayTime is above the delay between regions and below every timeout.
+const linkDelayTime = 80 * time.Millisecond
+
+// proxy passes connections on to a target on the same machine.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  linkMode
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.run()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) run() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	t, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p.track(c, true)
+	p.track(t, true)
+	var wg sync.WaitGroup
+	wg.Go(func() { p.copy(t, c, false) })
+	wg.Go(func() { p.copy(c, t, true) })
+	wg.Wait()
+	p.track(c, false)
+	p.track(t, false)
+}
+
+func (p *proxy) track(c net.Conn, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on {
+		p.conns[c] = true
+		return
+	}
+	delete(p.conns, c)
+}
+
+// copy passes bytes on in one direction until either side ends.
+func (p *proxy) copy(to, from net.Conn, answer bool) {
+	defer to.Close()
+	defer from.Close()
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 && p.passes(answer) {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// passes waits as the mode asks and tells whether bytes are passed on.
+func (p *proxy) passes(answer bool) bool {
+	p.mu.Lock()
+	mode := p.mode
+	p.mu.Unlock()
+	switch mode {
+	case linkDelay:
+		time.Sleep(linkDelayTime)
+	case linkSilent:
+		return false
+	case linkOneWay:
+		return !answer
+	}
+	return true
+}
+
+// set changes the mode. Connections that lost bytes can't go on, so that they
+// are reset when the proxy passes bytes again.
+func (p *proxy) set(mode linkMode) {
+	p.mu.Lock()
+	lossy := p.mode == linkSilent || p.mode == linkOneWay
+	p.mode = mode
+	p.mu.Unlock()
+	if lossy {
+		p.reset()
+	}
+}
+
+// reset resets all connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			// Without this the close would look like a proper end.
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
--- /dev/null
+++ b/internal/soak/trial.go
@@ -0,0 +1,296 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turmericdrum.org/turmericdrum/platform/standin"
+)
+
+const (
+	// startTime bounds the start of all processes up to the first answer.
+	startTime = 20 * time.Second
+	// recoveryTime is the time after the last fault within which calls are served
+	// again: the bound of today's deployments.
+	recoveryTime = 12 * time.Second
+	// drainTime is the same for work on an engine that leaves.
+	drainTime = 2500 * time.Millisecond
+	// streamEvents is the length of a stream: longer than an engine's notice.
+	streamEvents = 300
+)
+
+// trial is the run of one seed.
+type trial struct {
+	site      standin.Site
+	binary    string
+	faultTime time.Duration
+	log       *os.File
+
+	hubs, entries []*process
+	fleet         *standin.Fleet
+	op            *standin.Operator
+
+	mu         sync.Mutex
+	links      []*proxy
+	models     []*standin.Engine
+	plains     []*standin.Engine
+	engines    int
+	violations []string
+	answers    map[string]*standin.Answer
+	counts     map[string]int
+	acked      atomic.Uint64
+}
+
+// run starts everything, injects the faults of a seed and checks the promises.
+func (t *trial) run(seed uint64) error {
+	t.fleet, t.answers, t.counts = standin.NewFleet(), map[string]*standin.Answer{}, map[string]int{}
+	t.op = &standin.Operator{Hubs: t.site.Controls()}
+	defer t.stop()
+	if err := t.start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range t.site.Entries {
+		wg.Go(func() { t.call(ctx, i, "look") })
+		wg.Go(func() { t.call(ctx, i, "order") })
+		wg.Go(func() { t.call(ctx, i, "stream") })
+		wg.Go(func() { t.keepCalling(ctx, i) })
+	}
+	wg.Go(func() { t.operate(ctx) })
+	t.inject(t.schedule(rand.New(rand.NewPCG(seed, seed))))
+	t.expectService(recoveryTime)
+	cancel()
+	wg.Wait()
+	t.checkRuns()
+	return nil
+}
+
+func (t *trial) start() error {
+	for i := range t.site.Hubs {
+		first := true
+		p, err := startProcess(t.binary, "hub", fmt.Sprintf("hub-%d", i), t.site.Folder, func() (string, error) {
+			defer func() { first = false }()
+			return t.site.WriteHub(i, first)
+		})
+		if err != nil {
+			return err
+		}
+		t.hubs = append(t.hubs, p)
+	}
+	for i := range t.site.Entries {
+		p, err := startProcess(t.binary, "gateway", fmt.Sprintf("entry-%d", i), t.site.Folder, func() (string, error) { return t.site.WriteEntry(i) })
+		if err != nil {
+			return err
+		}
+		t.entries = append(t.entries, p)
+	}
+	for _, service := range []string{standin.ModelService, standin.ModelService, standin.ModelService, standin.PlainService, standin.PlainService} {
+		if err := t.addEngine(service); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTime)
+	defer cancel()
+	if status, err := t.op.Put(ctx, http.MethodPut, "/-/config", standin.Document(1)); status != http.StatusOK {
+		return fmt.Errorf("the first configuration was answered %d: %w", status, err)
+	}
+	t.acked.Store(1)
+	t.expectService(startTime)
+	return nil
+}
+
+// addEngine starts an engine behind a link of its own.
+func (t *trial) addEngine(service string) error {
+	t.mu.Lock()
+	t.engines++
+	id := fmt.Sprintf("e-%d", t.engines)
+	t.mu.Unlock()
+	address := fmt.Sprintf("127.%d.1.%d:8600", t.site.Subnet, t.engines)
+	link, err := newProxy(address)
+	if err != nil {
+		return err
+	}
+	e, err := t.fleet.Start(standin.EngineConfig{ID: id, Service: service, Zone: string(rune('a' + t.engines%3)), Listen: address,
+		Advertise: link.address(), Hubs: t.site.Controls(), Beat: 400 * time.Millisecond, CopyTime: 100 * time.Millisecond})
+	if err != nil {
+		link.close()
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.links = append(t.links, link)
+	if service == standin.ModelService {
+		t.models = append(t.models, e)
+	} else {
+		t.plains = append(t.plains, e)
+	}
+	return nil
+}
+
+func (t *trial) stop() {
+	for _, p := range append(t.entries, t.hubs...) {
+		p.stop()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range append(t.models, t.plains...) {
+		e.Close()
+	}
+	for _, l := range t.links {
+		l.close()
+	}
+}
+
+// caller returns a caller at one entry.
+func (t *trial) caller(entry int) *standin.Caller {
+	return &standin.Caller{Address: t.site.Front(entry), Host: standin.CallHost, Key: standin.CallKey}
+}
+
+// call sends calls of one kind, one after another, and records the answers.
+func (t *trial) call(ctx context.Context, entry int, kind string) {
+	c := t.caller(entry)
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%s-%d-%d", kind, entry, n)
+		var a *standin.Answer
+		switch kind {
+		case "look":
+			a = c.Do(ctx, http.MethodGet, id, standin.LookupPath, nil)
+		case "order":
+			a = c.Do(ctx, http.MethodPost, id, standin.OrderPath, []byte("order"))
+		default:
+			a = c.Stream(ctx, id, standin.StreamPath, streamEvents)
+		}
+		t.record(id, kind, a)
+		if a.Status != http.StatusOK {
+			time.Sleep(max(20*time.Millisecond, min(a.RetryAfter, time.Second)))
+		}
+	}
+}
+
+func (t *trial) record(id, kind string, a *standin.Answer) {
+	if a.Fault != "" {
+		t.violation("%s: %s", id, a.Fault)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answers[id] = a
+	t.counts[fmt.Sprintf("%s %d whole=%t", kind, a.Status, a.Whole)]++
+}
+
+// keepCalling uses open connections until the process behind them is gone.
+func (t *trial) keepCalling(ctx context.Context, entry int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	c := t.caller(entry)
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("kept-%d-%d", entry, n)
+		a := c.DoWith(ctx, client, http.MethodGet, id, standin.LookupPath)
+		t.record(id, "kept", a)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// operate changes the configuration and takes data centres out of service, and
+// checks that what was acknowledged is never read back older.
+func (t *trial) operate(ctx context.Context) {
+	for version := uint64(2); ctx.Err() == nil; version += 3 {
+		callCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		status, _ := t.op.Put(callCtx, http.MethodPut, "/-/config", standin.Document(version))
+		if status == http.StatusOK {
+			t.acked.Store(version)
+		} else if status/100 == 4 {
+			t.violation("version %d was refused with %d", version, status)
+		}
+		cancel()
+		t.readBack(ctx, 3*time.Second)
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+// readBack reads the configuration; no answer in time is no violation.
+func (t *trial) readBack(ctx context.Context, limit time.Duration) bool {
+	acked := t.acked.Load()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	version, err := t.op.Config(ctx)
+	if err != nil {
+		return false
+	}
+	if version < acked {
+		t.violation("version %d was acknowledged, version %d is read back", acked, version)
+	}
+	return true
+}
+
+// expectService waits until each entry serves every kind of call under the
+// newest configuration.
+func (t *trial) expectService(limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for i := range t.site.Entries {
+		for n, served := 0, false; !served; n++ {
+			id := fmt.Sprintf("probe-%d-%d-%d", i, n, time.Now().UnixNano())
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			c := t.caller(i)
+			served = c.Do(ctx, http.MethodPost, id+"-o", standin.OrderPath, nil).Status == http.StatusOK &&
+				c.Do(ctx, http.MethodGet, id+"-l", standin.LookupPath, nil).Status == http.StatusOK && c.Stream(ctx, id+"-s", standin.StreamPath, 10).Whole
+			cancel()
+			if !served && time.Now().After(deadline) {
+				t.violation("entry %d does not serve %v after the last fault", i, limit)
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	if !t.readBack(context.Background(), limit) {
+		t.violation("the configuration can't be read back %v after the last fault", limit)
+	}
+}
+
+// checkRuns compares what callers were told with what ran.
+func (t *trial) checkRuns() {
+	t.mu.Lock()
+	answers := t.answers
+	t.mu.Unlock()
+	for id, a := range answers {
+		started := 0
+		for _, r := range t.fleet.Runs(id) {
+			if !r.Resumed {
+				started++
+			}
+		}
+		once := !isLookup(id)
+		if once && started > 1 {
+			t.violation("%s ran %d times", id, started)
+		}
+		if once && a.Refused() && started > 0 {
+			t.violation("%s was refused with %d as not run, and ran", id, a.Status)
+		}
+		if a.Status == http.StatusOK && a.Whole && started == 0 {
+			t.violation("%s was answered and never ran", id)
+		}
+	}
+}
+
+func isLookup(id string) bool { return id[0] == 'l' || id[0] == 'k' }
+
+// newTrial prepares the folder of a seed.
+func newTrial(c *Command, seed uint64) (*trial, error) {
+	folder := filepath.Join(c.Folder, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(folder, "soak.log"))
+	if err != nil {
+		return nil, err
+	}
+	return &trial{site: standin.Site{Subnet: 20 + int(seed%200), Hubs: c.Hubs, Entries: c.Entries, Disks: (c.Hubs - 1) / 2, Folder: folder},
+		binary: c.Binary, faultTime: c.Time, log: log}, nil
+}
