Let the hub choose the engine of a generation

Cause: entries learn of each other's choices 0.1 to 0.3 s late, and choose the same engines when few have room. The hub keeps the compiled configuration, which the heartbeat check uses too.

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -48,6 +48,9 @@
 	mu sync.Mutex
 	// added are hubs that other goroutines made known.
 	added []string
+	// placing is the hub that is asked for engines, from placingAgain on.
+	placing      schema.Hub
+	placingAgain time.Duration
 }
 
 // hubState is what the watcher knows of one hub.
@@ -100,6 +103,7 @@
 				klog.InfoS("Hub lost", "hub", h.address, "err", err)
 			}
 			h.failed, h.failedAt = true, w.g.Clock.Now()
+			w.setPlacing(nil)
 			select {
 			case <-ctx.Done():
 			case <-time.After(retryPause):
@@ -110,6 +114,7 @@
 			klog.InfoS("Hub in use", "hub", h.address, "data_centre", h.dataCentre)
 		}
 		w.current, h.failed = h, false
+		w.setPlacing(h)
 	}
 }
 
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -15,7 +15,9 @@
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
+	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -60,6 +62,10 @@
 	Bootstrap bool
 	// ToleratedDisks is the number of disks that may be lost at the same time.
 	ToleratedDisks int
+	// RegionOf names the region of each data centre.
+	RegionOf map[serving.DataCentreID]serving.RegionID
+	// DecodeConfig decodes a routing configuration document.
+	DecodeConfig func(document []byte) (*routing.Config, error)
 	// HeartbeatInterval is that of the engines.
 	HeartbeatInterval time.Duration
 	Clock             serving.Clock
@@ -77,6 +83,7 @@
 	local  *usage.Table
 	remote *usage.Table
 	peers  map[string]*peer
+	placer placer
 	// state is the newest deployment state that was served.
 	state *schema.DeploymentState
 	// wake is closed when something changed that entries should hear at once.
@@ -134,6 +141,7 @@
 	h.direct = map[serving.EngineID]time.Duration{}
 	h.local, h.remote = usage.NewTable(useExpires), usage.NewTable(useExpires)
 	h.peers = map[string]*peer{}
+	h.placer.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), RegionOf: h.RegionOf}
 	h.state = &schema.DeploymentState{}
 	h.wake = make(chan struct{})
 	for _, address := range h.First {
--- /dev/null
+++ b/internal/hub/place.go
@@ -0,0 +1,139 @@
+package hub
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
+	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/routing"
+	"turmericdrum.org/turmericdrum/pkg/serving/usage"
+)
+
+// reserveFor is how long a choice counts until the entry's own report has it:
+// two polls of an entry and a report between hubs.
+const reserveFor = 300 * time.Millisecond
+
+// placer chooses engines for the entries that poll this hub. It knows its own
+// choices at once, which the entries learn of each other only with a delay.
+type placer struct {
+	pool     placement.Pool
+	cursor   uint64
+	reserved []reservation
+	// table is that of the served state with number version.
+	table   *routing.Table
+	version uint64
+}
+
+type reservation struct {
+	use   usage.Use
+	until time.Duration
+}
+
+// Place implements schema.Hub.
+func (h *Hub) Place(_ context.Context, in *schema.PlaceRequest) (*schema.PlaceResult, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	service := h.service(serving.ServiceID(in.GetService()))
+	if service == nil {
+		return nil, serving.NewError(serving.KindNotFound, "the hub knows no service "+in.GetService())
+	}
+	h.refreshPool(now)
+	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()), Compare: placement.All}
+	if in.GetRestricted() {
+		need.Allows = func(r serving.RegionID) bool { return slices.Contains(in.GetRegions(), string(r)) }
+	}
+	for _, id := range in.GetExclude() {
+		need.Exclude = append(need.Exclude, serving.EngineID(id))
+	}
+	h.placer.pool.DataCentre = serving.DataCentreID(in.GetDataCentre())
+	ticket, err := h.placer.pool.Place(now, need)
+	if err != nil {
+		return &schema.PlaceResult{}, nil
+	}
+	ticket.End(now, placement.Abandoned, 0)
+	h.placer.reserved = append(h.placer.reserved, reservation{use: ticket.Use(), until: now + reserveFor})
+	return &schema.PlaceResult{Engine: string(ticket.Engine)}, nil
+}
+
+// refreshPool brings the pool up to date. The caller holds mu.
+func (h *Hub) refreshPool(now time.Duration) {
+	p := &h.placer
+	entries, cursor := h.directory.Since(p.cursor)
+	p.cursor = cursor
+	for _, e := range entries {
+		p.pool.SetEngine(e)
+	}
+	p.pool.SetOut(h.state.GetOut())
+	p.reserved = slices.DeleteFunc(p.reserved, func(r reservation) bool { return now >= r.until })
+	sums, n := h.sums(now)
+	for i := range p.reserved {
+		u := &p.reserved[i].use
+		if sums[u.Engine] == nil {
+			sums[u.Engine] = &usage.Use{Engine: u.Engine}
+		}
+		sums[u.Engine].Add(u)
+	}
+	uses := make([]usage.Use, 0, len(sums))
+	for _, u := range sums {
+		uses = append(uses, *u)
+	}
+	p.pool.SetOthers(uses, n)
+}
+
+// sums returns the work of all entries and their number. The caller holds mu.
+func (h *Hub) sums(now time.Duration) (map[serving.EngineID]*usage.Use, int) {
+	sums, n := h.local.Sums(now)
+	remote, _ := h.remote.Sums(now)
+	for id, u := range remote {
+		if sums[id] == nil {
+			sums[id] = u
+			continue
+		}
+		sums[id].Add(u)
+	}
+	return sums, n + h.remoteEntries(now)
+}
+
+// service returns a service of the served configuration. The caller holds mu.
+func (h *Hub) service(id serving.ServiceID) *routing.Service {
+	p := &h.placer
+	if c := h.state.GetConfig(); c != nil && (p.table == nil || p.version != c.GetVersion()) {
+		table, err := h.compile(c)
+		if err != nil {
+			klog.ErrorS(err, "Services of the configuration are not known", "version", c.GetVersion())
+			return nil
+		}
+		p.table, p.version = table, c.GetVersion()
+	}
+	if p.table == nil {
+		return nil
+	}
+	return p.table.Service(id)
+}
+
+func (h *Hub) compile(c *schema.DeploymentConfig) (*routing.Table, error) {
+	document, err := deployment.Unpack(c)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := h.DecodeConfig(document)
+	if err != nil {
+		return nil, err
+	}
+	return routing.Compile(cfg)
+}
+
+// Serves tells whether the newest configuration has a service; without a
+// configuration every service counts as known.
+func (h *Hub) Serves(id serving.ServiceID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.GetConfig() == nil || h.service(id) != nil
+}
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -74,19 +74,11 @@
 	for _, e := range entries {
 		out.Engines = append(out.Engines, e.ToWire(now))
 	}
-	sums, n := h.local.Sums(now)
-	remote, _ := h.remote.Sums(now)
-	for id, u := range remote {
-		if sums[id] == nil {
-			sums[id] = u
-			continue
-		}
-		sums[id].Add(u)
-	}
+	sums, n := h.sums(now)
 	for _, u := range sums {
 		out.Uses = append(out.Uses, u.ToWire())
 	}
-	out.Entries = int32(n + h.remoteEntries(now))
+	out.Entries = int32(n)
 	out.Hubs = h.hubs(now)
 	return out
 }
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -39,6 +39,11 @@
 	// peers, beyond slowSlack.
 	slowWeight = 0.3
 	slowSlack  = 0.5
+	// maxSlow bounds how much slower an engine counts.
+	maxSlow = 10.0
+	// avoidAbove is the cost of failures and slowness above which an entry tells its
+	// hub not to choose an engine: that of a third of its memory.
+	avoidAbove = 0.33
 	// cachedWeight is the benefit of a prompt that is cached whole.
 	cachedWeight = 0.1
 	// jitter spreads the choices of entries that know the same.
@@ -71,10 +76,21 @@
 	// CopyFrom is the data centre of the engine from which the memory of a running
 	// generation will be copied; empty for a call from the start.
 	CopyFrom serving.DataCentreID
-	// Force places the call also where it does not fit.
-	Force bool
+	// Compare says at how many engines the cost is compared.
+	Compare Comparison
 }
 
+// Comparison says at how many engines the cost of a generation is compared.
+type Comparison int
+
+const (
+	// Few compares a few engines drawn by their room, for one of many pools that
+	// choose by the same delayed sums.
+	Few Comparison = iota
+	// All compares all engines, for a pool that knows the choices of the others.
+	All
+)
+
 // use returns the work that the call adds to an engine.
 func (n *Need) use(id serving.EngineID) usage.Use {
 	u := usage.Use{Engine: id, Running: 1, Held: n.Prompt, Expected: n.Prompt + n.Output, Prefill: n.Prompt}
@@ -107,13 +123,36 @@
 	return t, nil
 }
 
+// Claim claims an engine that was chosen elsewhere; nil if it takes no new work.
+func (p *Pool) Claim(now time.Duration, id serving.EngineID, n *Need) *Ticket {
+	e := p.engines[id]
+	if e == nil || !p.candidate(e, n) || !e.health.allows(now) {
+		return nil
+	}
+	p.countCold(now, e)
+	return p.open(e, n.use(id))
+}
+
+// Avoid returns the engines that this pool has reason to keep a call from: they
+// can't be reached, or fail more often than their peers or are slower by far.
+func (p *Pool) Avoid(now time.Duration, n *Need) []serving.EngineID {
+	var out []serving.EngineID
+	a := p.peers(now, n)
+	for _, e := range p.engines {
+		if p.candidate(e, n) && (!e.health.allows(now) || p.illness(now, e, a) > avoidAbove) {
+			out = append(out, e.Engine)
+		}
+	}
+	return out
+}
+
 // fitting returns the engines that have room for the call, and the number of
 // those that may run it but have none.
 func (p *Pool) fitting(now time.Duration, n *Need) (fitting []*engine, full int) {
 	for _, e := range p.engines {
 		switch {
 		case !p.candidate(e, n):
-		case !e.health.allows(now) || !p.coldAllows(now, e, n) || !n.Force && !e.fits(now, n):
+		case !e.health.allows(now) || !p.coldAllows(now, e, n) || !e.fits(now, n):
 			full++
 		default:
 			fitting = append(fitting, e)
@@ -127,7 +166,7 @@
 // milliseconds old; if each took the best engine of all, everything that arrives
 // in this time would go to the same one.
 func (p *Pool) sample(fitting []*engine, n *Need) []*engine {
-	if n.Service.Model == nil || n.CopyFrom != "" || len(fitting) <= sampleSize {
+	if n.Compare == All || n.Service.Model == nil || n.CopyFrom != "" || len(fitting) <= sampleSize {
 		return fitting
 	}
 	weights := make([]float64, len(fitting))
@@ -244,9 +283,14 @@
 	if e.Silent {
 		cost += silentWeight
 	}
-	cost += failureWeight * max(0, e.health.failureRate(now)-a.failures-failureSlack)
+	return cost + p.illness(now, e, a)
+}
+
+// illness is the cost of an engine that fails more often or is slower than its peers.
+func (p *Pool) illness(now time.Duration, e *engine, a averages) float64 {
+	cost := failureWeight * max(0, e.health.failureRate(now)-a.failures-failureSlack)
 	if a.latency > 0 {
-		cost += slowWeight * min(10, max(0, e.health.latency/a.latency-1-slowSlack))
+		cost += slowWeight * min(maxSlow, max(0, e.health.latency/a.latency-1-slowSlack))
 	}
 	return cost
 }
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -154,6 +154,9 @@
 	trial         bool
 }
 
+// Use returns the work that the call adds to the engine.
+func (t *Ticket) Use() usage.Use { return t.use }
+
 // Before returns the work at the engine when it was chosen.
 func (t *Ticket) Before() usage.Use { return t.before }
 
