Hubs choose for their own data centre first; entries tell of broken calls

Cause: five hubs chose among all engines by sums 0.2 s old, so that engines held 38,000 tokens beside others with 10,000; each of 75 entries had to meet a flapping engine twice. Change: a hub leaves its data centre only for engines emptier by more than a fifth; calls that broke off are told with the work, and two of them keep all entries from an engine for two seconds.

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -208,7 +208,7 @@
 func (w *watcher) ownUses() []usage.Use {
 	w.g.board.mu.Lock()
 	defer w.g.board.mu.Unlock()
-	return w.g.board.pool.Own()
+	return w.g.board.pool.Own(w.g.Clock.Now())
 }
 
 // takeState puts a newer deployment state in force. An older one never is, so
@@ -311,6 +311,7 @@
 			all[i].Held = max(0, all[i].Held-o.Held)
 			all[i].Expected = max(0, all[i].Expected-o.Expected)
 			all[i].Prefill = max(0, all[i].Prefill-o.Prefill)
+			all[i].Broken = max(0, all[i].Broken-o.Broken)
 		}
 	}
 	return all
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -141,7 +141,7 @@
 	h.direct = map[serving.EngineID]time.Duration{}
 	h.local, h.remote = usage.NewTable(useExpires), usage.NewTable(useExpires)
 	h.peers = map[string]*peer{}
-	h.placer.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), RegionOf: h.RegionOf}
+	h.placer.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: h.DataCentre, RegionOf: h.RegionOf}
 	h.state = &schema.DeploymentState{}
 	h.wake = make(chan struct{})
 	for _, address := range h.First {
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -52,7 +52,6 @@
 	for _, id := range in.GetExclude() {
 		need.Exclude = append(need.Exclude, serving.EngineID(id))
 	}
-	h.placer.pool.DataCentre = serving.DataCentreID(in.GetDataCentre())
 	ticket, err := h.placer.pool.Place(now, need)
 	if err != nil {
 		return &schema.PlaceResult{}, nil
--- a/pkg/serving/placement/health.go
+++ b/pkg/serving/placement/health.go
@@ -37,6 +37,11 @@
 	// brokenBeforeOpen is the number of broken calls in a row that count like a
 	// failure to connect.
 	brokenBeforeOpen = 2
+	// tellBroken is how long an entry tells the others of calls that broke off.
+	tellBroken = 2 * time.Second
+	// shunAfter is the number of calls that broke off lately, over all entries, after
+	// which an engine gets no generation: many entries meet a dead engine only once.
+	shunAfter = 2
 	// refusedPause keeps calls away from an engine that has just said it is full.
 	refusedPause = 150 * time.Millisecond
 )
@@ -48,6 +53,7 @@
 	calls    int
 	at       time.Duration
 	broken   int
+	brokenAt time.Duration
 	opens    int
 	// closedUntil is the time up to which the engine gets no calls.
 	closedUntil time.Duration
@@ -72,6 +78,7 @@
 		}
 	case Broken, Unreachable:
 		h.broken++
+		h.brokenAt = now
 		if o == Unreachable || h.broken >= brokenBeforeOpen {
 			h.open(now)
 		}
@@ -122,6 +129,15 @@
 	return now >= h.closedUntil && !h.trial
 }
 
+// recentlyBroken returns the number of calls in a row that broke off, if the
+// last one did so a short while ago.
+func (h *health) recentlyBroken(now time.Duration) int {
+	if now-h.brokenAt > tellBroken {
+		return 0
+	}
+	return h.broken
+}
+
 // failureRate returns the share of recent calls that failed.
 func (h *health) failureRate(now time.Duration) float64 {
 	if now <= h.at {
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -29,6 +29,11 @@
 	copyFarWeight     = 2.0
 	copyOtherDCWeight = 0.5
 	copyJitter        = 0.2
+	// ownerOtherDCWeight and ownerFarWeight replace them for the pool that chooses for
+	// a data centre: its choices elsewhere meet those of others, of which it hears
+	// late, so that they are worth it only where its own engines are much fuller.
+	ownerOtherDCWeight = 0.20
+	ownerFarWeight     = 0.35
 	// silentWeight keeps work from engines that hubs no longer hear.
 	silentWeight = 0.5
 	// failureWeight is the cost of a failure rate of 1 above that of the peers, and
@@ -152,7 +157,7 @@
 	for _, e := range p.engines {
 		switch {
 		case !p.candidate(e, n):
-		case !e.health.allows(now) || !p.coldAllows(now, e, n) || !e.fits(now, n):
+		case !e.health.allows(now) || n.Service.Model != nil && e.others.Broken >= shunAfter || !p.coldAllows(now, e, n) || !e.fits(now, n):
 			full++
 		default:
 			fitting = append(fitting, e)
@@ -299,6 +304,9 @@
 // choices of entries that know the same.
 func (p *Pool) distance(e *engine, n *Need) float64 {
 	near, other, far, spread := p.DataCentre, otherDCWeight, farWeight, jitter
+	if n.Compare == All {
+		other, far = ownerOtherDCWeight, ownerFarWeight
+	}
 	if n.CopyFrom != "" {
 		near, other, far, spread = n.CopyFrom, copyOtherDCWeight, copyFarWeight, copyJitter
 	}
--- a/pkg/serving/placement/placement_test.go
+++ b/pkg/serving/placement/placement_test.go
@@ -176,6 +176,69 @@
 	assert.Assert(t, len(sent) > entries)
 }
 
+// Load pattern: an engine goes down and up by turns; each of many entries has met
+// it once. After two calls that broke off, whoever met them, it gets no more.
+func TestBrokenEngineIsShunnedByAll(t *testing.T) {
+	victim := newPool(1, "a-1")
+	other := newPool(2, "a-1")
+	for _, p := range []*placement.Pool{victim, other} {
+		p.SetEngine(engine("down", "model", "a-1"))
+		p.SetEngine(engine("up", "model", "a-1"))
+	}
+	var told []usage.Use
+	for range 2 {
+		ticket := victim.Claim(0, "down", long())
+		ticket.End(0, placement.Broken, 0)
+		told = victim.Own(0)
+	}
+	other.SetOthers(told, 2)
+	for range 30 {
+		ticket, err := other.Place(0, long())
+		assert.NilError(t, err)
+		assert.Equal(t, ticket.Engine, serving.EngineID("up"))
+		ticket.End(0, placement.OK, 0)
+	}
+	later := 3 * time.Second
+	other.SetOthers(victim.Own(later), 2)
+	tried := false
+	for range 30 {
+		ticket, err := other.Place(later, long())
+		assert.NilError(t, err)
+		tried = tried || ticket.Engine == "down"
+		ticket.End(later, placement.OK, 0)
+	}
+	assert.Assert(t, tried, "the engine is never tried again")
+}
+
+// Load pattern: five hubs choose for their own data centres at the same time. Each
+// keeps to its own engines unless they are much fuller.
+func TestOwnerKeepsToItsDataCentre(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		held serving.Tokens
+		want serving.EngineID
+	}{
+		{"a little fuller", 3_000, "own"},
+		{"much fuller", 12_000, "region"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPool(7, "a-1")
+			p.SetEngine(engine("own", "model", "a-1"))
+			p.SetEngine(engine("region", "model", "a-2"))
+			p.SetEngine(engine("far", "model", "b-1"))
+			p.SetOthers([]usage.Use{{Engine: "own", Running: 2, Expected: tc.held}}, 3)
+			need := long()
+			need.Compare = placement.All
+			for range 20 {
+				ticket, err := p.Place(0, need)
+				assert.NilError(t, err)
+				assert.Equal(t, ticket.Engine, tc.want)
+				ticket.End(0, placement.OK, 0)
+			}
+		})
+	}
+}
+
 // Copies stay in the data centre of their source while it has any room.
 func TestCopiesStayNear(t *testing.T) {
 	for _, tc := range []struct {
@@ -215,12 +278,12 @@
 	assert.NilError(t, err)
 	ticket.FirstEvent()
 	ticket.Progress(40, 3400)
-	assert.DeepEqual(t, p.Own(), []usage.Use{{Engine: "e", Running: 1, Held: 3040, Expected: 3400}})
+	assert.DeepEqual(t, p.Own(0), []usage.Use{{Engine: "e", Running: 1, Held: 3040, Expected: 3400}})
 	again := engine("e", "model", "a-1")
 	again.Started = 2
 	p.SetEngine(again)
 	ticket.End(0, placement.Broken, 0)
-	assert.Equal(t, len(p.Own()), 0)
+	assert.Equal(t, len(p.Own(0)), 0)
 }
 
 // In any window the repeats of all entries stay below the joint budget, whenever
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -108,11 +108,13 @@
 func (p *Pool) Entries() int { return max(p.entries, 1) }
 
 // Own returns this entry's work at all engines.
-func (p *Pool) Own() []usage.Use {
+func (p *Pool) Own(now time.Duration) []usage.Use {
 	var out []usage.Use
 	for _, e := range p.engines {
-		if e.own.Running != 0 || e.own.Expected != 0 {
-			out = append(out, e.own)
+		u := e.own
+		u.Broken = e.health.recentlyBroken(now)
+		if u.Running != 0 || u.Expected != 0 || u.Broken != 0 {
+			out = append(out, u)
 		}
 	}
 	return out
--- a/pkg/serving/usage/usage.go
+++ b/pkg/serving/usage/usage.go
@@ -29,6 +29,8 @@
 	Expected serving.Tokens
 	// Prefill counts prompt tokens that still have to be read.
 	Prefill serving.Tokens
+	// Broken counts calls that lately broke off or found nobody.
+	Broken int
 }
 
 // Add adds other work at the same engine.
@@ -37,6 +39,7 @@
 	u.Held += o.Held
 	u.Expected += o.Expected
 	u.Prefill += o.Prefill
+	u.Broken += o.Broken
 }
 
 type report struct {
@@ -86,7 +89,7 @@
 // ToWire returns a use as a message.
 func (u *Use) ToWire() *schema.EngineUse {
 	return &schema.EngineUse{Engine: string(u.Engine), Running: int32(u.Running), HeldTokens: int64(u.Held),
-		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill)}
+		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill), Broken: int32(u.Broken)}
 }
 
 // FromWire returns the uses of messages.
@@ -94,7 +97,8 @@
 	out := make([]Use, len(in))
 	for i, m := range in {
 		out[i] = Use{Engine: serving.EngineID(m.GetEngine()), Running: serving.Slots(m.GetRunning()),
-			Held: serving.Tokens(m.GetHeldTokens()), Expected: serving.Tokens(m.GetExpectedTokens()), Prefill: serving.Tokens(m.GetPrefillTokens())}
+			Held: serving.Tokens(m.GetHeldTokens()), Expected: serving.Tokens(m.GetExpectedTokens()), Prefill: serving.Tokens(m.GetPrefillTokens()),
+			Broken: int(m.GetBroken())}
 	}
 	return out
 }
