The hub chooses destinations of copies; a stream that went on at its source moves again

Cause: entries sent copies of several leaving engines to the same destination (9 generations, 30,600 of 27,000 tokens), whose stop then found no room; a stream that went on at its leaving source was not moved again. Change: destinations come from the hub too.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -131,7 +131,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		dest, err := g.placeCopy(r, m, exclude)
+		dest, err := g.placeCopy(ctx, r.copyNeed(m.source.DataCentre, exclude), r.Regions)
 		if err != nil {
 			if !sleep(ctx, orderPause) {
 				return false
@@ -200,17 +200,15 @@
 	}
 }
 
-// placeCopy claims a destination near the source, since memory is copied more
-// slowly between data centres.
-func (g *Gateway) placeCopy(r *run, m *move, exclude []serving.EngineID) (*placement.Ticket, error) {
+// copyNeed is what a copy of the generation's memory needs of its destination.
+func (r *run) copyNeed(from serving.DataCentreID, exclude []serving.EngineID) *placement.Need {
 	r.mu.Lock()
 	made := serving.Tokens(r.events) * r.tokensPerEvent()
 	r.mu.Unlock()
-	g.board.mu.Lock()
-	defer g.board.mu.Unlock()
-	need := &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + made, Output: r.growth(made),
-		Parts: r.Parts, Exclude: exclude, CopyFrom: m.source.DataCentre}
-	return g.board.pool.Place(g.Clock.Now(), need)
+	r.g.board.mu.Lock()
+	defer r.g.board.mu.Unlock()
+	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + made, Output: r.growth(made),
+		Parts: r.Parts, Exclude: exclude, CopyFrom: from}
 }
 
 // order sends an order to an engine and decodes its answer.
@@ -264,9 +262,15 @@
 	}
 	r.exchange = x
 	r.moved++
+	r.g.board.mu.Lock()
 	r.mu.Lock()
 	r.move = nil
 	r.mu.Unlock()
+	if now, ok := r.g.board.pool.Lookup(r.engine); ok && now.Leaving {
+		// The generation went on at its source, or the destination leaves too.
+		r.g.moveRun(r)
+	}
+	r.g.board.mu.Unlock()
 	moveTimes.observe(r.g.Clock.Now() - r.lastAt)
 	r.log("Stream moved", "source", m.source.Engine, "pause", r.g.Clock.Now()-r.lastAt, "waited", r.g.Clock.Now()-began, "events", r.events, "stopped", m.stopped)
 	return true
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	in := &schema.PlaceRequest{Service: string(need.Service.ID), PromptTokens: int64(need.Prompt), GrowthTokens: int64(need.Output),
-		DataCentre: string(g.DataCentre), Restricted: regions != nil}
+		CopyFrom: string(need.CopyFrom), Restricted: regions != nil}
 	for _, r := range regions {
 		in.Regions = append(in.Regions, string(r))
 	}
@@ -65,6 +65,23 @@
 	return serving.EngineID(res.GetEngine()), err
 }
 
+// placeCopy claims an engine for a copy of memory, near its source, since memory
+// is copied more slowly between data centres.
+func (g *Gateway) placeCopy(ctx context.Context, need *placement.Need, regions []serving.RegionID) (*placement.Ticket, error) {
+	if hub := g.watcher.placingHub(); hub != nil {
+		id, err := g.askHub(ctx, hub, need, regions)
+		if err == nil && id == "" {
+			return nil, g.noRoom(need)
+		}
+		if ticket := g.claim(id, need); err == nil && ticket != nil {
+			return ticket, nil
+		}
+	}
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	return g.board.pool.Place(g.Clock.Now(), need)
+}
+
 // claim claims an engine that the hub chose; nil if this entry knows that it
 // takes no new work.
 func (g *Gateway) claim(id serving.EngineID, need *placement.Need) *placement.Ticket {
