--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -131,7 +131,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		dest, err := g.placeCopy(ctx, r.copyNeed(m.source.DataCentre, exclude), r.Regions)
+		dest, err := g.placeCopy(r.copyNeed(m.source.DataCentre, exclude))
 		if err != nil {
 			if !sleep(ctx, orderPause) {
 				return false
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	in := &schema.PlaceRequest{Service: string(need.Service.ID), PromptTokens: int64(need.Prompt), GrowthTokens: int64(need.Output),
-		CopyFrom: string(need.CopyFrom), Restricted: regions != nil}
+		Restricted: regions != nil}
 	for _, r := range regions {
 		in.Regions = append(in.Regions, string(r))
 	}
@@ -66,17 +66,10 @@
 }
 
 // placeCopy claims an engine for a copy of memory, near its source, since memory
-// is copied more slowly between data centres.
-func (g *Gateway) placeCopy(ctx context.Context, need *placement.Need, regions []serving.RegionID) (*placement.Ticket, error) {
-	if hub := g.watcher.placingHub(); hub != nil {
-		id, err := g.askHub(ctx, hub, need, regions)
-		if err == nil && id == "" {
-			return nil, g.noRoom(need)
-		}
-		if ticket := g.claim(id, need); err == nil && ticket != nil {
-			return ticket, nil
-		}
-	}
+// is copied more slowly between data centres. Entries choose it themselves: many
+// copies at the same time spread better by chance than to the emptiest engines,
+// whose links they would share.
+func (g *Gateway) placeCopy(need *placement.Need) (*placement.Ticket, error) {
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
 	return g.board.pool.Place(g.Clock.Now(), need)
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -28,7 +28,9 @@
 
 func (h *testHub) stop() {
 	h.cancel()
-	<-h.done
+	if err := <-h.done; err != nil {
+		panic(err)
+	}
 }
 
 // freePort returns a port that is free on 127.0.0.1, and so most likely on the
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -66,7 +66,7 @@
 	}
 	if m := unknownField.FindStringSubmatch(err.Error()); m != nil {
 		line, _ := strconv.Atoi(m[1])
-		return keyError(keyAt(b, line, 0), fmt.Sprintf("(line %d) is not a known key", line), "remove it or correct its name; operations.md lists the keys")
+		return keyError(keyAt(b, line, 0), fmt.Sprintf("(line %d) is not a known key", line), "remove it or correct its name; OPERATIONS.md lists the keys")
 	}
 	key := "settings"
 	if m := lineNumber.FindStringSubmatch(err.Error()); m != nil {
--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -20,8 +20,6 @@
 	// recoveryTime is the time after the last fault within which calls are served
 	// again: the bound of today's deployments.
 	recoveryTime = 12 * time.Second
-	// drainTime is the same for work on an engine that leaves.
-	drainTime = 2500 * time.Millisecond
 	// streamEvents is the length of a stream: longer than an engine's notice.
 	streamEvents = 300
 )
