--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -131,7 +131,7 @@
 	}
 	x.release = nil
 	if !whole || x.response == nil || x.response.Close || x.Closes || x.conn.reader.Buffered() > 0 {
-		x.pool.discard(x.address, x.conn)
+		_ = x.conn.Close()
 		return
 	}
 	x.pool.put(x.address, x.conn, x.IdleFor)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -46,7 +46,6 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	open map[string]int
 }
 
 // conn is one connection to an engine.
@@ -70,12 +69,6 @@
 		return nil, serving.WrapError(err, serving.KindEngineFailed, "connect to the engine")
 	}
 	connectionsOpened.Add(1)
-	p.mu.Lock()
-	if p.open == nil {
-		p.open = map[string]int{}
-	}
-	p.open[address]++
-	p.mu.Unlock()
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
@@ -89,7 +82,7 @@
 		list = list[:len(list)-1]
 		p.idle[address] = list
 		if now >= c.until || c.reader.Buffered() > 0 {
-			p.drop(address, c)
+			_ = c.Close()
 			continue
 		}
 		if now-c.rested > maxRest {
@@ -116,33 +109,12 @@
 	c.rested, c.until, c.used = now, now+time.Duration(idleMargin*float64(idleFor)), true
 	list := p.idle[address]
 	if len(list) >= maxIdle {
-		p.drop(address, list[0])
+		_ = list[0].Close()
 		list = list[1:]
 	}
 	p.idle[address] = append(list, c)
 }
 
-// drop closes a connection. The caller holds mu.
-func (p *Pool) drop(address string, c *conn) {
-	_ = c.Close()
-	if p.open[address]--; p.open[address] <= 0 {
-		delete(p.open, address)
-	}
-}
-
-func (p *Pool) discard(address string, c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.drop(address, c)
-}
-
-// Open returns the number of connections to an engine.
-func (p *Pool) Open(address string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open[address]
-}
-
 // Sweep closes idle connections that their engines are about to close.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
@@ -152,7 +124,7 @@
 		kept := list[:0]
 		for _, c := range list {
 			if now >= c.until {
-				p.drop(address, c)
+				_ = c.Close()
 				continue
 			}
 			kept = append(kept, c)
--- a/pkg/serving/call.go
+++ b/pkg/serving/call.go
@@ -49,9 +49,6 @@
 	Parts []PromptPart
 }
 
-// Generates tells whether the call runs a model.
-func (c *Call) Generates() bool { return c.PromptTokens > 0 }
-
 // Attempt is what an entry adds to a call when it sends it to an engine.
 type Attempt struct {
 	// Engine must be the one that answers; another one refuses the call.
@@ -64,15 +61,11 @@
 	Copy MemoryCopy
 	// LastEventID is the last event that the caller has, for a moved generation.
 	LastEventID string
-	// Backup is the address of the engine that keeps a copy of the generation's
-	// memory as it grows; empty for none.
-	Backup string
 }
 
 // MemoryCopy names a copy of a generation's memory.
 type MemoryCopy struct {
-	// Address is that of the engine that made the copy, for a move, and of the
-	// engine that holds it, for a backup.
+	// Address is that of the engine that made the copy.
 	Address string
 	Handle  string
 }
@@ -95,8 +88,6 @@
 	// Load is valid if HasLoad is set.
 	Load    EngineLoad
 	HasLoad bool
-	// Cold is the remaining cold start; 0 if the engine is warm or did not say.
-	Cold time.Duration
 }
 
 // EngineLoad is the load that an engine tells in an answer.
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -30,7 +30,7 @@
 	// load is what the engine told last.
 	load   serving.EngineLoad
 	loadAt time.Duration
-	// rests is the work of this entry that the joint sums included.
+	// parts are the parts of prompts that this entry sent there.
 	parts partMemory
 	// admitted counts this entry's calls in the present second of a cold start.
 	admitted   float64
