Share out the link of a leaving engine and stop streams when it is free

A copy that the end cuts off, or whose stream ended meanwhile, holds memory at its destination: the engines' own reports showed up to 29,463 of 34,393 tokens set aside for copies at engines that the entries thought half empty, and copies of the next engine were refused there. 111 of the 552 moves paused for more than 180 ms, since the last copy waited behind the large copies of other streams.

Ruled out: full destinations by running work alone (reports: 1 to 4 requests running beside 17,690 to 29,463 tokens of copies); a slow resumption (15 to 30 ms at the median and the 90th percentile, without the wait for the copy).

Change: relocation.Departure shares out the time of the link, so that no copy is ordered that the engine's end would cut off, and copies to other data centres take no more than the entry's part. Orders outlive their streams, so that every copy is used or freed; the claim on a destination of a copy that was cut off stands until it expires. A stream's copy is brought up to date until an order takes at most 80 ms, which shows that the link is free, and the stream is stopped then. Copies may fill destinations up to 95% of the memory in use; without one the stream is lost.

TestCopiesStayNear counted engines as full by expected memory alone; they are now full by memory in use, which is what a copy meets.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 )
 
@@ -187,4 +188,6 @@
 	line    line
 	// runs are the streams in progress at each engine.
 	runs map[serving.EngineID]map[*run]bool
+	// departures are the plans for engines that leave.
+	departures map[serving.EngineID]*relocation.Departure
 }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -12,6 +17,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
+	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -28,12 +34,27 @@
 	maxOrderAnswer = 16 << 10
 	// followTimeout bounds the wait of a broken stream for its move.
 	followTimeout = 2 * time.Second
+	// departureKept is how long the plan for an engine that leaves is kept; engines
+	// end within about two seconds.
+	departureKept = 5 * time.Second
+	// cutCopyFactor times the time for which copies are kept is how long a
+	// destination waits for the rest of one: the platform's pages say that it is well
+	// over that time; on a day of the users' bench it was at least 1.7 times.
+	cutCopyFactor = 2
 )
 
+// errLinkBusy means that a copy would not end before its engine does.
+var errLinkBusy = errors.New("the engine's link has no time for the copy")
+
 // move is the move of one generation from an engine that leaves to another one.
 type move struct {
 	noticed time.Duration
 	source  placement.Target
+	plan    *relocation.Departure
+	// taken is the size of the copy for which time of the source's link is claimed,
+	// and near tells that the claim is for a copy within the data centre.
+	taken serving.Tokens
+	near  bool
 	// dest is the claim at the destination; nil before one is chosen.
 	dest *placement.Ticket
 	// copied is the copy that a run at the destination can go on from.
@@ -46,14 +67,36 @@
 	done chan struct{}
 }
 
-// moveAway moves all streams away from an engine that leaves. The caller holds
-// mu of the blackboard.
+// moveAway moves all streams away from an engine that leaves, the smallest first,
+// since the time may not suffice for all. The caller holds mu of the blackboard.
 func (g *Gateway) moveAway(id serving.EngineID) {
-	for r := range g.board.runs[id] {
+	runs := slices.Collect(maps.Keys(g.board.runs[id]))
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.ticket.Use().Held, b.ticket.Use().Held) })
+	for _, r := range runs {
 		g.moveRun(r)
 	}
 }
 
+// departure returns the plan for an engine that leaves. The caller holds mu of
+// the blackboard.
+func (g *Gateway) departure(id serving.EngineID, m *routing.ModelService) *relocation.Departure {
+	now := g.Clock.Now()
+	for old, d := range g.board.departures {
+		if now-d.Began() > departureKept {
+			delete(g.board.departures, old)
+		}
+	}
+	d := g.board.departures[id]
+	if d == nil {
+		d = relocation.Depart(now, g.board.pool.Total(id).Held, g.board.pool.OwnAt(id).Held, m, rand.Float64())
+		if g.board.departures == nil {
+			g.board.departures = map[serving.EngineID]*relocation.Departure{}
+		}
+		g.board.departures[id] = d
+	}
+	return d
+}
+
 // moveRun starts the move of one stream. The caller holds mu of the blackboard.
 func (g *Gateway) moveRun(r *run) {
 	if m := r.Service.Model; m == nil || !m.Moves {
@@ -65,30 +108,58 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	r.move = &move{noticed: g.Clock.Now(), source: r.ticket.Target, cancel: cancel, done: make(chan struct{})}
-	plan := relocation.Plan(g.board.pool.Total(r.ticket.Engine).Held, r.Service.Model)
-	go g.carryOut(ctx, r, r.move, plan)
+	r.move = &move{noticed: g.Clock.Now(), source: r.ticket.Target, plan: g.departure(r.ticket.Engine, r.Service.Model),
+		cancel: cancel, done: make(chan struct{})}
+	if size := r.ticket.Use().Held; r.worthMoving() && r.move.plan.Take(g.Clock.Now(), size, true) {
+		r.move.taken, r.move.near = size, true
+	}
+	go g.carryOut(ctx, r, r.move)
 }
 
-// carryOut copies the memory while the generation goes on, waits until the
-// copies of the others are through, and then stops the source for the rest. A
-// destination that has no room for the rest is replaced by another one.
-func (g *Gateway) carryOut(ctx context.Context, r *run, m *move, plan relocation.Schedule) {
+// carryOut copies the memory while the generation goes on, and stops the source
+// for the rest once its link is free. A destination that has no room for the rest
+// is replaced by another one.
+func (g *Gateway) carryOut(ctx context.Context, r *run, m *move) {
 	defer close(m.done)
 	defer m.cancel()
 	exclude := []serving.EngineID{m.source.Engine}
 	for g.copyAhead(ctx, r, m, exclude) {
-		copied := g.Clock.Now() - m.noticed
-		if !sleep(ctx, plan.StopAfter(copied)-copied) || g.stopSource(ctx, r, m, copied) {
+		if !g.refresh(ctx, r, m) || g.stopSource(ctx, r, m) {
 			return
 		}
 		exclude = append(exclude, m.dest.Engine)
 	}
 }
 
+// refresh brings the copy up to date until the source's link is free, so that the
+// last copy is quick, and the destination has little to read if the source ends
+// before. It returns false if the source must not be stopped any more.
+func (g *Gateway) refresh(ctx context.Context, r *run, m *move) bool {
+	for copied := g.Clock.Now(); ; {
+		begin := g.Clock.Now()
+		res, err := g.order(ctx, m.source.Address, g.Dialect.MoveOrder(r.ID, m.dest.Address, false))
+		took := g.Clock.Now() - begin
+		klog.V(1).InfoS("Copy brought up to date", "request", r.ID, "source", m.source.Engine, "outcome", res.Outcome, "took", took, "made", res.Events, "err", err)
+		switch {
+		case err != nil || ctx.Err() != nil || res.Outcome == serving.MoveNoSuchRun:
+			return false
+		case res.Outcome == serving.Moved:
+			r.mu.Lock()
+			m.copied.Handle = res.Handle
+			r.mu.Unlock()
+		}
+		if m.plan.StopNow(took, g.Clock.Now()-copied) {
+			return true
+		}
+		if !sleep(ctx, orderPause) {
+			return false
+		}
+	}
+}
+
 // stopSource orders the source to stop the generation and to copy the rest. It
 // returns false if the generation goes on because the destination has no room.
-func (g *Gateway) stopSource(ctx context.Context, r *run, m *move, copied time.Duration) bool {
+func (g *Gateway) stopSource(ctx context.Context, r *run, m *move) bool {
 	r.mu.Lock()
 	m.stopping = true
 	r.mu.Unlock()
@@ -99,7 +170,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	klog.InfoS("Stream stops for its move", "request", r.ID, "source", m.source.Engine, "destination", m.dest.Engine, "outcome", res.Outcome,
-		"after", copied, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", held.Running, "held", held.Held,
+		"after", begin-m.noticed, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", held.Running, "held", held.Held,
 		"expected", held.Expected, "err", err)
 	switch {
 	case err != nil:
@@ -123,17 +194,17 @@
 }
 
 // copyAhead copies the memory of a running generation to a destination with room.
+// An order outlives the run: its answer names the copy, which must be freed.
 func (g *Gateway) copyAhead(ctx context.Context, r *run, m *move, exclude []serving.EngineID) bool {
 	if !r.waitWorthwhile(ctx) {
 		return false
 	}
 	for range maxOrders {
-		if ctx.Err() != nil {
-			return false
-		}
-		dest, err := g.placeCopy(r.copyNeed(m.source.DataCentre, exclude))
+		dest, err := g.destination(r, m, exclude)
 		if err != nil {
+			klog.V(1).InfoS("Copy waits", "request", r.ID, "source", m.source.Engine, "err", err)
 			if !sleep(ctx, orderPause) {
+				klog.InfoS("Stream isn't moved", "request", r.ID, "source", m.source.Engine, "after", g.Clock.Now()-m.noticed, "err", err)
 				return false
 			}
 			continue
@@ -142,17 +213,16 @@
 		res, err := g.order(ctx, m.source.Address, g.Dialect.MoveOrder(r.ID, dest.Address, false))
 		klog.InfoS("Memory copied ahead", "request", r.ID, "source", m.source.Engine, "destination", dest.Engine, "outcome", res.Outcome,
 			"took", g.Clock.Now()-begin, "made", res.Events, "running", dest.Before().Running, "held", dest.Before().Held, "near", dest.DataCentre == m.source.DataCentre, "err", err)
-		if err == nil && res.Outcome == serving.Moved {
-			g.dropDestination(r, m)
-			r.mu.Lock()
-			m.dest, m.copied = dest, serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}
-			r.mu.Unlock()
+		switch {
+		case err != nil:
+			g.endLater(dest, r.Service.Model)
+			return false
+		case res.Outcome == serving.Moved:
+			g.replaceCopy(r, m, dest, serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle})
 			return true
 		}
 		g.end(dest, placement.Abandoned, 0)
-		if err != nil {
-			return false
-		}
+		g.giveBack(m)
 		// Either the destination is full, or the source's link is, which passes.
 		exclude = append(exclude[:1:1], dest.Engine)
 		if !sleep(ctx, orderPause) {
@@ -162,6 +232,56 @@
 	return false
 }
 
+// destination claims an engine for a copy, and time of the source's link. An
+// engine in another data centre comes second, since copies there take longer.
+func (g *Gateway) destination(r *run, m *move, exclude []serving.EngineID) (ticket *placement.Ticket, err error) {
+	need := r.copyNeed(m.source.DataCentre, exclude)
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	now := g.Clock.Now()
+	for _, near := range []bool{true, false} {
+		if (!near || m.taken == 0) && !m.plan.Take(now, need.Prompt, near) {
+			return nil, errLinkBusy
+		}
+		if !near || m.taken == 0 {
+			m.taken, m.near = need.Prompt, near
+		}
+		need.Near = near
+		if ticket, err = g.board.pool.Place(now, need); err == nil {
+			return ticket, nil
+		}
+		m.plan.Return(m.taken, m.near)
+		m.taken = 0
+	}
+	return nil, err
+}
+
+// giveBack returns the time of the source's link that a refused copy had claimed.
+func (g *Gateway) giveBack(m *move) {
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	m.plan.Return(m.taken, m.near)
+	m.taken = 0
+}
+
+// endLater ends the claim of a copy that was cut off once its destination has
+// given up waiting for the rest; nothing names the copy, so that it can't be freed.
+func (g *Gateway) endLater(t *placement.Ticket, m *routing.ModelService) {
+	time.AfterFunc(cutCopyFactor*m.CopyFor, func() { g.end(t, placement.Abandoned, 0) })
+}
+
+// replaceCopy makes a new copy that of the move, and frees an older one.
+func (g *Gateway) replaceCopy(r *run, m *move, dest *placement.Ticket, copied serving.MemoryCopy) {
+	g.dropDestination(r, m)
+	r.mu.Lock()
+	old := m.copied
+	m.dest, m.copied = dest, copied
+	r.mu.Unlock()
+	if old.Handle != "" && old.Handle != copied.Handle {
+		go g.freeCopy(r.ID, old)
+	}
+}
+
 // dropDestination ends the claim on a destination that is replaced.
 func (g *Gateway) dropDestination(r *run, m *move) {
 	r.mu.Lock()
@@ -173,25 +293,24 @@
 	}
 }
 
-// remaining returns the tokens that the generation may still make.
-func (r *run) remaining() serving.Tokens {
-	r.mu.Lock()
+// worthMoving tells whether the generation has begun, since an engine has no
+// memory of one that still waits for its first token, and is likely to outlive its
+// engine. The caller holds mu of the blackboard and of the run.
+func (r *run) worthMoving() bool {
 	made := serving.Tokens(r.events) * r.tokensPerEvent()
-	r.mu.Unlock()
-	r.g.board.mu.Lock()
-	defer r.g.board.mu.Unlock()
-	return r.expectedOutput(made) - made
+	return r.events > 0 && relocation.Worthwhile(r.expectedOutput(made)-made, r.paceNow())
 }
 
-// waitWorthwhile waits until the generation has begun, since an engine has no
-// memory of one that still waits for its first token, and until it is likely to
-// outlive its engine: the longer it has become, the longer it is expected to go on.
+// waitWorthwhile waits until the generation is worth moving: the longer it has
+// become, the longer it is expected to go on.
 func (r *run) waitWorthwhile(ctx context.Context) bool {
 	for {
+		r.g.board.mu.Lock()
 		r.mu.Lock()
-		begun := r.events > 0
+		worth := r.worthMoving()
 		r.mu.Unlock()
-		if begun && relocation.Worthwhile(r.remaining(), r.pace()) {
+		r.g.board.mu.Unlock()
+		if worth {
 			return true
 		}
 		if !sleep(ctx, orderPause) {
@@ -211,9 +330,10 @@
 		Parts: r.Parts, Exclude: exclude, CopyFrom: from}
 }
 
-// order sends an order to an engine and decodes its answer.
+// order sends an order to an engine and decodes its answer. The end of ctx doesn't
+// cut it short, since the engine would carry it out all the same.
 func (g *Gateway) order(ctx context.Context, address string, o serving.EngineOrder) (serving.MoveResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
 	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: o.Method, Target: o.Target, Host: address, Body: o.Body, MaxRest: upstream.SafeIdle})
 	if err != nil {
@@ -232,18 +352,23 @@
 func (r *run) follow(cause error) bool {
 	r.mu.Lock()
 	m := r.move
+	copied := m != nil && m.dest != nil
 	r.mu.Unlock()
 	if m == nil {
 		return false
 	}
+	if copied {
+		// There is nothing more to wait for but an order that is on its way.
+		m.cancel()
+	}
 	began := r.g.Clock.Now()
 	t := time.NewTimer(followTimeout)
 	defer t.Stop()
 	select {
 	case <-m.done:
 	case <-t.C:
-		m.cancel()
-		<-m.done
+		// The mover ends with the run; what it still copies is freed then.
+		return false
 	case <-r.ctx.Done():
 		return false
 	}
@@ -330,12 +455,17 @@
 		if m.copied.Handle == "" {
 			return
 		}
-		if _, err := g.order(g.base, m.source.Address, g.Dialect.DropCopyOrder(m.copied.Handle)); err != nil {
-			klog.V(1).InfoS("Copy not freed; it expires by itself", "request", r.ID, "source", m.source.Engine, "err", err)
-		}
+		g.freeCopy(r.ID, m.copied)
 	}()
 }
 
+// freeCopy orders the source of a copy to free it at both ends.
+func (g *Gateway) freeCopy(id serving.RequestID, c serving.MemoryCopy) {
+	if _, err := g.order(g.base, c.Address, g.Dialect.DropCopyOrder(c.Handle)); err != nil {
+		klog.InfoS("Copy not freed; it expires by itself", "request", id, "source", c.Address, "err", err)
+	}
+}
+
 // sleep waits for d; it returns false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -65,16 +65,6 @@
 	return serving.EngineID(res.GetEngine()), err
 }
 
-// placeCopy claims an engine for a copy of memory, near its source, since memory
-// is copied more slowly between data centres. Entries choose it themselves: many
-// copies at the same time spread better by chance than to the emptiest engines,
-// whose links they would share.
-func (g *Gateway) placeCopy(need *placement.Need) (*placement.Ticket, error) {
-	g.board.mu.Lock()
-	defer g.board.mu.Unlock()
-	return g.board.pool.Place(g.Clock.Now(), need)
-}
-
 // claim claims an engine that the hub chose; nil if this entry knows that it
 // takes no new work.
 func (g *Gateway) claim(id serving.EngineID, need *placement.Need) *placement.Ticket {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -326,9 +326,14 @@
 // pace returns the time for each token after the first event; 0 if the stream was
 // short or changed its engine.
 func (r *run) pace() time.Duration {
-	const enough = 10
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.paceNow()
+}
+
+// paceNow is pace for a caller that holds mu.
+func (r *run) paceNow() time.Duration {
+	const enough = 10
 	if r.events < enough || r.moved > 0 {
 		return 0
 	}
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -13,6 +13,8 @@
 	// fillLimit is the share of an engine's memory that expected needs may fill.
 	// The rest holds errors of the forecast and cached parts.
 	fillLimit = 0.92
+	// copyFillLimit is the share that the memory in use may fill after a copy.
+	copyFillLimit = 0.95
 	// prefillRate is the number of prompt tokens that an engine reads in a second
 	// beside running generations: a chunk with each of their steps.
 	prefillRate = 7000.0
@@ -81,6 +83,8 @@
 	// CopyFrom is the data centre of the engine from which the memory of a running
 	// generation will be copied; empty for a call from the start.
 	CopyFrom serving.DataCentreID
+	// Near keeps a copy in its data centre.
+	Near bool
 	// Compare says at how many engines the cost is compared.
 	Compare Comparison
 }
@@ -219,7 +223,7 @@
 
 // candidate tells whether the engine may run the call at all.
 func (p *Pool) candidate(e *engine, n *Need) bool {
-	return e.Service == n.Service.ID && e.Usable() && !p.out[e.DataCentre] &&
+	return e.Service == n.Service.ID && e.Usable() && !p.out[e.DataCentre] && (!n.Near || e.DataCentre == n.CopyFrom) &&
 		(n.Allows == nil || n.Allows(e.region)) && !slices.Contains(n.Exclude, e.Engine)
 }
 
@@ -237,6 +241,11 @@
 	if now-e.loadAt < fullLoadFresh && e.load.Waiting > 0 && e.load.Running >= e.load.Slots {
 		return false
 	}
+	if n.CopyFrom != "" {
+		// Without a copy the generation is lost for certain; with one, memory may
+		// become scarce later, unless others end first.
+		return float64(sum.Held+n.Prompt) <= copyFillLimit*float64(m.MemoryTokens)
+	}
 	return sum.Running == 0 || float64(sum.Expected+n.Prompt+n.Output) <= fillLimit*float64(m.MemoryTokens)
 }
 
--- a/pkg/serving/placement/placement_test.go
+++ b/pkg/serving/placement/placement_test.go
@@ -257,7 +257,7 @@
 			p.SetEngine(engine("far", "model", "b-1"))
 			uses := []usage.Use{{Engine: "near", Running: 2, Expected: 7_000}}
 			for _, id := range tc.full {
-				uses = append(uses, usage.Use{Engine: id, Running: 8, Expected: 27_000})
+				uses = append(uses, usage.Use{Engine: id, Running: 8, Held: 27_000, Expected: 27_000})
 			}
 			p.SetOthers(uses, 3)
 			for range 20 {
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -223,3 +223,11 @@
 	}
 	return usage.Use{Engine: id}
 }
+
+// OwnAt returns this entry's work at an engine.
+func (p *Pool) OwnAt(id serving.EngineID) usage.Use {
+	if e := p.engines[id]; e != nil {
+		return e.own
+	}
+	return usage.Use{Engine: id}
+}
