Hold an engine to the cold limit from its second slow window

Cause: an engine that turns cold without saying so counts as cold after four slow windows of 250 ms. If its generations end before the fourth, it shows no more windows, counts as warm for as long as it has nothing to do, and may then be given more generations at once than a cold engine carries.

Change: from the second slow window in a row until one that is not slow, an engine gets at most the cold limit. TestRampOfAnEngineThatIsIdleAfterItTurnedCold fails without it.

--- a/pkg/serving/dispatch/dispatch_test.go
+++ b/pkg/serving/dispatch/dispatch_test.go
@@ -209,6 +209,37 @@
 	assert.Equal(t, r.Limit(), serving.Slots(2))
 }
 
+// Load pattern: an engine turns cold without saying so, and its generations end
+// before its step times have proved it. It then has nothing to do, and several
+// generations arrive at once some seconds later: they must not exceed what a cold
+// engine carries. A warm engine is not held back for longer than a slow spell.
+func TestRampOfAnEngineThatIsIdleAfterItTurnedCold(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tt := range []struct {
+		name string
+		// slow is how long steps are slow, and normal how long they are short again.
+		slow, normal time.Duration
+		want         serving.Slots
+	}{
+		{"idle after slow steps", 700 * ms, 0, testCapacity.ColdRunning},
+		{"a slow spell of one window", 250 * ms, 0, testCapacity.MaxRunning},
+		{"short steps again", 700 * ms, 500 * ms, testCapacity.MaxRunning},
+	} {
+		r := dispatch.NewRamp(dispatch.RampConfig{})
+		r.Announce(0, 1, testCapacity)
+		r.SetReference(10 * ms)
+		r.MarkWarm()
+		at := time.Duration(0)
+		for ; at < tt.slow; at += 30 * ms {
+			r.Step(at, 30*ms, 2)
+		}
+		for end := at + tt.normal; at < end; at += 10 * ms {
+			r.Step(at, 10*ms, 2)
+		}
+		assert.Equal(t, r.Limit(), tt.want, tt.name)
+	}
+}
+
 // Guards against a limit that rises while an engine is still in its cold start:
 // without a reference, every window used to count as evidence.
 func TestRampKeepsTheColdLimitUntilTheColdStartIsOver(t *testing.T) {
--- a/pkg/serving/dispatch/ramp.go
+++ b/pkg/serving/dispatch/ramp.go
@@ -14,6 +14,10 @@
 	Evidence int
 	// SlowWindows is the number of consecutive slow windows that show a cold engine (default 4).
 	SlowWindows int
+	// SuspectWindows is the number of consecutive slow windows after which an engine
+	// gets no more than the cold limit until a window is not slow (default 2). One
+	// that turned cold and then had nothing to do shows no more windows.
+	SuspectWindows int
 	// SlowFactor is the ratio to the reference time that counts as slow (default 2.5).
 	SlowFactor float64
 	// WarmFactor is the ratio to the reference time up to which a cold engine counts
@@ -72,6 +76,7 @@
 	cfg.Growth = orDefault(cfg.Growth, 1.5)
 	cfg.Evidence = orDefault(cfg.Evidence, 3)
 	cfg.SlowWindows = orDefault(cfg.SlowWindows, 4)
+	cfg.SuspectWindows = orDefault(cfg.SuspectWindows, 2)
 	cfg.SlowFactor = orDefault(cfg.SlowFactor, 2.5)
 	cfg.WarmFactor = orDefault(cfg.WarmFactor, 1.5)
 	cfg.DropFactor = orDefault(cfg.DropFactor, 0.45)
@@ -121,7 +126,10 @@
 
 // Limit returns the number of generations the engine may run now.
 func (r *Ramp) Limit() serving.Slots {
-	if !r.cold {
+	switch {
+	case !r.cold && r.slow >= r.cfg.SuspectWindows:
+		return min(max(1, r.capacity.ColdRunning), r.capacity.MaxRunning)
+	case !r.cold:
 		return r.capacity.MaxRunning
 	}
 	return min(serving.Slots(r.limit), r.capacity.MaxRunning)
