Bound the connections to an engine jointly; test disks, clocks, storms, silence

Change: an entry keeps its part of three tenths of the bound idle, and an engine whose calls in progress take half of it counts as full. TestConnectionsOfAllEntries fails without the bound (25 entries and more).

Found by the new tests: nothing. TestStormOfChanges first expected that an old version with other content is refused; the published protocol acknowledges it and changes nothing, which the test now checks by reading it back.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -335,7 +335,7 @@
 func (g *Gateway) order(ctx context.Context, address string, o serving.EngineOrder) (serving.MoveResult, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
-	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: o.Method, Target: o.Target, Host: address, Body: o.Body, MaxRest: upstream.SafeIdle})
+	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: o.Method, Target: o.Target, Host: address, Body: o.Body, MaxRest: upstream.SafeIdle, KeepIdle: 1})
 	if err != nil {
 		return serving.MoveResult{Outcome: serving.MoveFailed}, err
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -122,11 +122,9 @@
 		a = &serving.Attempt{}
 	}
 	a.Engine, a.TimeLeft = t.Engine, j.timeLeft()
-	if j.Account != nil {
-		a.Account = j.Account.ID
-	}
+	a.Account = j.accountID()
 	return upstream.Request{Address: t.Address, Method: j.Method, Target: j.Target, Host: j.Host,
-		Header: j.g.Dialect.EngineHeader(j.Call, a), Body: j.Body, ID: j.ID, MaxRest: rest}
+		Header: j.g.Dialect.EngineHeader(j.Call, a), Body: j.Body, ID: j.ID, MaxRest: rest, KeepIdle: t.KeepIdle}
 }
 
 // readAnswer reads an answer as far as it is held back.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -159,6 +159,14 @@
 	klog.InfoS(message, all...)
 }
 
+// accountID returns the call's client account, empty if it needs none.
+func (j *job) accountID() serving.ClientAccountID {
+	if j.Account == nil {
+		return ""
+	}
+	return j.Account.ID
+}
+
 // timeLeft returns how long the call may still take.
 func (j *job) timeLeft() time.Duration { return j.deadline - j.g.Clock.Now() }
 
--- /dev/null
+++ b/internal/hub/disk_test.go
@@ -0,0 +1,233 @@
+package hub
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
+)
+
+// diskFaults are the faults of one disk. The zero value is a sound disk.
+type diskFaults struct {
+	mu sync.Mutex
+	// slow is the time that each sync takes longer.
+	slow time.Duration
+	// full makes each write fail.
+	full bool
+	// stalled blocks syncs until it is closed; nil lets them through.
+	stalled chan struct{}
+}
+
+func (f *diskFaults) set(change func(*diskFaults)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *diskFaults) clear() {
+	f.set(func(f *diskFaults) {
+		if f.stalled != nil {
+			close(f.stalled)
+		}
+		f.slow, f.full, f.stalled = 0, false, nil
+	})
+}
+
+func (f *diskFaults) wait() {
+	f.mu.Lock()
+	slow, stalled := f.slow, f.stalled
+	f.mu.Unlock()
+	time.Sleep(slow)
+	if stalled != nil {
+		<-stalled
+	}
+}
+
+func (f *diskFaults) writeError() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return journal.ErrDiskFull
+	}
+	return nil
+}
+
+func (f *diskFaults) open(folder string) (journal.Disk, error) {
+	d, err := journal.OpenFolder(folder)
+	return &faultyDisk{Disk: d, faults: f}, err
+}
+
+type faultyDisk struct {
+	journal.Disk
+	faults *diskFaults
+}
+
+// Create implements journal.Disk.
+func (d *faultyDisk) Create(name string) (journal.File, error) {
+	if err := d.faults.writeError(); err != nil {
+		return nil, err
+	}
+	f, err := d.Disk.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	return &faultyFile{File: f, faults: d.faults}, nil
+}
+
+// SyncFolder implements journal.Disk.
+func (d *faultyDisk) SyncFolder() error {
+	d.faults.wait()
+	return d.Disk.SyncFolder()
+}
+
+type faultyFile struct {
+	journal.File
+	faults *diskFaults
+}
+
+// Write implements journal.File.
+func (f *faultyFile) Write(b []byte) (int, error) {
+	if err := f.faults.writeError(); err != nil {
+		return 0, err
+	}
+	return f.File.Write(b)
+}
+
+// Sync implements journal.File.
+func (f *faultyFile) Sync() error {
+	f.faults.wait()
+	return f.File.Sync()
+}
+
+// leader returns the number of the hub that leads.
+func (c *testHubs) leader() int {
+	c.t.Helper()
+	found := -1
+	eventually(c.t, func() error {
+		for i, h := range c.hubs {
+			if h.replica.current().State().Leads {
+				found = i
+				return nil
+			}
+		}
+		return fmt.Errorf("no hub leads")
+	})
+	return found
+}
+
+// eachApplies waits until every hub has a version in force.
+func (c *testHubs) eachApplies(version uint64) {
+	c.t.Helper()
+	for _, h := range c.hubs {
+		eventually(c.t, func() error {
+			if got := h.State().GetConfig().GetVersion(); got != version {
+				return fmt.Errorf("hub %s has version %d", h.Host, got)
+			}
+			return nil
+		})
+	}
+}
+
+// Changes are accepted while a minority of the disks, the leader's among them, is
+// slow, stalled or full, and what was acknowledged is in force everywhere after.
+func TestChangesDespiteFaultyDisks(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// faulty are the hubs with a faulty disk, counted from the leader.
+		faulty []int
+		fault  func(*diskFaults)
+	}{
+		{"slow disk of the leader", []int{0}, func(f *diskFaults) { f.slow = 300 * time.Millisecond }},
+		{"slow disks of two others", []int{1, 2}, func(f *diskFaults) { f.slow = 300 * time.Millisecond }},
+		{"stalled disk of the leader", []int{0}, func(f *diskFaults) { f.stalled = make(chan struct{}) }},
+		{"stalled disks of two", []int{0, 1}, func(f *diskFaults) { f.stalled = make(chan struct{}) }},
+		{"full disk of the leader", []int{0}, func(f *diskFaults) { f.full = true }},
+		{"full disks of two", []int{0, 1}, func(f *diskFaults) { f.full = true }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := startHubs(t)
+			c.put(1)
+			first := c.leader()
+			for _, n := range tc.faulty {
+				f := &c.disks[(first+n)%len(c.hubs)]
+				f.set(tc.fault)
+				t.Cleanup(f.clear)
+			}
+			c.put(2)
+			c.expectConfig(2)
+			for i := range c.disks {
+				c.disks[i].clear()
+			}
+			c.eachApplies(2)
+			c.put(3)
+			c.eachApplies(3)
+		})
+	}
+}
+
+// A change is not acknowledged while the disks of a majority are full, and the
+// hubs accept it once there is space again.
+func TestNoChangeWhileMostDisksAreFull(t *testing.T) {
+	t.Parallel()
+	c := startHubs(t)
+	c.put(1)
+	for i := range 3 {
+		c.disks[i].set(func(f *diskFaults) { f.full = true })
+		t.Cleanup(c.disks[i].clear)
+	}
+	for range 5 {
+		err := c.onLeader(func(h *Hub) error { return h.PutConfig(t.Context(), 2, []byte("document 2")) })
+		assert.Assert(t, err != nil, "acknowledged with three full disks of five")
+	}
+	for i := range c.disks {
+		c.disks[i].clear()
+	}
+	c.put(2)
+	c.eachApplies(2)
+}
+
+// Load pattern: two operators send versions at the same time, each again and in
+// any order, while one of the hubs is restarted. The highest acknowledged version
+// is in force at the end, with the content that was sent first.
+func TestStormOfChanges(t *testing.T) {
+	t.Parallel()
+	const versions = 60
+	c := startHubs(t)
+	c.put(1)
+	acked := make([]uint64, 2)
+	var g sync.WaitGroup
+	for operator := range acked {
+		g.Go(func() {
+			for v := uint64(2 + operator); v <= versions; v += 2 {
+				for range 2 {
+					// An operator sends again what was not acknowledged, and some of the rest.
+					err := c.onLeader(func(h *Hub) error { return h.PutConfig(t.Context(), v, []byte(fmt.Sprint("document ", v))) })
+					if err == nil {
+						acked[operator] = v
+					}
+				}
+			}
+		})
+	}
+	restarted := (c.leader() + 1) % len(c.hubs)
+	c.hubs[restarted].stop()
+	c.hubs[restarted] = c.start(restarted, c.hubs[restarted].folder, false)
+	g.Wait()
+	highest := max(acked[0], acked[1])
+	assert.Assert(t, highest > 1, "nothing was acknowledged")
+	c.put(versions + 1)
+	c.expectConfig(versions + 1)
+	c.eachApplies(versions + 1)
+	// Versions that are not higher are acknowledged and change nothing.
+	for _, v := range []uint64{highest, versions + 1} {
+		eventually(t, func() error {
+			return c.onLeader(func(h *Hub) error { return h.PutConfig(t.Context(), v, []byte("other content")) })
+		})
+	}
+	c.expectConfig(versions + 1)
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -15,6 +15,7 @@
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/journal"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
@@ -56,8 +57,10 @@
 	MetricsListen string
 	// First are the base URLs of the hubs known at the start.
 	First []string
-	// DataFolder holds the replica's state.
+	// DataFolder holds the replica's state; OpenDisk opens it, by default as a folder
+	// of the file system.
 	DataFolder string
+	OpenDisk   func(folder string) (journal.Disk, error)
 	// Bootstrap tells that the whole deployment starts for the first time.
 	Bootstrap bool
 	// ToleratedDisks is the number of disks that may be lost at the same time.
@@ -128,6 +131,9 @@
 	if h.Clock == nil {
 		h.Clock = serving.NewMonotonicClock()
 	}
+	if h.OpenDisk == nil {
+		h.OpenDisk = func(folder string) (journal.Disk, error) { return journal.OpenFolder(folder) }
+	}
 	if h.HeartbeatInterval <= 0 {
 		h.HeartbeatInterval = presence.DefaultSilentAfter / 3
 	}
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -49,6 +49,10 @@
 	control int
 	first   []string
 	hubs    []*testHub
+	// disks are the faults of the hubs' disks, by hub.
+	disks [5]diskFaults
+	// clocks are the hubs' clocks.
+	clocks [5]leapingClock
 }
 
 func (c *testHubs) host(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
@@ -61,6 +65,7 @@
 		Host: serving.HostID(c.host(i)), DataCentre: "a", Region: "a", Address: c.address(i), Listen: c.address(i)[len("http://"):],
 		ControlAddress: fmt.Sprintf("%s:%d", c.host(i), c.control), Control: http.NotFoundHandler(), First: c.first, DataFolder: folder,
 		Bootstrap: bootstrap, ToleratedDisks: 2, HeartbeatInterval: 300 * time.Millisecond,
+		OpenDisk: c.disks[i].open, Clock: &c.clocks[i],
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/internal/hub/replica_host.go
+++ b/internal/hub/replica_host.go
@@ -95,7 +95,7 @@
 }
 
 func (r *replicaHost) runOnce(ctx context.Context, h *Hub, bootstrap bool) error {
-	disk, err := journal.OpenFolder(h.DataFolder)
+	disk, err := h.OpenDisk(h.DataFolder)
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,6 +33,8 @@
 	// MaxRest is the longest idle time of a connection that may carry the call;
 	// 0 means that a new one is opened.
 	MaxRest time.Duration
+	// KeepIdle is how many idle connections to the engine may be kept.
+	KeepIdle int
 }
 
 // Exchange is a call that an engine is answering.
@@ -49,6 +51,7 @@
 
 	pool     *Pool
 	address  string
+	keepIdle int
 	conn     *conn
 	response *http.Response
 	release  func() bool
@@ -61,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{pool: p, address: r.Address, conn: c, Reused: c.used}
+	x := &Exchange{pool: p, address: r.Address, keepIdle: r.KeepIdle, conn: c, Reused: c.used}
 	x.release = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if _, err := c.Write(encode(&r)); err != nil {
 		x.Close(false)
@@ -134,5 +137,5 @@
 		_ = x.conn.Close()
 		return
 	}
-	x.pool.put(x.address, x.conn, x.IdleFor)
+	x.pool.put(x.address, x.conn, x.IdleFor, x.keepIdle)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,8 +22,6 @@
 	// SafeIdle is the idle time up to which a connection is used for a call that
 	// must not run twice: some engines drop connections that rested a little longer.
 	SafeIdle = 200 * time.Millisecond
-	// maxIdle bounds the idle connections to one engine.
-	maxIdle = 4
 	// readBuffer holds the header and the small body of an ordinary answer.
 	readBuffer = 4 << 10
 )
@@ -95,8 +93,13 @@
 	return nil
 }
 
-// put keeps a connection for the next call.
-func (p *Pool) put(address string, c *conn, idleFor time.Duration) {
+// put keeps a connection for the next call, unless keep others rest already; it
+// takes the place of the oldest one.
+func (p *Pool) put(address string, c *conn, idleFor time.Duration, keep int) {
+	if keep <= 0 {
+		_ = c.Close()
+		return
+	}
 	if idleFor <= 0 {
 		idleFor = defaultIdle
 	}
@@ -108,7 +111,7 @@
 	now := p.Clock.Now()
 	c.rested, c.until, c.used = now, now+time.Duration(idleMargin*float64(idleFor)), true
 	list := p.idle[address]
-	if len(list) >= maxIdle {
+	for len(list) >= keep {
 		_ = list[0].Close()
 		list = list[1:]
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -61,7 +61,7 @@
 
 func send(t *testing.T, p *upstream.Pool, address, id string) (*upstream.Exchange, string, error) {
 	t.Helper()
-	x, err := p.Send(t.Context(), upstream.Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("b"),
+	x, err := p.Send(t.Context(), upstream.Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("b"), KeepIdle: 2,
 		ID: serving.RequestID(id), MaxRest: time.Second})
 	if err != nil {
 		return nil, "", err
@@ -71,6 +71,9 @@
 	return x, string(b), err
 }
 
+// limit bounds the wait for what takes a moment on a quiet machine.
+const limit = 20 * time.Second
+
 const (
 	ok    = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\none"
 	two   = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\ntwo"
@@ -173,3 +176,43 @@
 		t.Fatal("the connection stays open")
 	}
 }
+
+// Engines that go silent, at once, in the header, in the body or on a connection
+// that was used before, end a call at its deadline, which may have run.
+func TestSilentEngines(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// answers are what the engine sends on one connection before it goes silent.
+		answers []string
+	}{
+		{"no answer", []string{""}},
+		{"in the header", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-"}},
+		{"in the body", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\non"}},
+		{"in a chunk", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\non"}},
+		{"after a whole answer", []string{ok, ""}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			const wait = 300 * time.Millisecond
+			p, address := newPool(), script(t, false, append(tc.answers, "")...)
+			for range tc.answers[1:] {
+				_, _, err := send(t, p, address, "1")
+				assert.NilError(t, err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), wait)
+			defer cancel()
+			begun := time.Now()
+			x, err := p.Send(ctx, upstream.Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("b"),
+				ID: "1", MaxRest: time.Second, KeepIdle: 2})
+			if err == nil {
+				_, err = io.ReadAll(x.Body)
+				x.Close(false)
+				assert.Assert(t, err != nil, "the body counts as whole")
+			} else {
+				assert.Equal(t, serving.AsError(err).Ran, serving.RanUnknown)
+			}
+			took := time.Since(begun)
+			assert.Assert(t, took >= wait && took < limit, "ended after %v", took)
+		})
+	}
+}
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -66,6 +66,14 @@
 	// fullLoadFresh is the age up to which an engine's own word that its queue is
 	// not empty counts.
 	fullLoadFresh = 300 * time.Millisecond
+	// busyConnections is the part of an engine's connections that calls in progress may
+	// take, and idleConnections the part that all entries may keep idle together. An
+	// engine takes fewer connections while its queue is long.
+	busyConnections = 0.5
+	idleConnections = 0.3
+	// maxIdle bounds the idle connections of one entry to an engine: more are rarely
+	// used before they expire.
+	maxIdle = 4
 	// plainQueue is how many calls may wait at a plain engine for each of its slots.
 	plainQueue = 1.0
 )
@@ -120,7 +128,7 @@
 		return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
 	}
 	best := p.cheapest(now, p.sample(fitting, n), n)
-	t := p.open(best, n.use(best.Engine))
+	t := p.open(best, n)
 	t.Fitting, t.Full = len(fitting), full
 	p.countCold(now, best)
 	if len(n.Parts) > 0 {
@@ -139,7 +147,7 @@
 		return nil
 	}
 	p.countCold(now, e)
-	return p.open(e, n.use(id))
+	return p.open(e, n)
 }
 
 // Avoid returns the engines that this pool has reason to keep a call from: they
@@ -230,6 +238,9 @@
 // fits tells whether the engine has room for the call beside what it runs.
 func (e *engine) fits(now time.Duration, n *Need) bool {
 	sum := e.total()
+	if most := n.Service.MaxConnections; most > 0 && float64(sum.Running) >= busyConnections*float64(most) {
+		return false
+	}
 	m := n.Service.Model
 	if m == nil {
 		slots := float64(max(e.Slots, 1))
@@ -249,6 +260,15 @@
 	return sum.Running == 0 || float64(sum.Expected+n.Prompt+n.Output) <= fillLimit*float64(m.MemoryTokens)
 }
 
+// keepIdle returns how many idle connections this entry may keep to each engine of
+// a service: its part of what all entries may keep.
+func (p *Pool) keepIdle(s *routing.Service) int {
+	if s.MaxConnections <= 0 {
+		return maxIdle
+	}
+	return min(maxIdle, int(idleConnections*float64(s.MaxConnections)/float64(p.Entries())))
+}
+
 // averages describes the engines of a service together.
 type averages struct {
 	failures, latency float64
--- a/pkg/serving/placement/placement_test.go
+++ b/pkg/serving/placement/placement_test.go
@@ -354,3 +354,28 @@
 		ticket.End(0, placement.OK, time.Millisecond)
 	}
 }
+
+// Load pattern: eighty entries call the few engines of a plain service, which take
+// a hundred connections each and reset any more. Neither idle connections nor calls
+// in progress may exceed the bound together, whatever each entry knows of itself.
+func TestConnectionsOfAllEntries(t *testing.T) {
+	service := &routing.Service{ID: "web", MaxConnections: 100}
+	for _, tc := range []struct {
+		entries, busy int
+	}{{1, 10}, {7, 30}, {25, 49}, {80, 49}, {400, 49}} {
+		t.Run(fmt.Sprintf("%d entries, %d calls", tc.entries, tc.busy), func(t *testing.T) {
+			p := newPool(9, "a-1")
+			e := engine("w", "web", "a-1")
+			e.Slots = 200
+			p.SetEngine(e)
+			p.SetOthers([]usage.Use{{Engine: "w", Running: serving.Slots(tc.busy)}}, tc.entries)
+			need := &placement.Need{Service: service}
+			ticket, err := p.Place(0, need)
+			assert.NilError(t, err)
+			assert.Assert(t, tc.entries*ticket.KeepIdle+tc.busy+1 <= service.MaxConnections, "%d idle each", ticket.KeepIdle)
+			p.SetOthers([]usage.Use{{Engine: "w", Running: 50}}, tc.entries)
+			_, err = p.Place(0, need)
+			assert.Equal(t, serving.KindOf(err), serving.KindOverloaded)
+		})
+	}
+}
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -152,8 +152,10 @@
 	before usage.Use
 	// Fitting and Full count the engines with and without room at the choice.
 	Fitting, Full int
-	ended         bool
-	trial         bool
+	// KeepIdle is how many idle connections to the engine this entry may keep.
+	KeepIdle int
+	ended    bool
+	trial    bool
 }
 
 // Use returns the work that the call adds to the engine.
@@ -162,8 +164,9 @@
 // Before returns the work at the engine when it was chosen.
 func (t *Ticket) Before() usage.Use { return t.before }
 
-func (p *Pool) open(e *engine, use usage.Use) *Ticket {
-	t := &Ticket{Target: e.target(), pool: p, engine: e, use: use, before: e.total()}
+func (p *Pool) open(e *engine, n *Need) *Ticket {
+	use := n.use(e.Engine)
+	t := &Ticket{Target: e.target(), KeepIdle: p.keepIdle(n.Service), pool: p, engine: e, use: use, before: e.total()}
 	if e.health.suspect {
 		e.health.trial, t.trial = true, true
 	}
