Share room that becomes free among client accounts

Cause: every waiting generation asked its hub for room on its own, so that an account with ten times the calls of the others found it ten times as often, and a call of a small account waited behind all of them on average.

Change: of the calls of one account and rank that wait for a service at an entry, one at a time asks. A call that finds room at its first question doesn't wait.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 
 	board    blackboard
 	upstream *upstream.Pool
+	turns    placement.Turns
 	watcher  watcher
 	draining atomic.Bool
 	// base is the parent of calls that no request carries.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -22,9 +22,16 @@
 
 // placeGeneration claims an engine for a generation. The hub in use chooses it,
 // since it knows the choices of all its entries at once; without an answer of
-// the hub the entry chooses by what it knows itself.
-func (g *Gateway) placeGeneration(ctx context.Context, need *placement.Need, rank int, regions []serving.RegionID, patience time.Duration) (*placement.Ticket, error) {
+// the hub the entry chooses by what it knows itself. Of the calls of one account
+// that find no room, only the first one goes on to ask.
+func (g *Gateway) placeGeneration(ctx context.Context, need *placement.Need, rank int, account serving.ClientAccountID, regions []serving.RegionID, patience time.Duration) (*placement.Ticket, error) {
 	deadline := g.Clock.Now() + patience
+	var turn *placement.Turn
+	defer func() {
+		if turn != nil {
+			turn.Leave()
+		}
+	}()
 	for {
 		hub := g.watcher.placingHub()
 		if hub == nil {
@@ -42,8 +49,18 @@
 			}
 			need.Exclude = append(need.Exclude, id)
 			continue
-		case g.Clock.Now()+fullPause >= deadline || !sleep(ctx, fullPause):
+		case g.Clock.Now()+fullPause >= deadline:
 			return nil, g.noRoom(need)
+		case turn == nil:
+			asked := g.Clock.Now()
+			turn = g.turns.Join(need.Service.ID, account, rank)
+			if !await(ctx, turn.Ready(), deadline-asked) || !sleep(ctx, fullPause-(g.Clock.Now()-asked)) {
+				return nil, g.noRoom(need)
+			}
+		default:
+			if !sleep(ctx, fullPause) {
+				return nil, g.noRoom(need)
+			}
 		}
 	}
 }
@@ -104,3 +121,17 @@
 		w.placing = h.client
 	}
 }
+
+// await waits for a channel to be closed, up to d; it returns false if that does
+// not happen or ctx ends first.
+func await(ctx context.Context, ready <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ready:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,7 +64,7 @@
 // start sends the call to an engine until one begins to answer with a stream.
 func (r *run) start() bool {
 	for {
-		ticket, err := r.g.placeGeneration(r.ctx, r.need(), r.Rank(), r.Regions, r.patience())
+		ticket, err := r.g.placeGeneration(r.ctx, r.need(), r.Rank(), r.accountID(), r.Regions, r.patience())
 		if err != nil {
 			r.refuse(err)
 			return false
