Call engines over one kind of connection from both front sides

Cause: the project's own API called engines through net/http's Transport, which may send a request again by itself, and kept a client apart for calls that must not run twice; the platform's path has its own connections. Two readers of events did the same.

Change: upstream.Transport lets requests of net/http go over upstream.Pool, and the entries of the own API use it for all calls to engines. upstream.EventReader serves both. Before an idle connection is used, the pool looks whether the engine has closed it or sent something (TestConnectionClosedWhileItRested fails without).

Conclusion: one engine connection. Placement and relay are still two.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -230,7 +230,7 @@
 		if a.sequencer.Missing() && a.sequencer.Held() > maxHeld {
 			return errGap
 		}
-		if a.sequencer.Finished() || len(a.frames) >= maxBatch || !stream.buffered() {
+		if a.sequencer.Finished() || len(a.frames) >= maxBatch || !stream.events.Buffered() {
 			return nil
 		}
 	}
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -9,20 +9,19 @@
 
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/internal/settings"
+	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
 const (
-	// dialTimeout bounds a connection to an engine or process; the one-way latency
-	// between regions is about 10 ms.
+	// dialTimeout bounds a connection to a process; the one-way latency between
+	// regions is about 10 ms.
 	dialTimeout = 2 * time.Second
-	// maxIdlePerHost bounds the kept connections to one engine.
+	// maxIdlePerHost bounds the kept connections to one engine or process.
 	maxIdlePerHost = 256
 	// idleConnTimeout is the time after which a kept connection is closed.
 	idleConnTimeout = 90 * time.Second
-	// writeBuffer is the write buffer of one connection to an engine, which lives as
-	// long as its stream but is used for the request only.
-	writeBuffer = 1 << 10
 )
 
 // Providers construct an entry from its settings and clock.
@@ -37,6 +36,8 @@
 	// cluster calls other processes with the cluster key.
 	cluster   *http.Client
 	transport *http.Transport
+	// engines holds the connections to engines.
+	engines *upstream.Pool
 }
 
 // NewClients returns the clients of an entry.
@@ -44,21 +45,29 @@
 	t := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-		WriteBufferSize: writeBuffer,
 	}
-	// net/http repeats a call with an Idempotency-Key if a reused connection breaks;
-	// a connection of its own for each call excludes that.
-	once := t.Clone()
-	once.DisableKeepAlives = true
+	engines := &upstream.Pool{Dialect: engineAnswers{}, Clock: serving.NewMonotonicClock(), IdleFor: idleConnTimeout}
 	client := func(t http.RoundTripper) *http.Client {
 		return &http.Client{Transport: events.transport(t), CheckRedirect: noRedirect}
 	}
 	return &Clients{
-		upstream: client(t), order: client(once),
-		cluster: client(keyTransport{key: s.ClusterKey, next: t}), transport: t,
+		upstream: client(&upstream.Transport{Pool: engines, MaxRest: idleConnTimeout, KeepIdle: maxIdlePerHost}),
+		// A call that must not run twice gets a connection of its own, so that a close
+		// which crosses it leaves no doubt.
+		order:   client(&upstream.Transport{Pool: engines}),
+		cluster: client(keyTransport{key: s.ClusterKey, next: t}), transport: t, engines: engines,
 	}
 }
 
+// engineAnswers decodes the header of an engine's answer of the project's own API.
+// Answers are told apart by the ids in their bodies.
+type engineAnswers struct{}
+
+// DecodeAnswer implements upstream.Decoder.
+func (engineAnswers) DecodeAnswer(status int, _ http.Header) serving.Answer {
+	return serving.Answer{Status: status}
+}
+
 // noRedirect keeps the client from sending a call a second time to another place.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -13,19 +12,13 @@
 	"sync/atomic"
 	"time"
 
+	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
 )
 
-const (
-	// readBuffer is the buffer of one engine stream, beside that of net/http; a token
-	// needs about 150 bytes.
-	readBuffer = 2 << 10
-	// maxEvent bounds the length of one server-sent event of an engine.
-	maxEvent = 64 << 10
-	// maxRefusal bounds the body of an engine's refusal that is read.
-	maxRefusal = 4 << 10
-)
+// maxRefusal bounds the body of an engine's refusal that is read.
+const maxRefusal = 4 << 10
 
 var (
 	// errGenerationGone means that the engine no longer has the generation.
@@ -40,8 +33,7 @@
 // arrives while a read is armed, the stream is cut.
 type frameStream struct {
 	body    io.ReadCloser
-	reader  *bufio.Reader
-	long    []byte
+	events  *upstream.EventReader
 	cancel  context.CancelFunc
 	timer   *time.Timer
 	bound   time.Duration
@@ -100,7 +92,7 @@
 		s.close()
 		return nil, err
 	}
-	s.reader = bufio.NewReaderSize(res.Body, readBuffer)
+	s.events = upstream.NewEventReader(res.Body)
 	return s, nil
 }
 
@@ -153,49 +145,27 @@
 	s.timer.Reset(s.bound)
 	defer s.timer.Stop()
 	for {
-		line, err := s.line()
-		if err != nil {
-			return generation.Frame{}, s.reason(err)
-		}
-		data, ok := bytes.CutPrefix(line, []byte("data: "))
-		if !ok {
-			continue
-		}
-		if bytes.Equal(data, []byte("[DONE]")) {
-			return generation.Frame{}, errEndOfStream
-		}
-		return p.parse(data)
-	}
-}
-
-// line returns the next line without its end; it is valid until the next call.
-func (s *frameStream) line() ([]byte, error) {
-	s.long = s.long[:0]
-	for {
-		part, err := s.reader.ReadSlice('\n')
-		if err == nil && len(s.long) == 0 {
-			return bytes.TrimRight(part, "\r\n"), nil
+		event, err := s.events.Next()
+		for line := range bytes.Lines(event) {
+			data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("data: "))
+			switch {
+			case !ok || !bytes.HasSuffix(line, []byte("\n")):
+				// Not a frame, or the part of one before the stream was cut.
+			case bytes.Equal(data, []byte("[DONE]")):
+				return generation.Frame{}, errEndOfStream
+			default:
+				return p.parse(data)
+			}
 		}
-		s.long = append(s.long, part...)
 		switch {
-		case err == nil:
-			return bytes.TrimRight(s.long, "\r\n"), nil
 		case errors.Is(err, io.EOF):
-			return nil, io.ErrUnexpectedEOF
-		case !errors.Is(err, bufio.ErrBufferFull):
-			return nil, err
-		case len(s.long) > maxEvent:
-			return nil, serving.NewError(serving.KindEngineFailed, "the engine sent an event that is too long")
+			return generation.Frame{}, s.reason(io.ErrUnexpectedEOF)
+		case err != nil:
+			return generation.Frame{}, s.reason(err)
 		}
 	}
 }
 
-// buffered tells whether an event can be read without waiting.
-func (s *frameStream) buffered() bool {
-	b, _ := s.reader.Peek(s.reader.Buffered())
-	return bytes.Contains(b, []byte("data: ")) && bytes.IndexByte(bytes.TrimLeft(b, "\r\n"), '\n') >= 0
-}
-
 func (s *frameStream) close() {
 	s.timer.Stop()
 	s.cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,8 +34,6 @@
 	noticeTime = 2500 * time.Millisecond
 	// graceMargin is the part of the grace period that is left for the end.
 	graceMargin = 300 * time.Millisecond
-	// sweepInterval is how often idle connections to engines are checked.
-	sweepInterval = time.Second
 )
 
 // Gateway is the process of an entry host.
@@ -93,7 +91,7 @@
 	group.Go(func() error { return serveOn(servers[1], ready) })
 	g.serveMetrics()
 	go g.watcher.run(background)
-	go g.sweep(background)
+	go g.upstream.Run(background)
 	ended := make(chan error, 1)
 	go func() { ended <- group.Wait() }()
 	select {
@@ -160,19 +158,6 @@
 	_ = servers[1].Close()
 }
 
-func (g *Gateway) sweep(ctx context.Context) {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			g.upstream.Sweep()
-		}
-	}
-}
-
 // view is the deployment state in force at this entry. It is immutable.
 type view struct {
 	revision uint64
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -203,15 +203,15 @@
 // relayOne passes on the events of one engine's answer. It returns nil at the
 // proper end of the stream.
 func (r *run) relayOne(control *http.ResponseController) error {
-	events := newEventReader(r.exchange.Body)
+	events := upstream.NewEventReader(r.exchange.Body)
 	var batch []byte
 	for {
-		event, err := events.next()
+		event, err := events.Next()
 		if err == nil {
 			if r.take(event) {
 				batch = append(batch, event...)
 			}
-			if events.buffered() && len(batch) < flushBytes {
+			if events.Buffered() && len(batch) < flushBytes {
 				continue
 			}
 		} else if err = r.endOf(err); errors.Is(err, io.EOF) {
--- /dev/null
+++ b/internal/upstream/alive.go
@@ -0,0 +1,27 @@
+package upstream
+
+import (
+	"net"
+	"syscall"
+)
+
+// alive tells whether an idle connection is still open with nothing to read, as
+// far as this host knows: bytes or an end that nobody asked for make it unusable.
+func alive(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- a/internal/gateway/events.go
+++ b/internal/upstream/events.go
@@ -1,4 +1,4 @@
-package gateway
+package upstream
 
 import (
 	"bufio"
@@ -10,27 +10,28 @@
 )
 
 const (
-	// eventBuffer holds a few events of a stream.
-	eventBuffer = 4 << 10
+	// eventBuffer holds some events of a stream; one of a token needs about 150 bytes.
+	eventBuffer = 2 << 10
 	// maxEvent bounds one event.
 	maxEvent = 256 << 10
 )
 
-// eventReader splits a stream into whole server-sent events.
-type eventReader struct {
+// EventReader splits the body of an answer into whole server-sent events.
+type EventReader struct {
 	reader *bufio.Reader
 	event  []byte
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
+// NewEventReader returns a reader of the events of a body.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
 }
 
-// next returns the next whole event with its blank line; it is valid until the
+// Next returns the next whole event with its blank line; it is valid until the
 // next call. At the proper end of the stream the error is io.EOF, and the bytes
 // after the last event are returned with it. A stream that was cut ends with
 // io.ErrUnexpectedEOF or the error of its connection.
-func (r *eventReader) next() ([]byte, error) {
+func (r *EventReader) Next() ([]byte, error) {
 	r.event = r.event[:0]
 	for {
 		part, err := r.reader.ReadSlice('\n')
@@ -60,8 +61,8 @@
 	return from
 }
 
-// buffered tells whether a whole event can be read without waiting.
-func (r *eventReader) buffered() bool {
+// Buffered tells whether a whole event can be read without waiting.
+func (r *EventReader) Buffered() bool {
 	b, _ := r.reader.Peek(r.reader.Buffered())
 	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\r\n\r\n"))
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -35,6 +35,9 @@
 	MaxRest time.Duration
 	// KeepIdle is how many idle connections to the engine may be kept.
 	KeepIdle int
+	// Connected, if set, is called before the first byte is sent, and told whether the
+	// connection had carried another call before.
+	Connected func(reused bool)
 }
 
 // Exchange is a call that an engine is answering.
@@ -66,6 +69,9 @@
 	}
 	x := &Exchange{pool: p, address: r.Address, keepIdle: r.KeepIdle, conn: c, Reused: c.used}
 	x.release = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if r.Connected != nil {
+		r.Connected(c.used)
+	}
 	if _, err := c.Write(encode(&r)); err != nil {
 		x.Close(false)
 		return nil, broken(ctx, err, "send to the engine")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"expvar"
+	"math"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -22,6 +24,8 @@
 	// SafeIdle is the idle time up to which a connection is used for a call that
 	// must not run twice: some engines drop connections that rested a little longer.
 	SafeIdle = 200 * time.Millisecond
+	// sweepInterval is how often idle connections are looked at.
+	sweepInterval = time.Second
 	// readBuffer holds the header and the small body of an ordinary answer.
 	readBuffer = 4 << 10
 )
@@ -37,10 +41,18 @@
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
 }
 
+// Decoder decodes the header of an engine's answer; every serving.Dialect is one.
+type Decoder interface {
+	DecodeAnswer(status int, h http.Header) serving.Answer
+}
+
 // Pool holds the connections to engines. Exported fields are set before the first use.
 type Pool struct {
-	Dialect serving.Dialect
+	Dialect Decoder
 	Clock   serving.Clock
+	// IdleFor is how long engines keep idle connections that don't tell; 0 means the
+	// default.
+	IdleFor time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -79,15 +91,15 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[address] = list
-		if now >= c.until || c.reader.Buffered() > 0 {
-			_ = c.Close()
-			continue
-		}
-		if now-c.rested > maxRest {
+		if now-c.rested > maxRest && now < c.until {
 			// The others rested longer; they may still serve calls that may run again.
 			p.idle[address] = append(list, c)
 			return nil
 		}
+		if now >= c.until || c.reader.Buffered() > 0 || !alive(c.Conn) {
+			_ = c.Close()
+			continue
+		}
 		return c
 	}
 	return nil
@@ -101,7 +113,7 @@
 		return
 	}
 	if idleFor <= 0 {
-		idleFor = defaultIdle
+		idleFor = orDefault(p.IdleFor, defaultIdle)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,15 +130,31 @@
 	p.idle[address] = append(list, c)
 }
 
-// Sweep closes idle connections that their engines are about to close.
-func (p *Pool) Sweep() {
+// Run closes idle connections that their engines are about to close, until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.closeIdle(p.Clock.Now())
+		}
+	}
+}
+
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() { p.closeIdle(math.MaxInt64) }
+
+// closeIdle closes the idle connections that are kept up to a time.
+func (p *Pool) closeIdle(until time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.Clock.Now()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now >= c.until {
+			if until >= c.until {
 				_ = c.Close()
 				continue
 			}
@@ -139,3 +167,10 @@
 		p.idle[address] = kept
 	}
 }
+
+func orDefault(d, other time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return other
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 )
 
 // dialect decodes the header fields of these tests; nothing else of it is used.
-type dialect struct{ serving.Dialect }
+type dialect struct{}
 
 func (dialect) DecodeAnswer(status int, h http.Header) serving.Answer {
 	return serving.Answer{Status: status, RequestID: serving.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != ""}
@@ -138,6 +139,43 @@
 	}
 }
 
+// An engine that closed a connection while it rested gets the next call over a new
+// one, since a call that was written to a closed connection may count as run.
+func TestConnectionClosedWhileItRested(t *testing.T) {
+	p, address := newPool(), script(t, false, ok)
+	for range 3 {
+		x, body, err := send(t, p, address, "1")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "one")
+		assert.Assert(t, !x.Reused)
+		// The end of the connection needs a moment on loopback.
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Requests of net/http go over the same connections.
+func TestTransport(t *testing.T) {
+	for _, tc := range []struct {
+		name, answer, body string
+		wrong              bool
+	}{
+		{"whole", ok, "one", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", "one", false},
+		{"no length", plain, "no length", false},
+		{"cut short", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\none", "one", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			client := &http.Client{Transport: &upstream.Transport{Pool: newPool(), MaxRest: time.Second, KeepIdle: 2}}
+			res, err := client.Post("http://"+script(t, false, tc.answer)+"/x?y=1", "text/plain", strings.NewReader("b"))
+			assert.NilError(t, err)
+			b, err := io.ReadAll(res.Body)
+			assert.Equal(t, err != nil, tc.wrong)
+			assert.Equal(t, string(b), tc.body)
+			assert.NilError(t, res.Body.Close())
+		})
+	}
+}
+
 // Only a call of which no byte was sent has not run for certain.
 func TestUnreachableHasNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
