Report only what changed in the use of engines to other hubs

Cause: each hub told each other hub the use of all engines every 80 ms.

With more than eight other hubs the interval grows with their number.

--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// reportInterval is how often the use of engines is told to other hubs.
+	// reportInterval is how often the use of engines is told to other hubs; with more
+	// than reportHubs others it is longer, so that what a hub sends and takes in does
+	// not grow with their number.
 	reportInterval = 80 * time.Millisecond
+	reportHubs     = 8
 	// reportTimeout bounds one report; the next one repeats what it said.
 	reportTimeout = 800 * time.Millisecond
 	// forgetPeer is how long a hub that was never or long not heard is still tried.
@@ -32,8 +35,10 @@
 	// cursor is the last change of the directory that was told to it.
 	cursor    uint64
 	refreshed time.Duration
-	lost      bool
-	cancel    context.CancelFunc
+	// told is the use of engines that it was told last.
+	told   map[serving.EngineID]usage.Use
+	lost   bool
+	cancel context.CancelFunc
 }
 
 // hostOf returns the host id of a hub: the host of its base URL.
@@ -103,15 +108,15 @@
 	h.mu.Unlock()
 	for ctx.Err() == nil {
 		h.mu.Lock()
-		report, cursor := h.report(p)
-		wake := h.wake
+		report, cursor, told := h.report(p)
+		wake, interval := h.wake, h.reportEvery()
 		h.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		_, err := client.Report(callCtx, report)
 		cancel()
 		h.mu.Lock()
 		if err == nil {
-			p.cursor = cursor
+			p.cursor, p.told = cursor, told
 		} else {
 			p.refreshed = 0
 		}
@@ -120,15 +125,22 @@
 			klog.InfoS("Hub reachable or not", "hub", p.hub.GetAddress(), "reachable", !lost, "err", err)
 		}
 		h.mu.Unlock()
-		h.wait(ctx, wake, reportInterval)
+		h.wait(ctx, wake, interval)
 	}
 }
 
-// report returns what a hub has to be told. The caller holds mu.
-func (h *Hub) report(p *peer) (*schema.HubReport, uint64) {
+// reportEvery returns the time between two reports to one hub. The caller holds mu.
+func (h *Hub) reportEvery() time.Duration {
+	return reportInterval * time.Duration(max(1, len(h.peers))) / time.Duration(min(reportHubs, max(1, len(h.peers))))
+}
+
+// report returns what a hub has to be told, and what it has been told of the use of
+// engines after that. All of it is repeated now and then, and after a report that
+// may be lost. The caller holds mu.
+func (h *Hub) report(p *peer) (out *schema.HubReport, cursor uint64, told map[serving.EngineID]usage.Use) {
 	now := h.Clock.Now()
-	out := &schema.HubReport{Hub: h.self(), Incarnation: h.incarnation}
 	refresh := now-p.refreshed > refreshInterval
+	out = &schema.HubReport{Hub: h.self(), Incarnation: h.incarnation, Partial: !refresh}
 	if refresh {
 		p.refreshed = now
 	}
@@ -142,11 +154,23 @@
 		}
 	}
 	sums, n := h.local.Sums(now)
-	for _, u := range sums {
+	out.Entries = int32(n)
+	told = make(map[serving.EngineID]usage.Use, len(sums))
+	for id, u := range sums {
+		before, known := p.told[id]
+		if !refresh && known && u.Near(&before) {
+			told[id] = before
+			continue
+		}
+		told[id] = *u
 		out.Uses = append(out.Uses, u.ToWire())
 	}
-	out.Entries = int32(n)
-	return out, h.directory.Cursor()
+	for id := range p.told {
+		if sums[id] == nil && !refresh {
+			out.Uses = append(out.Uses, (&usage.Use{Engine: id}).ToWire())
+		}
+	}
+	return out, h.directory.Cursor(), told
 }
 
 // Report implements schema.Hub: it takes in what another hub has heard.
@@ -156,7 +180,11 @@
 	now := h.Clock.Now()
 	if p := h.addPeer(in.GetHub()); p != nil {
 		p.heard, p.entries = now, int(in.GetEntries())
-		h.remote.Report(now, in.GetHub().GetAddress(), usage.FromWire(in.GetUses()))
+		take := h.remote.Report
+		if in.GetPartial() {
+			take = h.remote.Merge
+		}
+		take(now, in.GetHub().GetAddress(), usage.FromWire(in.GetUses()))
 	}
 	changed := false
 	for _, m := range in.GetEngines() {
