Revert "Report only what changed in the use of engines to other hubs"

Not ruled out, and to be measured next: the refresh of all engines' heartbeats each second between all hubs, and answers to entries.

--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -14,11 +14,8 @@
 )
 
 const (
-	// reportInterval is how often the use of engines is told to other hubs; with more
-	// than reportHubs others it is longer, so that what a hub sends and takes in does
-	// not grow with their number.
+	// reportInterval is how often the use of engines is told to other hubs.
 	reportInterval = 80 * time.Millisecond
-	reportHubs     = 8
 	// reportTimeout bounds one report; the next one repeats what it said.
 	reportTimeout = 800 * time.Millisecond
 	// forgetPeer is how long a hub that was never or long not heard is still tried.
@@ -35,10 +32,8 @@
 	// cursor is the last change of the directory that was told to it.
 	cursor    uint64
 	refreshed time.Duration
-	// told is the use of engines that it was told last.
-	told   map[serving.EngineID]usage.Use
-	lost   bool
-	cancel context.CancelFunc
+	lost      bool
+	cancel    context.CancelFunc
 }
 
 // hostOf returns the host id of a hub: the host of its base URL.
@@ -108,15 +103,15 @@
 	h.mu.Unlock()
 	for ctx.Err() == nil {
 		h.mu.Lock()
-		report, cursor, told := h.report(p)
-		wake, interval := h.wake, h.reportEvery()
+		report, cursor := h.report(p)
+		wake := h.wake
 		h.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		_, err := client.Report(callCtx, report)
 		cancel()
 		h.mu.Lock()
 		if err == nil {
-			p.cursor, p.told = cursor, told
+			p.cursor = cursor
 		} else {
 			p.refreshed = 0
 		}
@@ -125,22 +120,15 @@
 			klog.InfoS("Hub reachable or not", "hub", p.hub.GetAddress(), "reachable", !lost, "err", err)
 		}
 		h.mu.Unlock()
-		h.wait(ctx, wake, interval)
+		h.wait(ctx, wake, reportInterval)
 	}
 }
 
-// reportEvery returns the time between two reports to one hub. The caller holds mu.
-func (h *Hub) reportEvery() time.Duration {
-	return reportInterval * time.Duration(max(1, len(h.peers))) / time.Duration(min(reportHubs, max(1, len(h.peers))))
-}
-
-// report returns what a hub has to be told, and what it has been told of the use of
-// engines after that. All of it is repeated now and then, and after a report that
-// may be lost. The caller holds mu.
-func (h *Hub) report(p *peer) (out *schema.HubReport, cursor uint64, told map[serving.EngineID]usage.Use) {
+// report returns what a hub has to be told. The caller holds mu.
+func (h *Hub) report(p *peer) (*schema.HubReport, uint64) {
 	now := h.Clock.Now()
+	out := &schema.HubReport{Hub: h.self(), Incarnation: h.incarnation}
 	refresh := now-p.refreshed > refreshInterval
-	out = &schema.HubReport{Hub: h.self(), Incarnation: h.incarnation, Partial: !refresh}
 	if refresh {
 		p.refreshed = now
 	}
@@ -154,23 +142,11 @@
 		}
 	}
 	sums, n := h.local.Sums(now)
-	out.Entries = int32(n)
-	told = make(map[serving.EngineID]usage.Use, len(sums))
-	for id, u := range sums {
-		before, known := p.told[id]
-		if !refresh && known && u.Near(&before) {
-			told[id] = before
-			continue
-		}
-		told[id] = *u
+	for _, u := range sums {
 		out.Uses = append(out.Uses, u.ToWire())
 	}
-	for id := range p.told {
-		if sums[id] == nil && !refresh {
-			out.Uses = append(out.Uses, (&usage.Use{Engine: id}).ToWire())
-		}
-	}
-	return out, h.directory.Cursor(), told
+	out.Entries = int32(n)
+	return out, h.directory.Cursor()
 }
 
 // Report implements schema.Hub: it takes in what another hub has heard.
@@ -180,11 +156,7 @@
 	now := h.Clock.Now()
 	if p := h.addPeer(in.GetHub()); p != nil {
 		p.heard, p.entries = now, int(in.GetEntries())
-		take := h.remote.Report
-		if in.GetPartial() {
-			take = h.remote.Merge
-		}
-		take(now, in.GetHub().GetAddress(), usage.FromWire(in.GetUses()))
+		h.remote.Report(now, in.GetHub().GetAddress(), usage.FromWire(in.GetUses()))
 	}
 	changed := false
 	for _, m := range in.GetEngines() {
--- a/pkg/serving/usage/usage.go
+++ b/pkg/serving/usage/usage.go
@@ -42,20 +42,9 @@
 	u.Broken += o.Broken
 }
 
-// Near tells whether another use of the same engine differs so little that telling
-// it again is not worth it.
-func (u *Use) Near(o *Use) bool {
-	near := func(a, b serving.Tokens) bool { return max(a, b)-min(a, b) <= nearTokens }
-	return u.Running == o.Running && u.Broken == o.Broken && near(u.Held, o.Held) && near(u.Expected, o.Expected) && near(u.Prefill, o.Prefill)
-}
-
-// nearTokens is the difference that is not told: below a hundredth of the memory of
-// today's engines.
-const nearTokens serving.Tokens = 256
-
 type report struct {
 	at   time.Duration
-	uses map[serving.EngineID]Use
+	uses []Use
 }
 
 // Table holds the last report of each reporter.
@@ -72,25 +61,7 @@
 
 // Report replaces what a reporter told before.
 func (t *Table) Report(now time.Duration, from string, uses []Use) {
-	t.reports[from] = report{uses: make(map[serving.EngineID]Use, len(uses))}
-	t.Merge(now, from, uses)
-}
-
-// Merge takes in what changed since a reporter's report before.
-func (t *Table) Merge(now time.Duration, from string, uses []Use) {
-	r := t.reports[from]
-	if r.uses == nil {
-		r.uses = make(map[serving.EngineID]Use, len(uses))
-	}
-	r.at = now
-	for i := range uses {
-		if u := &uses[i]; *u == (Use{Engine: u.Engine}) {
-			delete(r.uses, u.Engine)
-		} else {
-			r.uses[u.Engine] = *u
-		}
-	}
-	t.reports[from] = r
+	t.reports[from] = report{at: now, uses: uses}
 }
 
 // Sums returns the work at each engine, and the number of reporters.
@@ -102,13 +73,14 @@
 			continue
 		}
 		reporters++
-		for _, u := range r.uses {
+		for i := range r.uses {
+			u := &r.uses[i]
 			sum := sums[u.Engine]
 			if sum == nil {
 				sum = &Use{Engine: u.Engine}
 				sums[u.Engine] = sum
 			}
-			sum.Add(&u)
+			sum.Add(u)
 		}
 	}
 	return sums, reporters
