--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -97,7 +97,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), startTime)
 	defer cancel()
-	if status, err := t.op.Put(ctx, http.MethodPut, "/-/config", standin.Document(1)); status != http.StatusOK {
+	if status, err := t.op.PutConfig(ctx, standin.Document(1)); status != http.StatusOK {
 		return fmt.Errorf("the first configuration was answered %d: %w", status, err)
 	}
 	t.acked.Store(1)
@@ -201,7 +201,7 @@
 func (t *trial) operate(ctx context.Context) {
 	for version := uint64(2); ctx.Err() == nil; version += 3 {
 		callCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
-		status, _ := t.op.Put(callCtx, http.MethodPut, "/-/config", standin.Document(version))
+		status, _ := t.op.PutConfig(callCtx, standin.Document(version))
 		if status == http.StatusOK {
 			t.acked.Store(version)
 		} else if status/100 == 4 {
