Log and count what membership changes of the control plane are based on

The log said that a learner was removed, but not for how long the leader took it for silent, whether it had acknowledged any heartbeat, how far it was behind or how long the leader had been in office, so that the hypotheses in docs/incidents/control-disk-losses.md could not be told apart.

Change: these values in 'Membership change requested', and metrics of voters, learners, silent voters and changes. State.Member becomes IsMember, next to the new method Member. No decision is changed.

--- a/internal/hub/members.go
+++ b/internal/hub/members.go
@@ -35,7 +35,7 @@
 func (h *Hub) join(ctx context.Context) {
 	every(ctx, joinInterval, func() {
 		s := h.replica.current().State()
-		if s.Self == (serving.ReplicaID{}) || s.Leading || s.Member && s.SinceLeaderContact < rejoinAfter {
+		if s.Self == (serving.ReplicaID{}) || s.Leading || s.IsMember && s.SinceLeaderContact < rejoinAfter {
 			return
 		}
 		h.requestJoin(ctx, s.Self)
@@ -105,6 +105,7 @@
 	every(ctx, checkInterval, func() {
 		node := h.replica.current()
 		s := node.State()
+		recordMembership(s, h.requiredVoters())
 		if !s.Leading || !s.Settled {
 			return
 		}
@@ -114,8 +115,13 @@
 		}
 		changeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 		defer cancel()
+		start := h.Clock.Now()
 		res, err := node.ChangeMember(changeCtx, change)
+		membershipChanges.Add(change.GetAction(), 1)
+		m := s.Member(change.GetReplica())
 		klog.InfoS("Membership change requested", "action", change.GetAction(), "replica", change.GetReplica(), "old", change.GetOldReplica(),
+			"silent", m.SinceAckedHeartbeat, "acked", m.Acked, "behind", m.EntriesBehind, "leading", s.SinceElection,
+			"voters", s.Voters(), "required", h.requiredVoters(), "took", h.Clock.Now()-start,
 			"accepted", res.GetAccepted(), "message", res.GetMessage(), "err", err)
 	})
 }
--- /dev/null
+++ b/internal/hub/metrics.go
@@ -0,0 +1,32 @@
+package hub
+
+import (
+	"expvar"
+
+	"turmericdrum.org/turmericdrum/internal/replica"
+)
+
+// Metrics of the membership, as known to this hub. Only the leader's silentVoters is
+// meaningful; it is 0 elsewhere.
+var (
+	knownVoters       = expvar.NewInt("control_voters")
+	neededVoters      = expvar.NewInt("control_voters_required")
+	knownLearners     = expvar.NewInt("control_learners")
+	silentVoters      = expvar.NewInt("control_voters_silent")
+	membershipChanges = expvar.NewMap("control_membership_changes")
+)
+
+// recordMembership updates the metrics of the membership.
+func recordMembership(s replica.State, required int) {
+	silent := 0
+	for _, m := range s.Members {
+		if m.Voter && m.SinceAckedHeartbeat > rejoinAfter {
+			silent++
+		}
+	}
+	voters := s.Voters()
+	knownVoters.Set(int64(voters))
+	knownLearners.Set(int64(len(s.Members) - voters))
+	neededVoters.Set(int64(required))
+	silentVoters.Set(int64(silent))
+}
--- a/internal/hub/operations.go
+++ b/internal/hub/operations.go
@@ -58,13 +58,7 @@
 	if !s.Leading {
 		return serving.NewError(serving.KindNotLeader, "this hub does not lead").WithDetail(s.Leader)
 	}
-	voters := 0
-	for _, m := range s.Members {
-		if m.Voter {
-			voters++
-		}
-	}
-	if voters < h.requiredVoters() && now-h.started < votersTimeout {
+	if s.Voters() < h.requiredVoters() && now-h.started < votersTimeout {
 		return serving.NewError(serving.KindNoQuorum, "the voters are not complete yet").WithRetryAfter(joinInterval)
 	}
 	return nil
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -90,7 +90,7 @@
 // of this replica is current. The caller holds mu.
 func (h *Hub) confirmed(now time.Duration) bool {
 	s := h.replica.current().State()
-	return now-h.started > confirmPeriod && (s.Leading || s.Member && s.SinceLeaderContact < confirmPeriod)
+	return now-h.started > confirmPeriod && (s.Leading || s.IsMember && s.SinceLeaderContact < confirmPeriod)
 }
 
 // complete reports whether this process has run long enough to have received a
