--- a/internal/hub/members.go
+++ b/internal/hub/members.go
@@ -6,10 +6,10 @@
 
 	"k8s.io/klog/v2"
 
-	"turmericdrum.org/turmericdrum/internal/replica"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+	"turmericdrum.org/turmericdrum/pkg/serving/membership"
 )
 
 const (
@@ -18,14 +18,8 @@
 	// joinTimeout bounds one request.
 	joinTimeout = 700 * time.Millisecond
 	// rejoinAfter is how long a member without contact to a leader waits before it asks
-	// to join again, in case it was removed. It is longer than an election. A learner
-	// that has been silent for as long isn't made a voter.
-	rejoinAfter = 2500 * time.Millisecond
-	// replaceAfter is how long a voter is silent before it is replaced by a learner. It
-	// is longer than usual pauses and restarts, after which a voter needs no replacement.
-	replaceAfter = 6 * time.Second
-	// dropLearnerAfter is how long a learner is silent before it is removed.
-	dropLearnerAfter = 15 * time.Second
+	// to join again, in case it was removed. It is longer than an election.
+	rejoinAfter = membership.PromoteWithin
 	// changeTimeout bounds one membership change.
 	changeTimeout = 2 * time.Second
 )
@@ -109,16 +103,20 @@
 		if !s.Leading || !s.Settled {
 			return
 		}
-		change := nextChange(s, h.requiredVoters())
-		if change == nil {
+		next := h.policy().Next(s.Self, s.Members)
+		if next == nil {
 			return
 		}
+		change := &schema.MemberChange{Action: string(next.Action), Replica: next.Replica.String()}
+		if next.Action == ledger.Replace {
+			change.OldReplica = next.Old.String()
+		}
 		changeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 		defer cancel()
 		start := h.Clock.Now()
 		res, err := node.ChangeMember(changeCtx, change)
 		membershipChanges.Add(change.GetAction(), 1)
-		m := s.Member(change.GetReplica())
+		m := s.Member(next.Replica)
 		klog.InfoS("Membership change requested", "action", change.GetAction(), "replica", change.GetReplica(), "old", change.GetOldReplica(),
 			"silent", m.SinceAckedHeartbeat, "acked", m.Acked, "behind", m.EntriesBehind, "leading", s.SinceElection,
 			"voters", s.Voters(), "required", h.requiredVoters(), "took", h.Clock.Now()-start,
@@ -126,48 +124,10 @@
 	})
 }
 
+func (h *Hub) policy() *membership.Policy {
+	return &membership.Policy{RequiredVoters: h.requiredVoters(), MaxBehind: keepEntries}
+}
+
 // requiredVoters returns the number of voters that is needed for a majority to survive
 // the loss of the tolerated disks.
 func (h *Hub) requiredVoters() int { return 2*h.ToleratedDisks + 1 }
-
-// nextChange returns the next membership change, or nil if none is due. A learner that
-// is up to date replaces a voter of the same host, whose data is lost. Otherwise it is
-// promoted if there are fewer voters than required, or else replaces a voter that has
-// been silent for replaceAfter. A learner that has been silent for dropLearnerAfter is
-// removed. A member is silent while it acknowledges no heartbeat of this leader.
-func nextChange(s replica.State, required int) *schema.MemberChange {
-	voters, silent := 0, (*replica.MemberState)(nil)
-	hosts := map[serving.HostID]*replica.MemberState{}
-	for i := range s.Members {
-		m := &s.Members[i]
-		if !m.Voter {
-			continue
-		}
-		voters++
-		hosts[m.ID.Host] = m
-		if m.ID != s.Self && m.SinceAckedHeartbeat > replaceAfter && (silent == nil || m.SinceAckedHeartbeat > silent.SinceAckedHeartbeat) {
-			silent = m
-		}
-	}
-	for i := range s.Members {
-		m := &s.Members[i]
-		switch {
-		case m.Voter:
-			continue
-		case m.SinceAckedHeartbeat > dropLearnerAfter:
-			return &schema.MemberChange{Action: string(ledger.Remove), Replica: m.ID.String()}
-		case m.SinceAckedHeartbeat > rejoinAfter || m.EntriesBehind > keepEntries:
-			continue
-		}
-		old := hosts[m.ID.Host]
-		switch {
-		case old != nil:
-			return &schema.MemberChange{Action: string(ledger.Replace), Replica: m.ID.String(), OldReplica: old.ID.String()}
-		case voters < required:
-			return &schema.MemberChange{Action: string(ledger.Promote), Replica: m.ID.String()}
-		case silent != nil:
-			return &schema.MemberChange{Action: string(ledger.Replace), Replica: m.ID.String(), OldReplica: silent.ID.String()}
-		}
-	}
-	return nil
-}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -1,28 +1,14 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+	"turmericdrum.org/turmericdrum/pkg/serving/membership"
 )
 
-// MemberState is the state of one member, as known to the leader.
-type MemberState struct {
-	ID      serving.ReplicaID
-	Address string
-	Voter   bool
-	// SinceAckedHeartbeat is the time since this replica sent the newest heartbeat
-	// that the member acknowledged, or since its election if the member
-	// acknowledged none.
-	SinceAckedHeartbeat time.Duration
-	// Acked is true if the member has acknowledged a heartbeat of this leader.
-	Acked bool
-	// EntriesBehind is the number of committed entries that are not known to be
-	// durable on the member.
-	EntriesBehind uint64
-}
-
 // State is a summary of the status of a replica for code in the same process.
 type State struct {
 	Self    serving.ReplicaID
@@ -38,9 +24,8 @@
 	// SinceLeaderContact is the time since the last message from a leader, or since
 	// the start if there was none. It is 0 on the leader.
 	SinceLeaderContact time.Duration
-	// Members lists all members. Their SinceAckedHeartbeat and EntriesBehind are
-	// set on the leader only.
-	Members []MemberState
+	// Members lists all members.
+	Members []membership.Member
 	// Settled is true if no membership change is in progress.
 	Settled bool
 }
@@ -61,18 +46,8 @@
 	} else {
 		out.SinceLeaderContact = now - s.LastContact
 	}
-	for _, m := range s.Membership.Members {
-		member := MemberState{ID: m.ID, Address: m.Address, Voter: m.Voter}
-		if m.ID == s.Self {
-			out.IsMember = true
-		} else if out.Leading {
-			acked, ok := s.HeartbeatAcked[m.ID]
-			member.Acked = ok
-			member.SinceAckedHeartbeat = now - max(acked, s.ElectedAt)
-			member.EntriesBehind = uint64(s.Commit - min(s.Commit, s.Match[m.ID]))
-		}
-		out.Members = append(out.Members, member)
-	}
+	out.Members = membership.Members(&s.Status, now)
+	out.IsMember = slices.ContainsFunc(out.Members, func(m membership.Member) bool { return m.ID == s.Self })
 	return out
 }
 
@@ -86,13 +61,12 @@
 	return n
 }
 
-// Member returns the member with the given replica id in its wire form, or the zero
-// value if there is none.
-func (s State) Member(id string) MemberState {
+// Member returns the member with the given identity, or the zero value if there is none.
+func (s State) Member(id serving.ReplicaID) membership.Member {
 	for _, m := range s.Members {
-		if m.ID.String() == id {
+		if m.ID == id {
 			return m
 		}
 	}
-	return MemberState{}
+	return membership.Member{}
 }
--- /dev/null
+++ b/pkg/serving/membership/membership.go
@@ -0,0 +1,115 @@
+// Package membership decides how the leader of a replicated log completes and repairs
+// the set of voters. Together with the log of package ledger it decides how many losses
+// of disks a deployment survives: a host that lost its disk counts towards no quorum
+// until its new identity has replaced the old one.
+//
+// # Usage
+//
+// The driver of the leader asks at an interval for the next change, with the members as
+// the leader knows them, and proposes it if there is one:
+//
+//	p := membership.Policy{RequiredVoters: 5, MaxBehind: 32}
+//	if change := p.Next(status.Self, membership.Members(status, now)); change != nil {
+//		index, term, err := replica.ProposeMembers(now, *change)
+//	}
+//
+// Source: internal/hub runs the policy for the hubs of a deployment.
+package membership
+
+import (
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
+)
+
+const (
+	// PromoteWithin is how long a learner may be silent to be made a voter.
+	PromoteWithin = 2500 * time.Millisecond
+	// ReplaceAfter is how long a voter is silent before a learner of another host
+	// replaces it. It is longer than usual pauses and restarts, after which a voter
+	// needs no replacement.
+	ReplaceAfter = 6 * time.Second
+	// DropLearnerAfter is how long a learner is silent before it is removed.
+	DropLearnerAfter = 15 * time.Second
+)
+
+// Member is one member as known to the leader.
+type Member struct {
+	ledger.Member
+	// SinceAckedHeartbeat is the time since this replica sent the newest heartbeat
+	// that the member acknowledged, or since its election if the member
+	// acknowledged none. It is 0 for the leader itself, and on other replicas.
+	SinceAckedHeartbeat time.Duration
+	// Acked is true if the member has acknowledged a heartbeat of this leader.
+	Acked bool
+	// EntriesBehind is the number of committed entries that are not known to be
+	// durable on the member. It is 0 on replicas that do not lead.
+	EntriesBehind uint64
+}
+
+// Members returns the members in the status of a replica at time now.
+func Members(s *ledger.Status, now time.Duration) []Member {
+	var out []Member
+	for _, m := range s.Membership.Members {
+		member := Member{Member: m}
+		if s.Role == ledger.Leader && m.ID != s.Self {
+			acked, ok := s.HeartbeatAcked[m.ID]
+			member.Acked = ok
+			member.SinceAckedHeartbeat = now - max(acked, s.ElectedAt)
+			member.EntriesBehind = uint64(s.Commit - min(s.Commit, s.Match[m.ID]))
+		}
+		out = append(out, member)
+	}
+	return out
+}
+
+// Policy decides which membership change is due. A member is silent while it
+// acknowledges no heartbeat of this leader.
+type Policy struct {
+	// RequiredVoters is the number of voters up to which learners are promoted.
+	RequiredVoters int
+	// MaxBehind is the number of entries that a learner may lack to be made a voter.
+	MaxBehind uint64
+}
+
+// Next returns the next membership change, or nil if none is due. A learner that is up
+// to date replaces a voter of the same host, whose data is lost. Otherwise it is
+// promoted if there are fewer voters than required, or else replaces the voter that has
+// been silent for longest, if that is longer than ReplaceAfter.
+func (p *Policy) Next(self serving.ReplicaID, members []Member) *ledger.MemberChange {
+	voters, silent := 0, (*Member)(nil)
+	hosts := map[serving.HostID]*Member{}
+	for i := range members {
+		m := &members[i]
+		if !m.Voter {
+			continue
+		}
+		voters++
+		hosts[m.ID.Host] = m
+		if m.ID != self && m.SinceAckedHeartbeat > ReplaceAfter && (silent == nil || m.SinceAckedHeartbeat > silent.SinceAckedHeartbeat) {
+			silent = m
+		}
+	}
+	for i := range members {
+		m := &members[i]
+		switch {
+		case m.Voter:
+			continue
+		case m.SinceAckedHeartbeat > DropLearnerAfter:
+			return &ledger.MemberChange{Action: ledger.Remove, Replica: m.ID}
+		case m.SinceAckedHeartbeat > PromoteWithin || m.EntriesBehind > p.MaxBehind:
+			continue
+		}
+		old := hosts[m.ID.Host]
+		switch {
+		case old != nil:
+			return &ledger.MemberChange{Action: ledger.Replace, Replica: m.ID, Old: old.ID}
+		case voters < p.RequiredVoters:
+			return &ledger.MemberChange{Action: ledger.Promote, Replica: m.ID}
+		case silent != nil:
+			return &ledger.MemberChange{Action: ledger.Replace, Replica: m.ID, Old: silent.ID}
+		}
+	}
+	return nil
+}
