Count a new learner's silence from its addition, not from the election

Cause: the age of a member that had acknowledged no heartbeat was taken from the leader's election, as if it had been silent all that time. A leader in office for more than 15 s therefore took each new learner for silent and removed it at its next check, 60 to 100 ms after its addition, unless the first acknowledgement came before that check. Checks and heartbeats have the same interval, so that the same learner could lose the race again and again; and a removed learner asks again only after 2.5 s without a leader. The lost identities stayed voters, and the next two losses left two of five.

Class of fault: a missing observation counted as an old one. Looked for elsewhere: internal/control waits for a full timeout after the leader's election before it drops an entry; internal/hub/peers.go counts from the addition; presence, engine.Directory and internal/entry start their ages at the first observation. No further place was found.

Evidence: the log now names the values: in 20 of 20 removals looked at, acked=false and silent equal to the time in office (40.1 s to 43.5 s).

Why this works: a progress record now holds the time since which the leader sends heartbeats to the member, the election or the addition, and the age is counted from it while nothing was acknowledged. A learner has 15 s again to acknowledge its first.

Tests of ledger, membership, hub and replica pass.

--- a/internal/hub/members.go
+++ b/internal/hub/members.go
@@ -118,7 +118,7 @@
 		membershipChanges.Add(change.GetAction(), 1)
 		m := s.Member(next.Replica)
 		klog.InfoS("Membership change requested", "action", change.GetAction(), "replica", change.GetReplica(), "old", change.GetOldReplica(),
-			"silent", m.SinceAckedHeartbeat, "acked", m.Acked, "behind", m.EntriesBehind, "leading", s.SinceElection,
+			"silent", m.SinceContact, "acked", m.Acked, "behind", m.EntriesBehind, "leading", s.SinceElection,
 			"voters", s.Voters(), "required", h.requiredVoters(), "took", h.Clock.Now()-start,
 			"accepted", res.GetAccepted(), "message", res.GetMessage(), "err", err)
 	})
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -20,7 +20,7 @@
 func recordMembership(s replica.State, required int) {
 	silent := 0
 	for _, m := range s.Members {
-		if m.Voter && m.SinceAckedHeartbeat > rejoinAfter {
+		if m.Voter && m.SinceContact > rejoinAfter {
 			silent++
 		}
 	}
--- a/pkg/serving/ledger/election.go
+++ b/pkg/serving/ledger/election.go
@@ -116,7 +116,7 @@
 	r.promotionBarriers = map[serving.ReplicaID]Index{}
 	r.rounds = map[uint64]time.Duration{}
 	r.round, r.electedAt, r.quorumUntil = 0, now, 0
-	r.syncProgress(r.log.last() + 1)
+	r.addProgress(now, r.log.last()+1)
 	r.appendEntry(EntryEmpty, nil)
 	r.broadcastHeartbeat(now)
 	r.broadcastAppend()
--- a/pkg/serving/ledger/membership.go
+++ b/pkg/serving/ledger/membership.go
@@ -262,6 +262,7 @@
 		next.OldVoters = nil
 	}
 	e := r.appendEntry(EntryMembers, next.Encode())
+	r.addProgress(now, e.Index)
 	r.broadcastAppend()
 	return e.Index, e.Term, nil
 }
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -318,12 +318,10 @@
 	if r.role == Leader {
 		s.LeaseUntil, s.ElectedAt = r.leaseUntil(), r.electedAt
 		s.Match = map[serving.ReplicaID]Index{r.cfg.Self: r.stable}
-		s.HeartbeatAcked = make(map[serving.ReplicaID]time.Duration, len(r.progress))
+		s.Contacts = make(map[serving.ReplicaID]Contact, len(r.progress))
 		for id, p := range r.progress {
 			s.Match[id] = p.match
-			if p.hasAcked {
-				s.HeartbeatAcked[id] = p.ackedSentAt
-			}
+			s.Contacts[id] = p.contact()
 		}
 	}
 	return s
--- a/pkg/serving/ledger/replication.go
+++ b/pkg/serving/ledger/replication.go
@@ -24,6 +24,8 @@
 	// acknowledged. It is valid if hasAcked is set.
 	ackedSentAt time.Duration
 	hasAcked    bool
+	// addedAt is the time since which the leader sends heartbeats to the member.
+	addedAt time.Duration
 	// pendingSnapshot is the snapshot being sent, nil if there is none. The member
 	// has received offset bytes of it.
 	pendingSnapshot *Snapshot
@@ -52,18 +54,27 @@
 	p.probing, p.paused, p.inFlightAtHeartbeat = true, false, false
 }
 
-// syncProgress adds and removes progress records according to the membership.
-// Probing of a new member starts at index next.
-func (r *Replica) syncProgress(next Index) {
-	current := map[serving.ReplicaID]bool{}
+func (p *progress) contact() Contact {
+	if !p.hasAcked {
+		return Contact{Since: p.addedAt}
+	}
+	return Contact{Since: p.ackedSentAt, Acked: true}
+}
+
+// addProgress adds progress records for the members that have none, which are new at
+// time now. Probing of them starts at index next.
+func (r *Replica) addProgress(now time.Duration, next Index) {
 	r.eachPeer(func(m Member) {
-		current[m.ID] = true
 		if r.progress[m.ID] == nil {
-			r.progress[m.ID] = &progress{next: next, probing: true}
+			r.progress[m.ID] = &progress{next: next, probing: true, addedAt: now}
 		}
 	})
+}
+
+// removeProgress removes the progress records of former members.
+func (r *Replica) removeProgress() {
 	for id := range r.progress {
-		if !current[id] {
+		if _, ok := r.Membership().Find(id); !ok {
 			delete(r.progress, id)
 		}
 	}
@@ -73,7 +84,7 @@
 	e := Entry{Index: r.log.last() + 1, Term: r.hard.Term, Type: t, Data: data}
 	r.appendLog([]Entry{e})
 	if t == EntryMembers {
-		r.syncProgress(e.Index)
+		r.removeProgress()
 		r.quorumUntil = 0
 	}
 	return e
--- a/pkg/serving/ledger/types.go
+++ b/pkg/serving/ledger/types.go
@@ -115,10 +115,8 @@
 	MembershipCommitted bool
 	// Match holds, on the leader, the last index known to be durable on each member.
 	Match map[serving.ReplicaID]Index
-	// HeartbeatAcked holds, on the leader, the send time of the newest heartbeat that
-	// each other member acknowledged in this term. Members that acknowledged none
-	// are absent.
-	HeartbeatAcked map[serving.ReplicaID]time.Duration
+	// Contacts holds, on the leader, the contact with each other member in this term.
+	Contacts map[serving.ReplicaID]Contact
 	// ElectedAt is, on the leader, the time at which it won its election.
 	ElectedAt time.Duration
 	// LastContact is the time of the last message from a leader, or the start time of
@@ -128,6 +126,16 @@
 	LeaseUntil time.Duration
 }
 
+// Contact is the leader's contact with one other member.
+type Contact struct {
+	// Since is the send time of the newest heartbeat that the member acknowledged. If
+	// it acknowledged none, it is the time since which the leader sends heartbeats to
+	// it: that of its election, or that at which the member was added.
+	Since time.Duration
+	// Acked is true if the member has acknowledged a heartbeat.
+	Acked bool
+}
+
 // MessageType is the type of a message between replicas.
 type MessageType uint8
 
--- a/pkg/serving/membership/membership.go
+++ b/pkg/serving/membership/membership.go
@@ -37,10 +37,11 @@
 // Member is one member as known to the leader.
 type Member struct {
 	ledger.Member
-	// SinceAckedHeartbeat is the time since this replica sent the newest heartbeat
-	// that the member acknowledged, or since its election if the member
-	// acknowledged none. It is 0 for the leader itself, and on other replicas.
-	SinceAckedHeartbeat time.Duration
+	// SinceContact is how long the leader has sent heartbeats without an
+	// acknowledgement: since it sent the newest one that the member acknowledged or, if
+	// there is none, since its election or the addition of the member, whichever is
+	// later. It is 0 for the leader itself, and on other replicas.
+	SinceContact time.Duration
 	// Acked is true if the member has acknowledged a heartbeat of this leader.
 	Acked bool
 	// EntriesBehind is the number of committed entries that are not known to be
@@ -54,9 +55,8 @@
 	for _, m := range s.Membership.Members {
 		member := Member{Member: m}
 		if s.Role == ledger.Leader && m.ID != s.Self {
-			acked, ok := s.HeartbeatAcked[m.ID]
-			member.Acked = ok
-			member.SinceAckedHeartbeat = now - max(acked, s.ElectedAt)
+			contact := s.Contacts[m.ID]
+			member.SinceContact, member.Acked = now-contact.Since, contact.Acked
 			member.EntriesBehind = uint64(s.Commit - min(s.Commit, s.Match[m.ID]))
 		}
 		out = append(out, member)
@@ -87,7 +87,7 @@
 		}
 		voters++
 		hosts[m.ID.Host] = m
-		if m.ID != self && m.SinceAckedHeartbeat > ReplaceAfter && (silent == nil || m.SinceAckedHeartbeat > silent.SinceAckedHeartbeat) {
+		if m.ID != self && m.SinceContact > ReplaceAfter && (silent == nil || m.SinceContact > silent.SinceContact) {
 			silent = m
 		}
 	}
@@ -96,9 +96,9 @@
 		switch {
 		case m.Voter:
 			continue
-		case m.SinceAckedHeartbeat > DropLearnerAfter:
+		case m.SinceContact > DropLearnerAfter:
 			return &ledger.MemberChange{Action: ledger.Remove, Replica: m.ID}
-		case m.SinceAckedHeartbeat > PromoteWithin || m.EntriesBehind > p.MaxBehind:
+		case m.SinceContact > PromoteWithin || m.EntriesBehind > p.MaxBehind:
 			continue
 		}
 		old := hosts[m.ID.Host]
--- a/pkg/serving/membership/membership_test.go
+++ b/pkg/serving/membership/membership_test.go
@@ -15,7 +15,7 @@
 
 func member(host, incarnation string, voter bool, silent time.Duration) membership.Member {
 	id := serving.ReplicaID{Host: serving.HostID(host), Incarnation: incarnation}
-	return membership.Member{Member: ledger.Member{ID: id, Address: "http://" + host + ":1", Voter: voter}, SinceAckedHeartbeat: silent, Acked: true}
+	return membership.Member{Member: ledger.Member{ID: id, Address: "http://" + host + ":1", Voter: voter}, SinceContact: silent, Acked: true}
 }
 
 func TestNextChange(t *testing.T) {
