Promote learners in contact before those that fell silent

Cause: the first learner in the order of the membership was chosen, with or without an acknowledged heartbeat, and the leader repeats a refused promotion for 2 s. A silent learner blocked the others for up to 2.5 s + 2 s.

Why this works: only learners that acknowledged a heartbeat are promoted, those with the newest contact first; silent ones are removed only when nothing else is due. One attempt of 2 s at most is lost, after which the learner in contact is preferred.

--- a/pkg/serving/membership/membership.go
+++ b/pkg/serving/membership/membership.go
@@ -17,6 +17,8 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -73,16 +75,20 @@
 	MaxBehind uint64
 }
 
-// Next returns the next membership change, or nil if none is due. A learner that is up
-// to date replaces a voter of the same host, whose data is lost. Otherwise it is
+// Next returns the next membership change, or nil if none is due. Learners in contact
+// come first, so that one that falls silent does not delay the others. A learner that is
+// up to date replaces a voter of the same host, whose data is lost. Otherwise it is
 // promoted if there are fewer voters than required, or else replaces the voter that has
-// been silent for longest, if that is longer than ReplaceAfter.
+// been silent for longest, if that is longer than ReplaceAfter. Learners that have been
+// silent for longer than DropLearnerAfter are removed last.
 func (p *Policy) Next(self serving.ReplicaID, members []Member) *ledger.MemberChange {
 	voters, silent := 0, (*Member)(nil)
 	hosts := map[serving.HostID]*Member{}
+	var learners []*Member
 	for i := range members {
 		m := &members[i]
 		if !m.Voter {
+			learners = append(learners, m)
 			continue
 		}
 		voters++
@@ -91,14 +97,9 @@
 			silent = m
 		}
 	}
-	for i := range members {
-		m := &members[i]
-		switch {
-		case m.Voter:
-			continue
-		case m.SinceContact > DropLearnerAfter:
-			return &ledger.MemberChange{Action: ledger.Remove, Replica: m.ID}
-		case m.SinceContact > PromoteWithin || m.EntriesBehind > p.MaxBehind:
+	slices.SortStableFunc(learners, func(a, b *Member) int { return cmp.Compare(a.SinceContact, b.SinceContact) })
+	for _, m := range learners {
+		if !m.Acked || m.SinceContact > PromoteWithin || m.EntriesBehind > p.MaxBehind {
 			continue
 		}
 		old := hosts[m.ID.Host]
@@ -111,5 +112,10 @@
 			return &ledger.MemberChange{Action: ledger.Replace, Replica: m.ID, Old: silent.ID}
 		}
 	}
+	for _, m := range learners {
+		if m.SinceContact > DropLearnerAfter {
+			return &ledger.MemberChange{Action: ledger.Remove, Replica: m.ID}
+		}
+	}
 	return nil
 }
--- a/pkg/serving/membership/membership_test.go
+++ b/pkg/serving/membership/membership_test.go
@@ -26,6 +26,8 @@
 	}
 	behind := member("d", "1", false, 0)
 	behind.EntriesBehind = maxBehind + 1
+	unacked, older := member("d", "1", false, 0), member("d", "1", false, time.Second)
+	unacked.Acked = false
 	for _, tc := range []struct {
 		name     string
 		members  []membership.Member
@@ -37,6 +39,9 @@
 		{"complete", voters, 3, "", "", ""},
 		{"first start: promote up to five", with(member("d", "1", false, 0)), 5, "promote", "d/1", ""},
 		{"a learner that lacks entries is not promoted", with(behind), 5, "", "", ""},
+		{"a learner that acknowledged no heartbeat is not promoted", with(unacked), 5, "", "", ""},
+		{"the learner with the newest contact comes first", with(older, member("e", "1", false, 0)), 5, "promote", "e/1", ""},
+		{"a silent learner is removed after others were promoted", with(member("d", "1", false, membership.DropLearnerAfter+time.Second), member("e", "1", false, 0)), 5, "promote", "e/1", ""},
 		{"a host that lost its disk", with(member("b", "2", false, 0)), 3, "replace", "b/2", "b/1"},
 		{"a host that lost its disk, voters missing", with(member("b", "2", false, 0)), 5, "replace", "b/2", "b/1"},
 		{"a spare learner waits while all voters respond", with(member("d", "1", false, 0)), 3, "", "", ""},
--- a/pkg/serving/membership/repair_test.go
+++ b/pkg/serving/membership/repair_test.go
@@ -18,6 +18,9 @@
 	tickInterval  = 20 * time.Millisecond
 	checkInterval = 100 * time.Millisecond
 	joinInterval  = 200 * time.Millisecond
+	// changeTimeout is how long the leader repeats a change that the log refuses for the
+	// moment. No other change is requested meanwhile.
+	changeTimeout = 2 * time.Second
 	// repairTime is how long after its return a host that lost its disk counts as lost.
 	// The next disks may be lost right after it.
 	repairTime = 4 * time.Second
@@ -35,7 +38,10 @@
 	checkPhase time.Duration
 	// silent holds replicas that receive nothing.
 	silent map[serving.ReplicaID]bool
-	log    []string
+	// change is the change that the leader repeats until changeUntil, nil if there is none.
+	change      *ledger.MemberChange
+	changeUntil time.Duration
+	log         []string
 }
 
 type delivery struct {
@@ -128,12 +134,15 @@
 	}
 	status := leader.Status()
 	members := membership.Members(&status, s.now)
-	if (s.now-status.ElectedAt)%checkInterval == s.checkPhase && status.MembershipCommitted && !status.Membership.Joint() {
+	if s.change == nil && (s.now-status.ElectedAt)%checkInterval == s.checkPhase && status.MembershipCommitted && !status.Membership.Joint() {
 		p := membership.Policy{RequiredVoters: 5, MaxBehind: maxBehind}
-		if change := p.Next(status.Self, members); change != nil {
-			if _, _, err := leader.ProposeMembers(s.now, *change); err == nil {
-				s.log = append(s.log, fmt.Sprintf("%v %s %s", s.now, change.Action, change.Replica))
-			}
+		s.change, s.changeUntil = p.Next(status.Self, members), s.now+changeTimeout
+	}
+	if s.change != nil && (s.now-status.ElectedAt)%ledger.DefaultHeartbeat == s.checkPhase {
+		_, _, err := leader.ProposeMembers(s.now, *s.change)
+		if err == nil || s.now >= s.changeUntil {
+			s.log = append(s.log, fmt.Sprintf("%v %s %s: %v", s.now, s.change.Action, s.change.Replica, err))
+			s.change = nil
 		}
 	}
 	if s.now%joinInterval != 0 {
@@ -185,3 +194,29 @@
 		}
 	}
 }
+
+// Guards against a learner that falls silent after it was added and that the leader
+// tries to promote again and again, while another learner in contact waits.
+func TestSilentLearnerDoesNotDelayOthers(t *testing.T) {
+	for _, silentAfter := range []time.Duration{0, 2 * linkDelay, 150 * time.Millisecond} {
+		for phase := time.Duration(0); phase < checkInterval; phase += 10 * time.Millisecond {
+			t.Run(fmt.Sprintf("silent after %v, checks at %v", silentAfter, phase), func(t *testing.T) {
+				s := newSimulation(t, 5, phase)
+				s.run(20 * time.Second)
+				self := s.leader().Status().Self
+				var lost []serving.ReplicaID
+				for i := range 5 {
+					if id := replicaID(i, "initial"); id != self && len(lost) < 2 {
+						lost = append(lost, s.loseDisk(id, "second"))
+					}
+				}
+				_, _, err := s.leader().ProposeMembers(s.now, ledger.MemberChange{Action: ledger.AddLearner, Replica: lost[0], Address: "h"})
+				assert.NilError(t, err)
+				s.run(silentAfter)
+				s.silent[lost[0]] = true
+				s.run(repairTime - silentAfter)
+				assert.Assert(t, s.isVoter(lost[1]), "%s is no voter %v after its return: %v", lost[1], repairTime, s.log)
+			})
+		}
+	}
+}
