--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -201,11 +201,20 @@
 		r.log("Caller disconnected", "events", r.events, "moved", r.moveCount)
 	} else {
 		streamsLost.Add(1)
-		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "err", err)
+		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "engine_started", r.ticket.Started, "parts", partNames(r.Parts), "err", err)
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// partNames returns the hashes of prompt parts in hexadecimal, as callers send them.
+func partNames(parts []serving.PromptPart) []string {
+	out := make([]string, len(parts))
+	for i, part := range parts {
+		out[i] = strconv.FormatUint(part.Hash, 16)
+	}
+	return out
+}
+
 // forwardEvents forwards the events of one engine's answer. It returns nil at the
 // regular end of the stream.
 func (r *relay) forwardEvents(control *http.ResponseController) error {
