Block prompts with parts that crash engines

What callers saw: requests with one prompt part crashed engine after engine, and every stream at these engines was cut.

Cause: a crash counted only against the engine. Nothing compared what the calls that were lost with their engines had in common, so that the next call with the part went to the next healthy engine, from whichever entry.

Change: entries report calls whose engine ended the connection before the answer had begun, hubs collect them from all entries, and the leader blocks, through the log, the parts that explain them. A part is blocked after two losses at different times with different engines if no answer ever began with it, and after five otherwise; a heartbeat of the same start of the engine refutes a loss; calls that waited at an engine that a blocked call crashed are explained by it; parts that only occur together are blocked together. Every entry refuses a blocked call at once with 503 and a Retry-After of a minute, also after it has waited for an engine. Blocks are part of the deployment state, so they outlive restarts and are the same for an entry that has just started; they end after ten minutes, and there are 64 at most.

Why this works: the rule counts all entries together, and so does the evidence; a part that crashes engines is in every loss and never in an answer that began, which holds for no other part for long.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 )
@@ -169,6 +170,7 @@
 type view struct {
 	revision uint64
 	table    *routing.Table
+	blocks   *quarantine.Blocklist
 }
 
 // blackboard is the state that the parts of an entry share. mu guards all fields but
@@ -176,9 +178,13 @@
 type blackboard struct {
 	view atomic.Pointer[view]
 
-	mu        sync.Mutex
-	pool      placement.Pool
-	lengths   placement.Lengths
+	mu      sync.Mutex
+	pool    placement.Pool
+	lengths placement.Lengths
+	// outcomes records which prompt parts answers began with or were lost with, and
+	// suspects are the parts of which the hub wants to know.
+	outcomes  quarantine.Observer
+	suspects  []quarantine.Part
 	waitQueue waitQueue
 	// streams holds the streams in progress by engine.
 	streams map[serving.EngineID]map[*relay]bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	hubPolls            = expvar.NewInt("hub_polls")
 	moves               = expvar.NewMap("streams_moved")
 	streamsLost         = expvar.NewInt("streams_lost")
+	lostBeforeAnswer    = expvar.NewInt("calls_lost_before_answer")
 	answerTimes         = newHistogram("answer_ms")
 	firstEventTimes     = newHistogram("first_event_ms")
 	eventPauses         = newHistogram("event_pause_ms")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 )
 
@@ -29,6 +30,8 @@
 	w http.ResponseWriter
 	*serving.Call
 	*routing.Decision
+	// shared holds the parts of the prompt that other prompts may have.
+	shared []quarantine.Part
 	// arrivedAt is when the header of the request had been read. deadline is when the
 	// caller's or the route's timeout expires, whichever is first.
 	arrivedAt, deadline time.Duration
@@ -60,11 +63,15 @@
 		g.Dialect.Refuse(w, nil, serving.AsError(err))
 		return
 	}
-	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context()}
+	j := &job{g: g, w: w, Call: call, shared: quarantine.Shareable(call.Parts), arrivedAt: arrivedAt, ctx: r.Context()}
 	if err := j.decide(); err != nil {
 		j.refuse(err)
 		return
 	}
+	if err := j.checkPrompt(); err != nil {
+		j.refuse(err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), j.deadline-arrivedAt)
 	defer cancel()
 	j.ctx = ctx
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -73,6 +74,12 @@
 			r.refuse(err)
 			return false
 		}
+		if err := r.checkPrompt(); err != nil {
+			// The prompt was blocked while the call waited for an engine.
+			r.g.endTicket(ticket, placement.Abandoned, 0)
+			r.refuse(err)
+			return false
+		}
 		r.engine, r.sentAt, r.useBefore = ticket.Engine, r.g.Clock.Now(), ticket.Before()
 		r.fitting, r.full = ticket.Fitting, ticket.Full
 		r.attach(ticket)
@@ -99,7 +106,11 @@
 func (r *relay) readFailedStart(t *placement.Ticket, x *upstream.Exchange, err error) attemptResult {
 	if err != nil {
 		e := serving.AsError(err)
-		r.g.endTicket(t, sendFailureOutcome(r.ctx, e), 0)
+		outcome := sendFailureOutcome(r.ctx, e)
+		r.g.endTicket(t, outcome, 0)
+		if r.ctx.Err() == nil && outcome == placement.Broken {
+			r.recordLost(t)
+		}
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
 	res := readAnswer(x)
@@ -189,6 +200,9 @@
 		}
 		r.outcome = placement.Broken
 		if !r.resumeAfterMove(err) {
+			if r.moveCount == 0 && !hasBegun(r.events) {
+				r.recordLost(r.ticket)
+			}
 			r.abort(err)
 		}
 	}
@@ -201,20 +215,11 @@
 		r.log("Caller disconnected", "events", r.events, "moved", r.moveCount)
 	} else {
 		streamsLost.Add(1)
-		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "engine_started", r.ticket.Started, "parts", partNames(r.Parts), "err", err)
+		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "err", err)
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// partNames returns the hashes of prompt parts in hexadecimal, as callers send them.
-func partNames(parts []serving.PromptPart) []string {
-	out := make([]string, len(parts))
-	for i, part := range parts {
-		out[i] = strconv.FormatUint(part.Hash, 16)
-	}
-	return out
-}
-
 // forwardEvents forwards the events of one engine's answer. It returns nil at the
 // regular end of the stream.
 func (r *relay) forwardEvents(control *http.ResponseController) error {
@@ -302,6 +307,9 @@
 	if first {
 		r.ticket.FirstEvent()
 	}
+	if r.events == quarantine.SoundEvents {
+		r.recordSound()
+	}
 	r.ticket.Progress(perEvent, r.PromptTokens+generated+r.growth(generated))
 	return true
 }
@@ -334,6 +342,11 @@
 	r.exchange.Close(r.outcome == placement.OK)
 	r.g.endTicket(r.ticket, r.outcome, r.tokenTime())
 	if r.outcome == placement.OK {
+		if r.events > 0 && !hasBegun(r.events) {
+			r.g.board.mu.Lock()
+			r.recordSound()
+			r.g.board.mu.Unlock()
+		}
 		answered.Add("stream", 1)
 		answerTimes.observe(r.g.Clock.Now() - r.arrivedAt)
 		r.log("Stream answered", "events", r.events, "moved", r.moveCount, "waited", r.sentAt-r.arrivedAt,
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -14,6 +14,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -196,6 +197,7 @@
 	for i := range own {
 		in.Uses = append(in.Uses, own[i].ToWire())
 	}
+	in.LostCalls, in.SoundParts = w.ownOutcomes()
 	res, err := h.client.Watch(ctx, in)
 	if err != nil {
 		return serving.WrapError(err, serving.KindNoQuorum, "poll the hub")
@@ -218,6 +220,16 @@
 	return w.g.board.pool.OwnUse(w.g.Clock.Now())
 }
 
+// ownOutcomes returns the calls that this entry lost with their engines, and the suspects
+// with which answers have begun here.
+func (w *watcher) ownOutcomes() ([]*schema.LostCall, []*schema.SoundPart) {
+	b := &w.g.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := w.g.Clock.Now()
+	return quarantine.LostToWire(now, b.outcomes.Report(now)), quarantine.SoundToWire(now, b.outcomes.SoundAmong(b.suspects))
+}
+
 // applyState applies the deployment state of an answer if it is newer than the current
 // one. Older states are ignored, so nothing reverts while the process runs.
 func (w *watcher) applyState(res *schema.WatchResult) {
@@ -236,10 +248,10 @@
 	}
 	w.g.board.mu.Lock()
 	w.g.board.pool.SetOutOfService(state.GetOut())
-	w.g.board.view.Store(&view{revision: state.GetRevision(), table: table})
+	w.g.board.view.Store(&view{revision: state.GetRevision(), table: table, blocks: quarantine.BlocksFromWire(state.GetBlocks())})
 	w.g.board.placeWaiting(w.g.Clock.Now())
 	w.g.board.mu.Unlock()
-	klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", table.Config.Version, "out", state.GetOut())
+	klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", table.Config.Version, "out", state.GetOut(), "blocks", len(state.GetBlocks()))
 }
 
 // table returns the routing table of a state. It reuses the table of the old view if
@@ -286,6 +298,7 @@
 		w.removeUnlisted(listed)
 	}
 	b.pool.SetOtherUse(withoutOwn(usage.FromWire(res.GetUses()), own), int(res.GetEntries()))
+	b.suspects = quarantine.PartsFromWire(res.GetSuspects())
 	b.placeWaiting(now)
 	for _, id := range leaving {
 		klog.InfoS("Engine leaving", "engine", id, "streams", len(b.streams[id]))
--- a/internal/hub/engines.go
+++ b/internal/hub/engines.go
@@ -22,6 +22,7 @@
 	now := h.Clock.Now()
 	r.LastHeartbeat = now
 	changed := h.directory.Observe(now, r)
+	h.evidence.Alive(r.Engine, r.Started, now)
 	h.lastDirect[r.Engine] = now
 	if changed {
 		h.notify()
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -18,6 +18,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/journal"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -92,6 +93,10 @@
 	remote *usage.Table
 	peers  map[string]*peer
 	placer placer
+	// evidence holds the calls that were lost with their engines.
+	evidence quarantine.Evidence
+	// blocks are the blocked prompts of state.
+	blocks *quarantine.Blocklist
 	// state is the latest deployment state that was published. It is never modified.
 	state *schema.DeploymentState
 	// changed is closed, and replaced by a new channel, on a change that is sent to
@@ -120,6 +125,7 @@
 	g.Go(func() error { h.join(ctx); return nil })
 	g.Go(func() error { h.managePeers(ctx); return nil })
 	g.Go(func() error { h.manageMembers(ctx); return nil })
+	g.Go(func() error { h.manageBlocks(ctx); return nil })
 	if h.Metrics != nil && h.MetricsListen != "" {
 		l, err := net.Listen("tcp", h.MetricsListen)
 		if err != nil {
@@ -211,8 +217,9 @@
 		h.mu.Lock()
 		if state.GetRevision() > h.state.GetRevision() {
 			h.state = state
+			h.blocks = quarantine.BlocksFromWire(state.GetBlocks())
 			h.notify()
-			klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", state.GetConfig().GetVersion(), "out", state.GetOut())
+			klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", state.GetConfig().GetVersion(), "out", state.GetOut(), "blocks", len(state.GetBlocks()))
 		}
 		h.mu.Unlock()
 		select {
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -6,14 +6,16 @@
 	"turmericdrum.org/turmericdrum/internal/replica"
 )
 
-// Metrics of the membership, as known to this hub. Only the leader's silentVoters is
-// meaningful; it is 0 elsewhere.
+// Metrics of the membership and of blocked prompts, as known to this hub. silentVoters is 0
+// unless the hub leads.
 var (
 	knownVoters       = expvar.NewInt("control_voters")
 	neededVoters      = expvar.NewInt("control_voters_required")
 	knownLearners     = expvar.NewInt("control_learners")
 	silentVoters      = expvar.NewInt("control_voters_silent")
 	membershipChanges = expvar.NewMap("control_membership_changes")
+	blockedPrompts    = expvar.NewInt("prompts_blocked")
+	suspectParts      = expvar.NewInt("prompt_parts_suspected")
 )
 
 // recordMembership updates the metrics of the membership.
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -10,6 +10,7 @@
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -154,6 +155,8 @@
 		out.Uses = append(out.Uses, u.ToWire())
 	}
 	out.Entries = int32(n)
+	lost, sound := h.evidence.Direct(now)
+	out.LostCalls, out.SoundParts = quarantine.LostToWire(now, lost), quarantine.SoundToWire(now, sound)
 	return out, h.directory.Cursor()
 }
 
@@ -168,10 +171,13 @@
 	}
 	changed := false
 	for _, m := range in.GetEngines() {
-		if h.directory.Observe(now, presence.FromWire(now, m)) {
+		r := presence.FromWire(now, m)
+		h.evidence.Alive(r.Engine, r.Started, r.LastHeartbeat)
+		if h.directory.Observe(now, r) {
 			changed = true
 		}
 	}
+	h.collect(now, in.GetLostCalls(), in.GetSoundParts(), false)
 	if changed {
 		h.notify()
 	}
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -6,6 +6,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -23,7 +24,9 @@
 // and otherwise after a change or when the wait that the entry asked for is over.
 func (h *Hub) Watch(ctx context.Context, in *schema.WatchRequest) (*schema.WatchResult, error) {
 	h.mu.Lock()
-	h.local.Report(h.Clock.Now(), in.GetEntry(), usage.FromWire(in.GetUses()))
+	now := h.Clock.Now()
+	h.local.Report(now, in.GetEntry(), usage.FromWire(in.GetUses()))
+	h.collect(now, in.GetLostCalls(), in.GetSoundParts(), true)
 	if !h.hasUpdates(in) {
 		changed := h.changed
 		h.mu.Unlock()
@@ -83,6 +86,7 @@
 	}
 	out.Entries = int32(n)
 	out.Hubs = h.reachableHubs(now)
+	out.Suspects = quarantine.PartsToWire(h.evidence.Suspects(now, h.blocks))
 	return out
 }
 
--- a/pkg/serving/deployment/deployment_test.go
+++ b/pkg/serving/deployment/deployment_test.go
@@ -9,6 +9,7 @@
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
 func TestHighestVersionWins(t *testing.T) {
@@ -56,6 +57,44 @@
 	}
 }
 
+// Guards against blocks that are lost or counted twice when their command is resent, and
+// against a list of blocks that grows without bound.
+func TestBlockPrompt(t *testing.T) {
+	block := func(parts ...quarantine.Part) []byte { return deployment.BlockPrompt(quarantine.NewBlock(parts)) }
+	unblock := func(parts ...quarantine.Part) []byte {
+		return deployment.UnblockPrompt(quarantine.NewBlock(parts))
+	}
+	many := [][]byte{}
+	for i := range deployment.MaxBlocks + 5 {
+		many = append(many, block(quarantine.Part(i+1)))
+	}
+	for _, tc := range []struct {
+		name     string
+		commands [][]byte
+		// blocks is the number of blocks afterwards, newest the last one.
+		blocks int
+		newest quarantine.Block
+	}{
+		{"one block", [][]byte{block(2, 1)}, 1, quarantine.Block{1, 2}},
+		{"resent", [][]byte{block(1, 2), block(2, 1)}, 1, quarantine.Block{1, 2}},
+		{"a narrower block replaces wider ones", [][]byte{block(1, 2), block(2, 3), block(2)}, 1, quarantine.Block{2}},
+		{"a wider block adds nothing", [][]byte{block(2), block(1, 2)}, 1, quarantine.Block{2}},
+		{"removed", [][]byte{block(1, 2), block(3), unblock(3), unblock(9)}, 1, quarantine.Block{1, 2}},
+		{"without parts", [][]byte{block(4), block()}, 1, quarantine.Block{4}},
+		{"more than the bound", many, deployment.MaxBlocks, quarantine.Block{deployment.MaxBlocks + 5}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := deployment.New()
+			for i, c := range tc.commands {
+				m.Apply(uint64(i+1), c)
+			}
+			blocks := quarantine.BlocksFromWire(m.State().GetBlocks()).Blocks()
+			assert.Equal(t, len(blocks), tc.blocks)
+			assert.DeepEqual(t, blocks[len(blocks)-1], tc.newest)
+		})
+	}
+}
+
 func TestSnapshotKeepsState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := deployment.New()
@@ -64,6 +103,7 @@
 				m.Apply(uint64(i+1), deployment.PutConfig(rapid.Uint64Range(0, 9).Draw(t, "version"), []byte("d")))
 				continue
 			}
+			m.Apply(uint64(i+1), deployment.BlockPrompt(quarantine.Block{quarantine.Part(rapid.Uint64Range(1, 5).Draw(t, "part"))}))
 			dc := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "data centre")
 			m.Apply(uint64(i+1), deployment.SetOutOfService("dc-x", true))
 			m.Apply(uint64(i+1), deployment.SetOutOfService(serving.DataCentreID(dc), rapid.Bool().Draw(t, "out")))
--- a/pkg/serving/deployment/machine.go
+++ b/pkg/serving/deployment/machine.go
@@ -1,6 +1,7 @@
 // Package deployment implements the replicated state of a deployment: the routing
-// configuration with the highest version, and the data centres that operators have
-// taken out of service. It is a state machine that applies the commands of the
+// configuration with the highest version, the data centres that operators have taken out
+// of service, and the prompts that are blocked because they crash engines. It is a state
+// machine that applies the commands of the
 // replicated log.
 //
 // # Usage
@@ -23,6 +24,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
 var _ serving.StateMachine = (*Machine)(nil)
@@ -54,6 +56,21 @@
 		DataCentre: &schema.DataCentreOrder{DataCentre: string(dc), Out: out}}})
 }
 
+// BlockPrompt returns the command that blocks the prompts with all parts of a block. It
+// replaces blocks of more parts that include these. Above MaxBlocks, the oldest block is
+// dropped.
+func BlockPrompt(b quarantine.Block) []byte {
+	return encode(&schema.DeploymentCommand{Command: &schema.DeploymentCommand_Block{Block: b.ToWire()}})
+}
+
+// UnblockPrompt returns the command that removes a block.
+func UnblockPrompt(b quarantine.Block) []byte {
+	return encode(&schema.DeploymentCommand{Command: &schema.DeploymentCommand_Unblock{Unblock: b.ToWire()}})
+}
+
+// MaxBlocks bounds the number of blocks.
+const MaxBlocks = 64
+
 func encode(m proto.Message) []byte {
 	// Marshal fails only for invalid UTF-8, and ids are validated when they are
 	// received.
@@ -84,7 +101,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	next := &schema.DeploymentState{Revision: index, Config: m.state.GetConfig(), Out: m.state.GetOut()}
+	next := &schema.DeploymentState{Revision: index, Config: m.state.GetConfig(), Out: m.state.GetOut(), Blocks: m.state.GetBlocks()}
 	switch c := c.GetCommand().(type) {
 	case *schema.DeploymentCommand_Config:
 		if c.Config.GetVersion() <= m.state.GetConfig().GetVersion() && m.state.GetConfig() != nil {
@@ -97,6 +114,18 @@
 			return nil
 		}
 		next.Out = out
+	case *schema.DeploymentCommand_Block:
+		blocks, changed := addBlock(m.state.GetBlocks(), c.Block)
+		if !changed {
+			return nil
+		}
+		next.Blocks = blocks
+	case *schema.DeploymentCommand_Unblock:
+		at := slices.IndexFunc(m.state.GetBlocks(), func(b *schema.PromptBlock) bool { return slices.Equal(b.GetParts(), c.Unblock.GetParts()) })
+		if at < 0 {
+			return nil
+		}
+		next.Blocks = slices.Delete(slices.Clone(m.state.GetBlocks()), at, at+1)
 	default:
 		return nil
 	}
@@ -125,6 +154,28 @@
 	}
 }
 
+// addBlock returns the blocks after a command, and reports whether they differ from
+// blocks, which is not modified.
+func addBlock(blocks []*schema.PromptBlock, added *schema.PromptBlock) ([]*schema.PromptBlock, bool) {
+	if len(added.GetParts()) == 0 {
+		return blocks, false
+	}
+	includes := func(b, part *schema.PromptBlock) bool {
+		for _, p := range part.GetParts() {
+			if !slices.Contains(b.GetParts(), p) {
+				return false
+			}
+		}
+		return true
+	}
+	if slices.ContainsFunc(blocks, func(b *schema.PromptBlock) bool { return includes(added, b) }) {
+		return blocks, false
+	}
+	out := slices.DeleteFunc(slices.Clone(blocks), func(b *schema.PromptBlock) bool { return includes(b, added) })
+	out = append(out, added)
+	return out[max(0, len(out)-MaxBlocks):], true
+}
+
 // Snapshot implements serving.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	b, err := proto.Marshal(m.State())
--- a/pkg/serving/errors.go
+++ b/pkg/serving/errors.go
@@ -39,6 +39,7 @@
 	KindDamaged          Kind = "damaged"
 	KindStorage          Kind = "storage_failed"
 	KindResumeTokenWrong Kind = "invalid_resume_token"
+	KindPromptBlocked    Kind = "prompt_blocked"
 	KindInternal         Kind = "internal"
 )
 
@@ -70,6 +71,7 @@
 	KindDamaged:          "restore the replica from its peers as OPERATIONS.md describes",
 	KindStorage:          "free space or replace the disk, then restart the replica",
 	KindResumeTokenWrong: "resume with the unmodified id of the last received event",
+	KindPromptBlocked:    "send a prompt without the blocked parts, or retry after the given time, when the block may have ended",
 	KindInternal:         "report the request id to the operators",
 }
 
