Abort a stream whose answer ends inside an event without framing

What callers could see: a stream that its engine broke off in the middle of an event, or before the first one, ended like a whole one, if the engine's answer had neither a length nor chunks.

Cause: the end of the connection is the regular end of such an answer, and the bytes after the last event were passed on with it.

Why this works: an answer without framing that ends before its first event or inside one was interrupted, and the caller's connection is aborted. It also counts as lost with its engine then. An interruption exactly between two events still can't be told from the end.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -234,7 +234,7 @@
 			if events.Buffered() && len(batch) < flushBytes {
 				continue
 			}
-		} else if err = r.classifyEnd(err); errors.Is(err, io.EOF) {
+		} else if err = r.classifyEnd(err, event); errors.Is(err, io.EOF) {
 			batch = append(batch, event...)
 		}
 		if len(batch) > 0 {
@@ -255,13 +255,17 @@
 	}
 }
 
-// classifyEnd distinguishes the end of an answer from the stop of its generation for
-// a move. They look the same if the answer has neither a length nor chunks. After a
-// stop it returns io.ErrUnexpectedEOF.
-func (r *relay) classifyEnd(err error) error {
+// classifyEnd distinguishes the end of an answer from its interruption. They look the
+// same if the answer has neither a length nor chunks. Such an answer was interrupted, and
+// the result is io.ErrUnexpectedEOF, if it ended before or inside an event, of which rest
+// holds the bytes, or if its generation was stopped for a move.
+func (r *relay) classifyEnd(err error, rest []byte) error {
 	if !errors.Is(err, io.EOF) || r.exchange.Framed {
 		return err
 	}
+	if r.events == 0 || len(rest) > 0 {
+		return io.ErrUnexpectedEOF
+	}
 	r.mu.Lock()
 	m := r.move
 	stopRequested := m != nil && m.stopping
