Bound the header of an engine's answer

What callers could see: an engine that sends bytes without end which never complete a header fills the memory of the entry, at the speed of its link, until the call's deadline; the entry ends and all its callers with it. Interim answers without end occupy it as long.

Cause: http.ReadResponse bounds neither a line nor the number of fields, and interim answers were skipped without a count.

Why this works: the connection's reader fails after 64 KiB of one header, and the exchange after 16 interim answers; the call then ends as one that may have run.

Test: upstream TestEndlessHeader; its five cases failed before (4 MiB read each).

Measured: tests of upstream, entry and platform pass.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -16,6 +16,9 @@
 	// maxOtherAnswers is the number of answers to other calls that are discarded before
 	// the connection counts as unusable.
 	maxOtherAnswers = 2
+	// maxInterimAnswers is the number of interim answers that are skipped before the
+	// connection counts as unusable.
+	maxInterimAnswers = 16
 	// maxOtherBody bounds the body of such an answer in bytes.
 	maxOtherBody = 256 << 10
 )
@@ -116,12 +119,15 @@
 // readHeader reads the header of the answer to this call. It discards interim answers
 // and answers to other calls.
 func (x *Exchange) readHeader(r *Request) error {
-	for others := 0; ; {
-		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Close of the exchange ends its connection.
+	for others, interim := 0, 0; ; {
+		res, err := x.conn.readResponse(r.Method) //nolint:bodyclose // Close of the exchange ends its connection.
 		if err != nil {
 			return err
 		}
 		if res.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimAnswers {
+				return errors.New("the engine sent more than " + strconv.Itoa(maxInterimAnswers) + " interim answers")
+			}
 			continue
 		}
 		answer := x.pool.Dialect.DecodeAnswer(res.StatusCode, res.Header)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"expvar"
+	"io"
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +33,8 @@
 	// readBuffer is the size of a connection's read buffer in bytes. It holds the header
 	// and the body of an ordinary small answer.
 	readBuffer = 4 << 10
+	// maxHeader bounds the header of an answer in bytes.
+	maxHeader = 64 << 10
 )
 
 var (
@@ -66,6 +71,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	limit  *limitedReader
 	// expiresAt is the time up to which the idle connection may be used.
 	expiresAt time.Duration
 	idleSince time.Duration
@@ -83,7 +89,36 @@
 		return nil, serving.WrapError(err, serving.KindEngineFailed, "connect to the engine")
 	}
 	connectionsOpened.Add(1)
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+	limit := &limitedReader{r: nc}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(limit, readBuffer), limit: limit}, nil
+}
+
+// limitedReader fails once the header of an answer is longer than maxHeader.
+type limitedReader struct {
+	r io.Reader
+	// inHeader is set while a header is read, of which left more bytes may come.
+	inHeader bool
+	left     int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if !l.inHeader {
+		return l.r.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errors.New("the header of the engine's answer is longer than " + strconv.Itoa(maxHeader) + " bytes")
+	}
+	n, err := l.r.Read(b)
+	l.left -= n
+	return n, err
+}
+
+// readResponse reads the header of one answer.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.limit.inHeader, c.limit.left = true, maxHeader
+	defer func() { c.limit.inHeader = false }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
 func (p *Pool) takeIdle(address string, maxIdleTime time.Duration) *conn {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -122,6 +122,46 @@
 	}
 }
 
+// Guards against an engine that sends bytes without end which never become an answer, and
+// so fill the memory of the entry or occupy it until the call's deadline.
+func TestEndlessHeader(t *testing.T) {
+	const maxSent = 4 << 20
+	for _, tc := range []struct{ name, begin, repeated string }{
+		{"no line end", "", strings.Repeat("x", 1024)},
+		{"in the status line", "HTTP/1.1 200 ", strings.Repeat("x", 1024)},
+		{"in a field", "HTTP/1.1 200 OK\r\nId: ", strings.Repeat("x", 1024)},
+		{"fields", "HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			sent := make(chan int, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				total, _ := io.WriteString(c, tc.begin)
+				for err == nil && total < maxSent {
+					var n int
+					n, err = io.WriteString(c, tc.repeated)
+					total += n
+				}
+				sent <- total
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			_, err = newPool().Send(ctx, upstream.Request{Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ID: "1"})
+			assert.Equal(t, serving.AsError(err).Ran, serving.RanUnknown)
+			assert.NilError(t, ctx.Err())
+			assert.Assert(t, <-sent < maxSent, "the connection was read until the engine stopped")
+		})
+	}
+}
+
 // Guards against a late or repeated answer that is taken for the answer to the next call
 // on the same connection.
 func TestConnectionReuse(t *testing.T) {
