Block prompts that crash engines at the project's own interface as well

What callers saw: the same fault as on the platform's path, found when looking for the cause elsewhere; not reported. It was worse here: a request whose engine ended before the first token was started again on up to two more engines, so that one request crashed three.

Cause: as in, nothing compares the calls that were lost with their engines; and an attempt that was lost with its engine was repeated like one that was refused.

Change: entries record lost attempts and begun answers by the prefix hashes of the prompt, evaluate them with pkg/serving/quarantine, and exchange evidence and blocks with their membership records. A request is not started again if calls with a prefix that was never sound were lost with two engines.

Why this works: the same evidence as on the platform's path; a heartbeat of the engine's incarnation refutes a loss, so that a stalled engine is no evidence. Blocks live in memory and are lost if all entries restart within ten minutes; the platform's path replicates them.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -13,6 +13,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
 const (
@@ -264,6 +265,9 @@
 		e.metrics.firstToken.observe(now-a.lastFrameAt, 1)
 		e.eventLog.add(eventFirstToken, a.request.ID, "engine", string(a.engine.Engine))
 	}
+	if next, sound := a.sequencer.Next(), a.firstIndex+quarantine.SoundEvents; next >= sound && next-serving.TokenIndex(n) < sound {
+		e.prompts.recordSound(a.request)
+	}
 	a.lastFrameAt, a.failing, a.resumes = now, false, 0
 }
 
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -12,6 +12,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
 // completions handles POST /v1/completions.
@@ -92,6 +93,9 @@
 	e.retries.request()
 	s := &completionState{tried: map[serving.EngineID]bool{}, ran: serving.NotRun}
 	for range maxAttempts {
+		if err := e.prompts.check(c.request); err != nil {
+			return s.failure(err)
+		}
 		a, err := e.admit(ctx, c, s)
 		if err != nil {
 			return s.failure(err)
@@ -100,9 +104,11 @@
 		err = e.runCounted(ctx, a, out)
 		e.endAttempt(a, err)
 		if err == nil {
+			e.prompts.recordSound(a.request)
 			return nil
 		}
 		s.recordFailure(a, err)
+		mayRestart := !a.lostEngine(ctx, err) || e.prompts.recordLost(a)
 		if !out.canResume() {
 			e.cancelInBackground(a)
 		}
@@ -112,7 +118,7 @@
 		if ctx.Err() != nil {
 			return errCallerGone
 		}
-		if !out.canRestart() {
+		if !out.canRestart() || !mayRestart {
 			break
 		}
 		klog.InfoS("Attempt failed", "request", a.request.ID, "generation", a.generation, "engine", a.engine.Engine, "err", err)
@@ -143,6 +149,16 @@
 	}
 }
 
+// lostEngine reports whether an attempt failed before its answer had begun, and not by a
+// refusal, by the caller or for the caller's reasons. The engine may have crashed then.
+func (a *attempt) lostEngine(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || isCallerError(err) || !a.sent.Load() || a.sequencer.Next() >= a.firstIndex+quarantine.SoundEvents {
+		return false
+	}
+	e := serving.AsError(err)
+	return e.Ran != serving.NotRun && e.Kind != serving.KindOverloaded
+}
+
 // recordFailure records the error of an attempt and whether the attempt ran.
 func (s *completionState) recordFailure(a *attempt, err error) {
 	s.lastErr = err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	// scheduler is the dispatcher, except in tests.
 	scheduler  scheduler
 	dispatcher *dispatcher
+	prompts    prompts
 	// incarnation is the wall-clock time at the start in nanoseconds, because an entry
 	// keeps no state on disk.
 	incarnation serving.Incarnation
@@ -69,6 +70,7 @@
 	}
 	e.dispatcher = newDispatcher(e, self.Incarnation)
 	e.scheduler = e.dispatcher
+	e.prompts.clock = clock
 	return e
 }
 
@@ -90,6 +92,10 @@
 	g.Go(func() error { e.pollViews(background); return nil })
 	g.Go(func() error { e.exchangeMembership(background); return nil })
 	g.Go(func() error { e.dispatcher.run(background); return nil })
+	g.Go(func() error {
+		e.prompts.run(background, func() map[serving.EngineID]*Engine { return e.board.load().Engines })
+		return nil
+	})
 	g.Go(func() error { e.enginePool.Run(background); return nil })
 
 	server := e.newServer()
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -134,7 +134,7 @@
 	defer cancel()
 	client := schema.NewMembersProtobufClient("http://"+peer.Address, e.cluster)
 	local := e.applyExchange(ctx, exchangeReceived{})
-	res, err := client.Exchange(ctx, &schema.MemberExchange{From: string(e.Settings.Host), Digest: encodeDigest(local.digest)})
+	res, err := client.Exchange(ctx, e.prompts.encode(&schema.MemberExchange{From: string(e.Settings.Host), Digest: encodeDigest(local.digest)}))
 	if peer.ID != "" {
 		e.board.send(ctx, contactFinished{id: peer.ID, ok: err == nil})
 	}
@@ -142,6 +142,7 @@
 		klog.V(2).InfoS("Membership exchange failed", "peer", peer.Address, "err", err)
 		return
 	}
+	e.prompts.merge(res)
 	reply := e.applyExchange(ctx, exchangeReceived{records: e.decodeMembers(res.Records), digest: decodeDigest(res.Digest)})
 	if len(reply.members) == 0 {
 		return
@@ -168,17 +169,18 @@
 
 // Exchange implements schema.Members. A call without a digest only delivers records.
 func (e *Entry) Exchange(ctx context.Context, req *schema.MemberExchange) (*schema.MemberExchange, error) {
+	e.prompts.merge(req)
 	ev := exchangeReceived{records: e.decodeMembers(req.Records), digest: decodeDigest(req.Digest)}
 	if len(req.Digest) == 0 {
 		e.board.send(ctx, ev)
 		return &schema.MemberExchange{}, nil
 	}
 	reply := e.applyExchange(ctx, ev)
-	return &schema.MemberExchange{
+	return e.prompts.encode(&schema.MemberExchange{
 		From:    string(e.Settings.Host),
 		Records: e.encodeMembers(reply.members, ev.digest),
 		Digest:  encodeDigest(reply.digest),
-	}, nil
+	}), nil
 }
 
 func encodeDigest(digest map[string]engine.Digest) []*schema.MemberDigest {
--- /dev/null
+++ b/internal/entry/prompts.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
+)
+
+const (
+	// promptCheckInterval is the interval at which evidence is evaluated.
+	promptCheckInterval = 100 * time.Millisecond
+	// promptBlockTTL is how long a prompt is blocked.
+	promptBlockTTL = 10 * time.Minute
+	// promptRetryAfter is the Retry-After of a request whose prompt is blocked.
+	promptRetryAfter = time.Minute
+	// maxPromptBlocks bounds the blocks of an entry.
+	maxPromptBlocks = 64
+)
+
+// prompts finds prompts that crash engines and blocks them. Its parts of a prompt are the
+// prefix hashes of the request. Entries exchange evidence and blocks with their membership
+// records, so that a part that crashed engines at one entry is known to all.
+type prompts struct {
+	clock serving.Clock
+	list  atomic.Pointer[quarantine.Blocklist]
+
+	mu       sync.Mutex
+	outcomes quarantine.Observer
+	evidence quarantine.Evidence
+	blocks   []timedBlock
+}
+
+type timedBlock struct {
+	quarantine.Block
+	until time.Duration
+}
+
+func promptParts(r *serving.Request) []quarantine.Part {
+	return quarantine.PartsFromWire(r.PrefixHashes)
+}
+
+// check returns an error if the prompt of a request is blocked.
+func (p *prompts) check(r *serving.Request) error {
+	blocks := p.list.Load()
+	if len(blocks.Blocks()) == 0 {
+		return nil
+	}
+	b := blocks.Match(promptParts(r))
+	if b == nil {
+		return nil
+	}
+	return serving.NewError(serving.KindPromptBlocked, "engines crashed with the prompt prefix "+b.String()).WithRetryAfter(promptRetryAfter)
+}
+
+// recordSound records that an answer to a request has begun.
+func (p *prompts) recordSound(r *serving.Request) {
+	if len(r.PrefixHashes) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes.Sound(p.clock.Now(), promptParts(r))
+}
+
+// recordLost records that an attempt lost its engine before the answer had begun. It
+// reports whether the request may be sent to another engine.
+func (p *prompts) recordLost(a *attempt) (mayRestart bool) {
+	now := p.clock.Now()
+	c := quarantine.LostCall{Request: a.request.ID, Engine: a.engine.Engine, EngineStarted: int64(a.engine.Incarnation), Parts: promptParts(a.request), At: now}
+	if a.failing {
+		c.At = a.failedAt
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evidence.Lost(now, c, true)
+	p.addOwnSound(now)
+	return !p.evidence.Repeated(c.Parts)
+}
+
+// addOwnSound adds what this entry knows of the suspects to the evidence. The caller holds
+// mu.
+func (p *prompts) addOwnSound(now time.Duration) {
+	for _, s := range p.outcomes.SoundAmong(p.evidence.Suspects(now, p.list.Load())) {
+		p.evidence.Sound(s, true)
+	}
+}
+
+// run evaluates the evidence until ctx ends.
+func (p *prompts) run(ctx context.Context, engines func() map[serving.EngineID]*Engine) {
+	t := time.NewTicker(promptCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.evaluate(engines())
+		}
+	}
+}
+
+func (p *prompts) evaluate(engines map[serving.EngineID]*Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for id, n := range engines {
+		p.evidence.Alive(id, int64(n.Incarnation), n.ReceivedAt)
+	}
+	p.addOwnSound(now)
+	kept := p.blocks[:0:0]
+	for _, b := range p.blocks {
+		if now < b.until {
+			kept = append(kept, b)
+		}
+	}
+	if f, ok := p.evidence.Find(now, p.list.Load()); ok {
+		klog.InfoS("Prompt blocked", "parts", f.Block.String(), "losses", f.Losses, "engines", f.Engines, "calls", f.Calls)
+		kept = append(kept, timedBlock{f.Block, now + promptBlockTTL})
+	}
+	p.setBlocks(kept)
+}
+
+// setBlocks replaces the blocks. The caller holds mu.
+func (p *prompts) setBlocks(blocks []timedBlock) {
+	blocks = blocks[max(0, len(blocks)-maxPromptBlocks):]
+	changed := len(blocks) != len(p.blocks)
+	for i := 0; i < len(blocks) && !changed; i++ {
+		changed = blocks[i].String() != p.blocks[i].String()
+	}
+	p.blocks = blocks
+	if !changed {
+		return
+	}
+	list := make([]quarantine.Block, len(blocks))
+	for i, b := range blocks {
+		list[i] = b.Block
+	}
+	p.list.Store(quarantine.NewBlocklist(list))
+}
+
+// encode adds the evidence and the blocks to a message to another entry.
+func (p *prompts) encode(out *schema.MemberExchange) *schema.MemberExchange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	lost, sound := p.evidence.Direct(now)
+	out.LostCalls, out.SoundParts = quarantine.LostToWire(now, lost), quarantine.SoundToWire(now, sound)
+	for _, b := range p.blocks {
+		m := b.ToWire()
+		m.RemainingMs = (b.until - now).Milliseconds()
+		out.Blocks = append(out.Blocks, m)
+	}
+	return out
+}
+
+// merge adds the evidence and the blocks of a message from another entry.
+func (p *prompts) merge(in *schema.MemberExchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, c := range quarantine.LostFromWire(now, in.GetLostCalls()) {
+		p.evidence.Lost(now, c, true)
+	}
+	for _, s := range quarantine.SoundFromWire(now, in.GetSoundParts()) {
+		p.evidence.Sound(s, true)
+	}
+	known := map[string]bool{}
+	for _, b := range p.blocks {
+		known[b.String()] = true
+	}
+	blocks := p.blocks
+	for _, m := range in.GetBlocks() {
+		b := quarantine.NewBlock(quarantine.PartsFromWire(m.GetParts()))
+		remaining := min(time.Duration(m.GetRemainingMs())*time.Millisecond, promptBlockTTL)
+		if len(b) > 0 && remaining > 0 && !known[b.String()] {
+			known[b.String()] = true
+			blocks = append(blocks[:len(blocks):len(blocks)], timedBlock{b, now + remaining})
+		}
+	}
+	p.setBlocks(blocks)
+}
--- a/internal/entry/scripted_test.go
+++ b/internal/entry/scripted_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -19,6 +21,9 @@
 	*Engine
 	server *httptest.Server
 	length int
+	// crashOn, if set, is a text in a prompt with which the engine crashes.
+	crashOn string
+	crashed atomic.Bool
 
 	mu        sync.Mutex
 	script    []func(o *scriptedStream)
@@ -44,7 +49,11 @@
 	requests := map[string]string{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, _ := io.ReadAll(r.Body)
+		if s.crashOn != "" && strings.Contains(string(body), s.crashOn) {
+			s.crash(w)
+			return
+		}
 		id := r.Header.Get("X-Generation-Id")
 		s.mu.Lock()
 		requests[id] = r.Header.Get("X-Request-Id")
@@ -74,6 +83,16 @@
 	return s
 }
 
+// crash begins an answer and ends the engine's process before the first frame.
+func (s *scriptedEngine) crash(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush()
+	s.crashed.Store(true)
+	_ = s.server.Listener.Close()
+	go s.server.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
 func (s *scriptedEngine) open(o *scriptedStream) {
 	s.mu.Lock()
 	step := (*scriptedStream).sendAll
--- a/pkg/serving/quarantine/doc.go
+++ b/pkg/serving/quarantine/doc.go
@@ -30,9 +30,10 @@
 // # Bounds
 //
 // An Observer holds up to 2 x 4096 sound parts and 64 lost calls, an Evidence 512 lost
-// calls for ten minutes, and each lost call up to 64 parts. Only a call that loses its
+// calls for ten minutes, and each lost call up to 128 parts. Only a call that loses its
 // engine adds evidence. No part of this package has a clock, a network or a goroutine.
 //
 // Source: internal/gateway observes, internal/hub collects, and package deployment
-// replicates the blocks.
+// replicates the blocks. In internal/entry each entry does all of it and exchanges
+// evidence and blocks with the others.
 package quarantine
--- a/pkg/serving/quarantine/evidence.go
+++ b/pkg/serving/quarantine/evidence.go
@@ -249,6 +249,26 @@
 	return f, true
 }
 
+// Repeated reports whether calls were lost with several engines that share a part of these
+// with which no answer ever began. A call that was just lost should not be repeated then.
+func (e *Evidence) Repeated(parts []Part) bool {
+	for _, part := range parts {
+		if _, sound := e.sound[part]; sound {
+			continue
+		}
+		engines := map[engineStart]bool{}
+		for key, l := range e.lost {
+			if !l.alive && slices.Contains(l.Parts, part) {
+				engines[key.engineStart] = true
+			}
+		}
+		if len(engines) >= minLosses {
+			return true
+		}
+	}
+	return false
+}
+
 // unexplained returns the lost calls by their time, without those that were lost
 // together with a call that a block matches: that call explains the end of the engine.
 func (e *Evidence) unexplained(blocks *Blocklist) []loss {
--- a/pkg/serving/quarantine/observer.go
+++ b/pkg/serving/quarantine/observer.go
@@ -17,7 +17,7 @@
 	maxReported = 64
 	// maxParts bounds the parts of one call that are recorded. The last ones are kept,
 	// because fewer prompts share them.
-	maxParts = 64
+	maxParts = 128
 	// soundGeneration bounds the sound parts that an entry records before it drops the
 	// older half.
 	soundGeneration = 4096
--- a/pkg/serving/quarantine/quarantine_test.go
+++ b/pkg/serving/quarantine/quarantine_test.go
@@ -178,6 +178,26 @@
 	}
 }
 
+// Guards against a call that is repeated although it crashes each engine it is sent to, and
+// against a sound call that isn't repeated because another one crashed its engine.
+func TestRepeated(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		events []event
+		parts  []quarantine.Part
+		want   bool
+	}{
+		{"lost once", []event{lost(0, "e1", system, crashing)}, []quarantine.Part{system, crashing}, false},
+		{"lost with two engines", []event{lost(0, "e1", system, crashing), lost(0, "e2", other, crashing)}, []quarantine.Part{system, crashing}, true},
+		{"shares only a sound part", []event{lost(0, "e1", system, crashing), lost(0, "e2", system, crashing), sound(0, system)}, []quarantine.Part{system, other}, false},
+		{"the engines are alive", []event{lost(0, "e1", crashing), lost(0, "e2", crashing), alive(seconds(1), "e1")}, []quarantine.Part{crashing}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, collect(tc.events).Repeated(tc.parts), tc.want)
+		})
+	}
+}
+
 // Guards against state that grows with the number of reports.
 func TestEvidenceIsBounded(t *testing.T) {
 	const reports = 2000
@@ -197,7 +217,7 @@
 	assert.Assert(t, len(o.Report(seconds(2))) <= 64)
 	assert.Equal(t, len(o.Report(seconds(60))), 0)
 	long := make([]serving.PromptPart, 5000)
-	assert.Equal(t, len(quarantine.Shareable(long)), 64)
+	assert.Equal(t, len(quarantine.Shareable(long)), 128)
 }
 
 // Guards against an answer that began in another generation of the observer's memory and
