Replace a silent voter in time for the successor of a removed host

What callers could see: as with the lost disks, an acknowledged configuration that can't be read back.

Cause: a voter was replaced by another host's learner after 6 s of silence. A host that is removed for good and whose successor starts 1 s later was still a voter up to 7 s after its removal, while two more disks may be lost from 5 s on.

Why this works: with 3 s of silence the successor is a voter about 4 s after the removal, also if the removed host was the leader. A voter that returns later asks to join and waits as a learner.

Test: TestRemovedHostIsReplacedInTime; 20 of its 20 cases failed with 6 s.

Measured: tests of membership, hub and replica pass.

--- a/pkg/serving/membership/membership.go
+++ b/pkg/serving/membership/membership.go
@@ -29,9 +29,10 @@
 	// PromoteWithin is how long a learner may be silent to be made a voter.
 	PromoteWithin = 2500 * time.Millisecond
 	// ReplaceAfter is how long a voter is silent before a learner of another host
-	// replaces it. It is longer than usual pauses and restarts, after which a voter
-	// needs no replacement.
-	ReplaceAfter = 6 * time.Second
+	// replaces it. It is longer than a restart, after which a voter needs no replacement,
+	// and short enough that the successor of a removed host, which comes a second or more
+	// later, is a voter 4 s after its start.
+	ReplaceAfter = 3 * time.Second
 	// DropLearnerAfter is how long a learner is silent before it is removed.
 	DropLearnerAfter = 15 * time.Second
 )
--- a/pkg/serving/membership/repair_test.go
+++ b/pkg/serving/membership/repair_test.go
@@ -195,6 +195,31 @@
 	}
 }
 
+// Guards against a host that was removed for good and still counts as a voter when its
+// successor has had the time to catch up, so that the next two losses leave no majority.
+func TestRemovedHostIsReplacedInTime(t *testing.T) {
+	const successorAfter = time.Second
+	for _, leader := range []bool{false, true} {
+		for phase := time.Duration(0); phase < checkInterval; phase += 10 * time.Millisecond {
+			t.Run(fmt.Sprintf("leader %v, checks at %v", leader, phase), func(t *testing.T) {
+				s := newSimulation(t, 5, phase)
+				s.run(20 * time.Second)
+				removed := s.leader().Status().Self
+				for i := 0; !leader && removed == s.leader().Status().Self; i++ {
+					removed = replicaID(i, "initial")
+				}
+				delete(s.replicas, removed)
+				s.run(successorAfter)
+				successor := serving.ReplicaID{Host: "new-host", Incarnation: "first"}
+				s.start(successor, ledger.PersistentState{})
+				s.run(repairTime)
+				assert.Assert(t, s.isVoter(successor), "%s is no voter %v after its start: %v", successor, repairTime, s.log)
+				assert.Assert(t, !s.isVoter(removed))
+			})
+		}
+	}
+}
+
 // Guards against a learner that falls silent after it was added and that the leader
 // tries to promote again and again, while another learner in contact waits.
 func TestSilentLearnerDoesNotDelayOthers(t *testing.T) {
