Bound the work and the messages for calls that were lost with their engines

Found by reading: a hub repeated all lost calls of the last 10 s in each report to each other hub, every 80 ms, and the search for a block compared each part with each call, in every interval. With as many calls and parts as are kept (512 and 128), one search took longer than the interval.

Why this works: reports go on from a cursor for each hub and hold 64 lost calls at most; the search indexes the calls by part, compares parts only where they occur in the same calls often enough, and is skipped while nothing has changed since the last one.

Tests of quarantine, entry, hub and platform pass.

--- a/internal/entry/prompts.go
+++ b/internal/entry/prompts.go
@@ -150,7 +150,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	lost, sound := p.evidence.Direct(now)
+	lost, sound, _ := p.evidence.Direct(now, 0)
 	out.LostCalls, out.SoundParts = quarantine.LostToWire(now, lost), quarantine.SoundToWire(now, sound)
 	for _, b := range p.blocks {
 		m := b.ToWire()
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -32,14 +32,19 @@
 	addedAt    time.Duration
 	// entries is the number of entries that poll it.
 	entries int
-	// cursor is the directory cursor up to which changes were reported to it.
-	cursor uint64
+	reportCursors
 	// refreshedAt is when unchanged engines were last reported to it.
 	refreshedAt time.Duration
 	unreachable bool
 	cancel      context.CancelFunc
 }
 
+// reportCursors are the positions up to which changes of the directory and evidence were
+// reported to a hub.
+type reportCursors struct {
+	cursor, evidenceCursor uint64
+}
+
 // hostOf returns the host id of a hub, which is the host in its base URL.
 func hostOf(address string) serving.HostID {
 	u, err := url.Parse(address)
@@ -111,7 +116,7 @@
 	h.mu.Unlock()
 	for ctx.Err() == nil {
 		h.mu.Lock()
-		report, cursor := h.report(p)
+		report, cursors := h.report(p)
 		changed := h.changed
 		h.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -119,9 +124,10 @@
 		cancel()
 		h.mu.Lock()
 		if err == nil {
-			p.cursor = cursor
+			p.reportCursors = cursors
 		} else {
-			p.refreshedAt = 0
+			// The hub may have restarted. It gets everything that is recent again.
+			p.refreshedAt, p.evidenceCursor = 0, 0
 		}
 		if unreachable := err != nil; unreachable != p.unreachable {
 			p.unreachable = unreachable
@@ -132,9 +138,8 @@
 	}
 }
 
-// report returns the report for a hub and the directory cursor that it covers. The
-// caller holds mu.
-func (h *Hub) report(p *peer) (*schema.HubReport, uint64) {
+// report returns the report for a hub and the cursors that it covers. The caller holds mu.
+func (h *Hub) report(p *peer) (*schema.HubReport, reportCursors) {
 	now := h.Clock.Now()
 	out := &schema.HubReport{Hub: h.ownAddress(), Incarnation: h.incarnation}
 	refresh := now-p.refreshedAt > refreshInterval
@@ -155,9 +160,9 @@
 		out.Uses = append(out.Uses, u.ToWire())
 	}
 	out.Entries = int32(n)
-	lost, sound := h.evidence.Direct(now)
+	lost, sound, evidenceCursor := h.evidence.Direct(now, p.evidenceCursor)
 	out.LostCalls, out.SoundParts = quarantine.LostToWire(now, lost), quarantine.SoundToWire(now, sound)
-	return out, h.directory.Cursor()
+	return out, reportCursors{h.directory.Cursor(), evidenceCursor}
 }
 
 // Report implements schema.Hub. It applies the report of another hub.
--- a/pkg/serving/quarantine/evidence.go
+++ b/pkg/serving/quarantine/evidence.go
@@ -33,6 +33,11 @@
 	// aliveAfter is how long after a loss a heartbeat of the same start of the engine
 	// shows that it did not crash. Earlier ones may have been sent before the loss.
 	aliveAfter = 500 * time.Millisecond
+	// soundStep is the time by which a later report of a sound part must differ. Ages are
+	// rounded on the way, so that the same report arrives with slightly different times.
+	soundStep = 50 * time.Millisecond
+	// maxDirect bounds the lost calls in one report to another host.
+	maxDirect = 64
 	// suspectsTTL is how long a list of suspects is returned without being computed anew.
 	suspectsTTL = time.Second
 )
@@ -42,6 +47,13 @@
 type Evidence struct {
 	lost  map[lossKey]loss
 	sound map[Part]soundness
+	// changed is set by reports since the last search. lastLossAt is when the last lost call
+	// was added, and nothingAt when Find last found nothing, given the list nothingIn.
+	changed               bool
+	lastLossAt, nothingAt time.Duration
+	nothingIn             *Blocklist
+	// cursor counts the reports that entries made to this host.
+	cursor uint64
 
 	// suspects is the result of Suspects for suspectsOf, nil if the evidence has changed
 	// since.
@@ -64,14 +76,16 @@
 
 type loss struct {
 	LostCall
-	direct bool
+	// direct is the cursor after the report of an entry to this host, 0 if another host
+	// reported the call.
+	direct uint64
 	// alive is set if the engine was found to be alive after the loss.
 	alive bool
 }
 
 type soundness struct {
 	at     time.Duration
-	direct bool
+	direct uint64
 }
 
 // Lost adds a lost call. direct marks reports that an entry made to this host, which
@@ -84,14 +98,20 @@
 		e.lost = map[lossKey]loss{}
 	}
 	key := lossKey{c.Request, engineStart{c.Engine, c.EngineStarted}}
-	if known, ok := e.lost[key]; ok {
-		known.direct = known.direct || direct
-		e.lost[key] = known
+	l, known := e.lost[key]
+	if !known {
+		c.Parts = NewBlock(c.Parts[:min(len(c.Parts), maxParts)])
+		l.LostCall = c
+	}
+	if direct && l.direct == 0 {
+		e.cursor++
+		l.direct = e.cursor
+	}
+	e.lost[key] = l
+	if known {
 		return
 	}
-	c.Parts = c.Parts[:min(len(c.Parts), maxParts)]
-	e.lost[key] = loss{LostCall: c, direct: direct}
-	e.suspects = nil
+	e.suspects, e.changed, e.lastLossAt = nil, true, now
 	e.expire(now)
 }
 
@@ -102,7 +122,7 @@
 		if key.engine == engine && key.started == started && !l.alive && at-l.At > aliveAfter {
 			l.alive = true
 			e.lost[key] = l
-			e.suspects = nil
+			e.suspects, e.changed = nil, true
 		}
 	}
 }
@@ -113,29 +133,36 @@
 		e.sound = map[Part]soundness{}
 	}
 	known, ok := e.sound[p.Part]
-	if !ok && len(e.sound) >= 2*maxSuspects {
+	switch {
+	case !ok && len(e.sound) >= 2*maxSuspects:
+		return
+	case ok && p.At <= known.at+soundStep:
 		return
 	}
-	if !ok || p.At > known.at {
-		known.at = p.At
+	known.at, e.changed = p.At, true
+	if direct {
+		e.cursor++
+		known.direct = e.cursor
 	}
-	known.direct = known.direct || direct
 	e.sound[p.Part] = known
 }
 
-// Direct returns the recent reports that entries made to this host, for the other hosts.
-func (e *Evidence) Direct(now time.Duration) (lost []LostCall, sound []SoundPart) {
+// Direct returns the recent reports that entries made to this host after a cursor, for the
+// other hosts, and the cursor to go on from. If there are more than fit into one report, it
+// returns the newest ones.
+func (e *Evidence) Direct(now time.Duration, after uint64) (lost []LostCall, sound []SoundPart, cursor uint64) {
 	for _, l := range e.lost {
-		if l.direct && now-l.At <= reportFor {
+		if l.direct > after && now-l.At <= reportFor {
 			lost = append(lost, l.LostCall)
 		}
 	}
+	slices.SortFunc(lost, func(a, b LostCall) int { return cmp.Compare(b.At, a.At) })
 	for part, s := range e.sound {
-		if s.direct && now-s.at <= reportFor {
+		if s.direct > after && now-s.at <= reportFor {
 			sound = append(sound, SoundPart{part, s.at})
 		}
 	}
-	return lost, sound
+	return lost[:min(len(lost), maxDirect)], sound, e.cursor
 }
 
 // Suspects returns the parts of lost calls that no block explains. The result must not be
@@ -158,26 +185,50 @@
 	// Losses is the number of times at which calls with the block were lost, Engines the
 	// number of engines, and Calls the number of calls.
 	Losses, Engines, Calls int
+
+	// lost holds the calls.
+	lost []loss
 }
 
+// hashPrime mixes the positions of lost calls into a hash of the set of calls with a part.
+const hashPrime = 1099511628211
+
 // Find returns the next block that is due, given the existing ones, and false if there is
 // none.
 func (e *Evidence) Find(now time.Duration, blocks *Blocklist) (Finding, bool) {
 	e.expire(now)
+	if len(e.lost) < minLosses || !e.changed && e.nothingIn == blocks && e.nothingAt-e.lastLossAt > settleTimeFirst {
+		return Finding{}, false
+	}
+	e.changed = false
 	lost := e.unexplained(blocks)
-	best, tied := []Finding(nil), map[string]bool{}
+	byPart := map[Part][]loss{}
+	calls := map[Part]uint64{}
+	for i, l := range lost {
+		for _, part := range l.Parts {
+			byPart[part] = append(byPart[part], l)
+			calls[part] = calls[part]*hashPrime + uint64(i) + 1
+		}
+	}
+	best, seen := []Finding(nil), map[uint64]bool{}
 	for _, part := range candidates(lost, blocks) {
-		f, ok := e.finding(now, part, lost)
-		switch {
-		case !ok:
+		if len(byPart[part]) < minLosses {
 			continue
-		case len(best) > 0 && f.Losses < best[0].Losses:
+		}
+		f, ok := e.finding(now, part, byPart[part])
+		switch {
+		case !ok || len(best) > 0 && f.Losses < best[0].Losses:
 			continue
 		case len(best) > 0 && f.Losses > best[0].Losses:
-			best, tied = nil, map[string]bool{}
+			best, seen = nil, map[uint64]bool{}
 		}
-		if key := f.Block.String(); !tied[key] {
-			tied[key] = true
+		// Parts that occur in the same calls have the same block, unless one was sound.
+		if _, sound := e.sound[part]; !sound && seen[calls[part]] {
+			continue
+		}
+		seen[calls[part]] = true
+		f.Block = e.blockOf(part, f.lost)
+		if !slices.ContainsFunc(best, func(g Finding) bool { return slices.Equal(f.Block, g.Block) }) {
 			best = append(best, f)
 		}
 	}
@@ -187,6 +238,7 @@
 		return slices.ContainsFunc(best, func(g Finding) bool { return len(g.Block) < len(f.Block) && g.Block.within(f.Block) })
 	})
 	if len(best) == 0 || len(best) > 1 && best[0].Losses < minLossesTied {
+		e.nothingAt, e.nothingIn = now, blocks
 		return Finding{}, false
 	}
 	return best[0], true
@@ -204,25 +256,18 @@
 	return slices.Compact(out)
 }
 
-// finding returns what the losses say about a part: how often calls with it were lost
-// since an answer last began with it, and which parts all of these calls have with which
-// no answer ever began.
+// finding returns how often the calls with a part were lost since an answer last began with
+// it, and false if that is not enough to block it.
 func (e *Evidence) finding(now time.Duration, part Part, lost []loss) (Finding, bool) {
 	var f Finding
-	var common []Part
 	var windowStart, enoughAt time.Duration
 	known, wasSound := e.sound[part]
 	engines := map[engineStart]bool{}
+	if wasSound {
+		lost = slices.DeleteFunc(slices.Clone(lost), func(l loss) bool { return known.at >= l.At })
+	}
 	for _, l := range lost {
-		if !slices.Contains(l.Parts, part) || wasSound && known.at >= l.At {
-			continue
-		}
-		f.Calls++
 		engines[engineStart{l.Engine, l.EngineStarted}] = true
-		if f.Calls == 1 {
-			common = slices.Clone(l.Parts)
-		}
-		common = slices.DeleteFunc(common, func(p Part) bool { return !slices.Contains(l.Parts, p) })
 		if f.Losses == 0 || l.At-windowStart > lossWindow {
 			f.Losses++
 			windowStart = l.At
@@ -231,6 +276,7 @@
 			}
 		}
 	}
+	f.Calls, f.lost = len(lost), lost
 	f.Engines = len(engines)
 	required, settle := minLosses, settleTime
 	if wasSound {
@@ -242,13 +288,23 @@
 	if min(f.Losses, f.Engines) < required || now-enoughAt < settle {
 		return Finding{}, false
 	}
-	f.Block = NewBlock(slices.DeleteFunc(common, func(p Part) bool {
-		_, sound := e.sound[p]
-		return p != part && sound
-	}))
 	return f, true
 }
 
+// blockOf returns the part and those that all lost calls with it share and with which no
+// answer ever began.
+func (e *Evidence) blockOf(part Part, lost []loss) Block {
+	var out Block
+	for _, p := range lost[0].Parts {
+		_, sound := e.sound[p]
+		isIn := func(l loss) bool { _, found := slices.BinarySearch(l.Parts, p); return found }
+		if p == part || !sound && !slices.ContainsFunc(lost, func(l loss) bool { return !isIn(l) }) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Repeated reports whether calls were lost with several engines that share a part of these
 // with which no answer ever began. A call that was just lost should not be repeated then.
 func (e *Evidence) Repeated(parts []Part) bool {
--- a/pkg/serving/quarantine/observer.go
+++ b/pkg/serving/quarantine/observer.go
@@ -49,7 +49,8 @@
 	Engine  serving.EngineID
 	// EngineStarted is the start time of the engine's process in Unix milliseconds.
 	EngineStarted int64
-	Parts         []Part
+	// Parts are the shareable parts of the prompt. An Evidence sorts them.
+	Parts []Part
 	// At is the time of the loss.
 	At time.Duration
 }
--- a/pkg/serving/quarantine/quarantine_test.go
+++ b/pkg/serving/quarantine/quarantine_test.go
@@ -211,8 +211,10 @@
 		e.Sound(quarantine.SoundPart{Part: part, At: at - time.Second}, true)
 		o.Lost(at, call)
 	}
-	lost, _ := e.Direct(seconds(2))
-	assert.Assert(t, len(lost) <= 512, "%d lost calls", len(lost))
+	lost, _, cursor := e.Direct(seconds(2), 0)
+	assert.Assert(t, len(lost) <= 64, "%d lost calls in a report", len(lost))
+	lost, _, _ = e.Direct(seconds(2), cursor)
+	assert.Equal(t, len(lost), 0, "reported twice")
 	assert.Assert(t, len(e.Suspects(seconds(2), nil)) <= 256)
 	assert.Assert(t, len(o.Report(seconds(2))) <= 64)
 	assert.Equal(t, len(o.Report(seconds(60))), 0)
@@ -230,3 +232,20 @@
 	}
 	assert.DeepEqual(t, o.SoundAmong([]quarantine.Part{system, crashing}), []quarantine.SoundPart{{Part: system, At: seconds(1)}})
 }
+
+// BenchmarkFind evaluates as many lost calls with as many parts as an Evidence holds.
+func BenchmarkFind(b *testing.B) {
+	const calls, parts = 512, 128
+	e := &quarantine.Evidence{}
+	for i := range calls {
+		prompt := make([]quarantine.Part, parts)
+		for k := range prompt {
+			prompt[k] = quarantine.Part(k * (1 + i%8*k/parts))
+		}
+		at := time.Duration(i) * time.Second / 2
+		e.Lost(at, quarantine.LostCall{Request: serving.RequestID(fmt.Sprint(i)), Engine: serving.EngineID(fmt.Sprint(i)), Parts: prompt, At: at}, true)
+	}
+	for b.Loop() {
+		_, _ = e.Find(calls*time.Second/2, nil)
+	}
+}
