Send prompts that crash engines in the soak

What was missing: the soak injected no input that crashes engines, so that blocks were never checked beside killed and paused hubs and entries.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,7 @@
 		seed uint64
 	}{
 		{"first", 1},
+		{"prompts that crash engines", 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var out strings.Builder
--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -23,6 +23,17 @@
 	// streamEvents is the length of a stream in events. A stream takes longer than the
 	// notice that an engine gets before it is reclaimed.
 	streamEvents = 300
+	// crashingPart is the prompt part with which model engines crash, and crashPause the
+	// pause between two calls with it at one entry.
+	crashingPart = "dead"
+	crashPause   = 700 * time.Millisecond
+	// engineRestart is the time until another engine replaces one that crashed.
+	engineRestart = time.Second
+	// blockedRetryAfter is the least Retry-After of a blocked call. That of a call without
+	// an engine is shorter.
+	blockedRetryAfter = time.Minute
+	// knownCrashes is the number of crashes after which the part has to be blocked.
+	knownCrashes = 5
 )
 
 // trial is the run of one seed.
@@ -70,8 +81,20 @@
 		wg.Go(func() { t.callKeepAlive(ctx, i) })
 	}
 	wg.Go(func() { t.changeConfig(ctx) })
+	crashing := seed%2 == 0
+	for i := range t.site.Entries {
+		if crashing {
+			wg.Go(func() { t.callCrashing(ctx, i) })
+		}
+	}
 	t.inject(t.schedule(rand.New(rand.NewPCG(seed, seed))))
 	t.expectService(recoveryTimeout)
+	if crashes := t.fleet.Crashes(); len(crashes) >= knownCrashes {
+		t.expectBlocked(recoveryTimeout)
+	}
+	t.mu.Lock()
+	t.counts["engine crashes"] = len(t.fleet.Crashes())
+	t.mu.Unlock()
 	cancel()
 	wg.Wait()
 	t.checkRuns()
@@ -126,7 +149,8 @@
 		return err
 	}
 	e, err := t.fleet.Start(standin.EngineConfig{ID: id, Service: service, Zone: string(rune('a' + t.engineCount%3)), Listen: address,
-		Advertise: link.address(), Hubs: t.site.ControlAddresses(), HeartbeatInterval: 400 * time.Millisecond, CopyTime: 100 * time.Millisecond})
+		Advertise: link.address(), Hubs: t.site.ControlAddresses(), HeartbeatInterval: 400 * time.Millisecond, CopyTime: 100 * time.Millisecond,
+		CrashOnPart: crashingPart, RestartTime: engineRestart})
 	if err != nil {
 		link.close()
 		return err
@@ -154,6 +178,7 @@
 	for _, l := range t.links {
 		l.close()
 	}
+	t.fleet.Close()
 }
 
 // caller returns a caller at one entry.
@@ -174,6 +199,7 @@
 		case "order":
 			a = c.Do(ctx, http.MethodPost, id, standin.OrderPath, []byte("order"))
 		default:
+			c.PromptParts = soundParts
 			a = c.Stream(ctx, id, standin.StreamPath, streamEvents)
 		}
 		t.record(id, kind, a)
@@ -183,6 +209,46 @@
 	}
 }
 
+// callCrashing sends calls with a part that crashes engines. No two of them are alike, and
+// they share the other parts with the calls of soundParts.
+func (t *trial) callCrashing(ctx context.Context, entry int) {
+	c := t.caller(entry)
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("crash-%d-%d", entry, n)
+		c.PromptParts = fmt.Sprintf("a1:50,%s:20,%x:5", crashingPart, n)
+		t.record(id, "crash", c.Stream(ctx, id, standin.StreamPath, streamEvents))
+		select {
+		case <-ctx.Done():
+		case <-time.After(crashPause):
+		}
+	}
+}
+
+// soundParts are the parts of the prompts of other streams.
+const soundParts = "a1:50,b2:20,c3:5"
+
+// expectBlocked waits until each entry refuses a call with the part that crashed engines. It
+// records a violation if that takes longer than limit.
+func (t *trial) expectBlocked(limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for i := range t.site.Entries {
+		c := t.caller(i)
+		c.PromptParts = fmt.Sprintf("a1:50,%s:20,ff:5", crashingPart)
+		for n, refused := 0, false; !refused; n++ {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			id := fmt.Sprintf("blocked-%d-%d", i, n)
+			a := c.Stream(ctx, id, standin.StreamPath, 1)
+			refused = a.Refused() && a.RetryAfter >= blockedRetryAfter && len(t.fleet.Runs(id)) == 0
+			cancel()
+			if !refused && time.Now().After(deadline) {
+				t.violation("entry %d sends calls on with a part that crashed %d engines, %v after the last fault", i, len(t.fleet.Crashes()), limit)
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
 // record stores an answer and counts it by kind of call, status and completeness.
 func (t *trial) record(id, kind string, a *standin.Answer) {
 	if a.Mismatch != "" {
