Say when a block could not be proposed, and let exchanged blocks end

What operators could see: 'Prompt blocked' with an error, once a second while there is no quorum. And a block of the project's own interface could be passed back and forth between entries shortly before its end, each time a little longer by the time of the message.

Why this works: failures have messages of their own, and a block with less than two exchange intervals left is not passed on. Found by reading the diff; no run showed them.

Measured: tests of entry and hub pass.

--- a/internal/entry/prompts.go
+++ b/internal/entry/prompts.go
@@ -179,7 +179,9 @@
 	for _, m := range in.GetBlocks() {
 		b := quarantine.NewBlock(quarantine.PartsFromWire(m.GetParts()))
 		remaining := min(time.Duration(m.GetRemainingMs())*time.Millisecond, promptBlockTTL)
-		if len(b) > 0 && remaining > 0 && !known[b.String()] {
+		// A block that is about to end is not passed on any more, because its remaining time
+		// would grow by the time of the message with each pass.
+		if len(b) > 0 && remaining > 2*exchangeInterval && !known[b.String()] {
 			known[b.String()] = true
 			blocks = append(blocks[:len(blocks):len(blocks)], timedBlock{b, now + remaining})
 		}
--- a/internal/hub/blocks.go
+++ b/internal/hub/blocks.go
@@ -53,8 +53,11 @@
 			}
 			current[key] = since
 			if now-since > blockTTL {
-				err := h.proposeCommand(ctx, deployment.UnblockPrompt(b))
-				klog.InfoS("Prompt unblocked", "parts", key, "blocked_for", now-since, "err", err)
+				if err := h.proposeCommand(ctx, deployment.UnblockPrompt(b)); err != nil {
+					klog.ErrorS(err, "Prompt not unblocked, trying again", "parts", key)
+					continue
+				}
+				klog.InfoS("Prompt unblocked", "parts", key, "blocked_for", now-since)
 			}
 		}
 		firstSeen = current
@@ -72,7 +75,11 @@
 func (h *Hub) proposeBlock(ctx context.Context, f quarantine.Finding) {
 	start := h.Clock.Now()
 	err := h.proposeCommand(ctx, deployment.BlockPrompt(f.Block))
-	klog.InfoS("Prompt blocked", "parts", f.Block.String(), "losses", f.Losses, "engines", f.Engines, "calls", f.Calls, "took", h.Clock.Now()-start, "err", err)
+	if err != nil {
+		klog.ErrorS(err, "Prompt not blocked, trying again", "parts", f.Block.String(), "took", h.Clock.Now()-start)
+		return
+	}
+	klog.InfoS("Prompt blocked", "parts", f.Block.String(), "losses", f.Losses, "engines", f.Engines, "calls", f.Calls, "took", h.Clock.Now()-start)
 }
 
 func (h *Hub) proposeCommand(ctx context.Context, command []byte) error {
