Give large deployments in the soak the engines for their callers

Cause: three model engines of 24 slots for 120 callers that stream all the time. Traced: all 70 refusals of probes at all entries are "all engines of service model are full"; no lookup or order of a probe was refused.

Change: an engine of each service for every 8 entries, three and two at least as before. The checks and their bounds are the same.

Small deployments are unchanged.

--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -23,6 +23,12 @@
 	// streamEvents is the length of a stream in events. A stream takes longer than the
 	// notice that an engine gets before it is reclaimed.
 	streamEvents = 300
+	// minModelEngines and minPlainEngines are the numbers of engines of a small deployment.
+	// A larger one has an engine of each service for entriesPerEngine entries, which
+	// leaves room for the streams of all callers while some engines are down.
+	minModelEngines  = 3
+	minPlainEngines  = 2
+	entriesPerEngine = 8
 	// crashingPart is the prompt part with which model engines crash, and crashPause the
 	// pause between two calls with it at one entry.
 	crashingPart = "dead"
@@ -122,8 +128,13 @@
 		}
 		t.entries = append(t.entries, p)
 	}
-	for _, service := range []string{standin.ModelService, standin.ModelService, standin.ModelService, standin.PlainService, standin.PlainService} {
-		if err := t.addEngine(service); err != nil {
+	for range max(minModelEngines, t.site.Entries/entriesPerEngine) {
+		if err := t.addEngine(standin.ModelService); err != nil {
+			return err
+		}
+	}
+	for range max(minPlainEngines, t.site.Entries/entriesPerEngine) {
+		if err := t.addEngine(standin.PlainService); err != nil {
 			return err
 		}
 	}
