Log how an engine's answer was framed and where it ended

"Stream lost", "Stream answered" and "Call answered" now have the framing; "Stream lost" also has the bytes after the last event and the time since that event.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -237,7 +237,7 @@
 	}
 	answered.Add(strconv.Itoa(res.exchange.Status), 1)
 	answerTimes.observe(j.g.Clock.Now() - j.arrivedAt)
-	j.log("Call answered", "status", res.exchange.Status, "bytes", len(res.body), "reused", res.exchange.Reused, "err", err)
+	j.log("Call answered", "status", res.exchange.Status, "framing", res.exchange.Framing, "bytes", len(res.body), "reused", res.exchange.Reused, "err", err)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,6 +51,9 @@
 	move         *move
 	ended        bool
 	moveCount    int
+	// unfinished is the number of bytes after the last event when the engine's answer
+	// ended.
+	unfinished int
 }
 
 // serveStream serves a call that is answered by a stream of events.
@@ -215,7 +218,8 @@
 		r.log("Caller disconnected", "events", r.events, "moved", r.moveCount)
 	} else {
 		streamsLost.Add(1)
-		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "err", err)
+		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "unfinished_bytes", r.unfinished,
+			"since_last_event", r.g.Clock.Now()-r.lastEventAt, "err", err)
 	}
 	panic(http.ErrAbortHandler)
 }
@@ -234,8 +238,11 @@
 			if events.Buffered() && len(batch) < flushBytes {
 				continue
 			}
-		} else if err = r.classifyEnd(err, event); errors.Is(err, io.EOF) {
-			batch = append(batch, event...)
+		} else {
+			r.unfinished = len(event)
+			if err = r.classifyEnd(err, event); errors.Is(err, io.EOF) {
+				batch = append(batch, event...)
+			}
 		}
 		if len(batch) > 0 {
 			if _, err := r.w.Write(batch); err != nil {
@@ -260,7 +267,7 @@
 // the result is io.ErrUnexpectedEOF, if it ended before or inside an event, of which rest
 // holds the bytes, or if its generation was stopped for a move.
 func (r *relay) classifyEnd(err error, rest []byte) error {
-	if !errors.Is(err, io.EOF) || r.exchange.Framed {
+	if !errors.Is(err, io.EOF) || r.exchange.Framing != upstream.EndsWithConnection {
 		return err
 	}
 	if r.events == 0 || len(rest) > 0 {
@@ -353,7 +360,7 @@
 		}
 		answered.Add("stream", 1)
 		answerTimes.observe(r.g.Clock.Now() - r.arrivedAt)
-		r.log("Stream answered", "events", r.events, "moved", r.moveCount, "waited", r.sentAt-r.arrivedAt,
+		r.log("Stream answered", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "waited", r.sentAt-r.arrivedAt,
 			"first", r.firstEventAt-r.sentAt, "prompt", r.PromptTokens, "hint", r.LengthHint, "most", r.MaxTokens, "prefill_before", r.useBefore.Prefill, "running_before", r.useBefore.Running, "expected_before", r.useBefore.Expected, "fitting", r.fitting, "full", r.full)
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,6 +23,27 @@
 	maxOtherBody = 256 << 10
 )
 
+// Framing is how the end of an answer's body is marked.
+type Framing string
+
+// Framings. Only a body that ends with its connection can be truncated without an error.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	EndsWithConnection Framing = "connection"
+)
+
+// framingOf returns the framing of an answer to a request with the given method.
+func framingOf(res *http.Response, method string) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return FramedByChunks
+	case res.ContentLength >= 0, method == http.MethodHead, res.StatusCode == http.StatusNoContent, res.StatusCode == http.StatusNotModified:
+		return FramedByLength
+	}
+	return EndsWithConnection
+}
+
 // Request is one call to send to an engine.
 type Request struct {
 	// Address is the host and port to connect to.
@@ -52,10 +73,8 @@
 	serving.Answer
 	Header http.Header
 	// Body must be read to its end for the connection to be reused.
-	Body io.Reader
-	// Framed reports whether the answer has a length or chunks, so a truncated body is
-	// detected. Any other body ends when the connection is closed.
-	Framed bool
+	Body    io.Reader
+	Framing Framing
 	// Reused reports whether the connection was used for another call before.
 	Reused bool
 
@@ -134,7 +153,7 @@
 		// An engine may refuse a call before it has read the id.
 		if r.ID == "" || answer.RequestID == r.ID || answer.RequestID == "" && answer.NotRun {
 			x.response, x.Answer, x.Header, x.Body = res, answer, res.Header, res.Body
-			x.Framed = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+			x.Framing = framingOf(res, r.Method)
 			return nil
 		}
 		if others++; others > maxOtherAnswers || res.Close {
