Abort framed streams that end inside an event

One of the two causes that reading and a stand-in engine show: the entry trusted the framing of an engine's answer. If a crash ends the chunks in order in the middle of an event, the caller got the first events, the beginning of the next one, and the final chunk.

The new module pkg/serving/completion decides from the framing and from the bytes after the last event whether an answer is complete. An event without its blank line is truncated, whatever the framing says; blank lines and comments are no event.

Evidence: TestFramedStreamEndsInsideEvent failed before ("inside the last event" and "inside the first event" were complete for the caller) and passes now.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
@@ -262,29 +263,34 @@
 	}
 }
 
-// classifyEnd distinguishes the end of an answer from its interruption. They look the
-// same if the answer has neither a length nor chunks. Such an answer was interrupted, and
-// the result is io.ErrUnexpectedEOF, if it ended before or inside an event, of which rest
-// holds the bytes, or if its generation was stopped for a move.
+// classifyEnd distinguishes the end of a complete answer from its truncation, which is
+// io.ErrUnexpectedEOF. rest holds the bytes after the last event.
 func (r *relay) classifyEnd(err error, rest []byte) error {
-	if !errors.Is(err, io.EOF) || r.exchange.Framing != upstream.EndsWithConnection {
+	if !errors.Is(err, io.EOF) {
 		return err
 	}
-	if r.events == 0 || len(rest) > 0 {
+	end := completion.Ending{Framed: r.exchange.Framing != upstream.EndsWithConnection, Empty: r.events == 0, Partial: completion.InsideEvent(rest)}
+	if end.Assess() == completion.Complete && !end.Framed {
+		end.Stopped = r.stoppedForMove()
+	}
+	if end.Assess() == completion.Truncated {
 		return io.ErrUnexpectedEOF
 	}
+	return err
+}
+
+// stoppedForMove reports whether the engine stopped the generation for its move. It waits
+// for the result of a request to stop it.
+func (r *relay) stoppedForMove() bool {
 	r.mu.Lock()
 	m := r.move
 	stopRequested := m != nil && m.stopping
 	r.mu.Unlock()
 	if !stopRequested {
-		return err
+		return false
 	}
 	<-m.done
-	if m.stopped {
-		return io.ErrUnexpectedEOF
-	}
-	return err
+	return m.stopped
 }
 
 // recordEvent updates the relay and the ticket for an event. It returns false if the
