Complete an unframed stream only if its engine's process still runs

The second of the two causes that reading and a stand-in engine show: a stream with neither a length nor chunks ends with its connection, and the operating system closes the connections of a crashed process in the same way. If the last event was whole, the entry took that for the end and sent its own final chunk.

What tells the two apart is the process: after a crash nothing accepts connections at its address. When such a stream has ended between two events, the entry now opens a connection to the engine. Refused: the answer was truncated and is broken off, unless another idle connection to the engine is still open. Accepted: it is complete, and the connection is kept for the next call, in place of the one that ended. A start of the engine other than the one that got the call, or an end that comes more than a second after the last event, in which the process may have been started again, count as truncated, too.

What was weighed: a request for the engine's status would also show its start, but is a priced probe and may be counted as a request at engines that must get none; heartbeats come too late for a prompt end; handing on the missing framing to the caller leaves the caller with the same doubt and closes its connection.

TestCheckProcess covers engines without room for one more connection.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,8 @@
 	hubPolls            = expvar.NewInt("hub_polls")
 	moves               = expvar.NewMap("streams_moved")
 	streamsLost         = expvar.NewInt("streams_lost")
+	answersTruncated    = expvar.NewMap("answers_truncated")
+	processChecks       = expvar.NewMap("engine_process_checks")
 	lostBeforeAnswer    = expvar.NewInt("calls_lost_before_answer")
 	answerTimes         = newHistogram("answer_ms")
 	firstEventTimes     = newHistogram("first_event_ms")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -11,6 +11,7 @@
 
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 )
 
@@ -154,6 +155,34 @@
 	return res
 }
 
+// assess returns whether the answer of an engine is complete. It looks for the engine's
+// process if that decides.
+func (j *job) assess(x *upstream.Exchange, t *placement.Ticket, end completion.Ending) completion.Verdict {
+	if end.Assess() == completion.Undecided {
+		begin := j.g.Clock.Now()
+		end.Process = x.CheckProcess(j.ctx)
+		if j.g.restarted(t) {
+			end.Process = completion.Ended
+		}
+		processChecks.Add(string(end.Process), 1)
+		j.log("Answer ended with its connection", "process", end.Process, "pause", end.Pause, "check_took", j.g.Clock.Now()-begin)
+	}
+	verdict := end.Assess()
+	if verdict == completion.Truncated {
+		answersTruncated.Add(string(x.Framing), 1)
+	}
+	return verdict
+}
+
+// restarted reports whether the engine of a ticket is known to have been started again
+// since.
+func (g *Gateway) restarted(t *placement.Ticket) bool {
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	target, ok := g.board.pool.Lookup(t.Engine)
+	return ok && target.Started != t.Started && t.Started != 0
+}
+
 // engineOutcome returns the outcome to record in the engine's health for an answer.
 func (res *attemptResult) engineOutcome(ctx context.Context) placement.Outcome {
 	switch {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -269,11 +269,12 @@
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
-	end := completion.Ending{Framed: r.exchange.Framing != upstream.EndsWithConnection, Empty: r.events == 0, Partial: completion.InsideEvent(rest)}
-	if end.Assess() == completion.Complete && !end.Framed {
+	end := completion.Ending{Framed: r.exchange.Framing != upstream.EndsWithConnection, Empty: r.events == 0,
+		Partial: completion.InsideEvent(rest), Pause: r.g.Clock.Now() - r.lastEventAt}
+	if end.Assess() == completion.Undecided {
 		end.Stopped = r.stoppedForMove()
 	}
-	if end.Assess() == completion.Truncated {
+	if r.assess(r.exchange, r.ticket, end) == completion.Truncated {
 		return io.ErrUnexpectedEOF
 	}
 	return err
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -176,5 +176,6 @@
 		_ = x.conn.Close()
 		return
 	}
+	x.conn.reused = true
 	x.pool.put(x.address, x.conn, x.IdleTimeout, x.maxIdleConns)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -75,7 +75,8 @@
 	// expiresAt is the time up to which the idle connection may be used.
 	expiresAt time.Duration
 	idleSince time.Duration
-	reused    bool
+	// reused is set once the connection has been used for a call.
+	reused bool
 }
 
 // get returns a connection that was idle for at most maxIdleTime, or a new one.
@@ -84,10 +85,19 @@
 		connectionsReused.Add(1)
 		return c, nil
 	}
-	nc, err := dialer.DialContext(ctx, "tcp", address)
+	c, err := dial(ctx, address)
 	if err != nil {
 		return nil, serving.WrapError(err, serving.KindEngineFailed, "connect to the engine")
 	}
+	return c, nil
+}
+
+// dial opens a connection.
+func dial(ctx context.Context, address string) (*conn, error) {
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	connectionsOpened.Add(1)
 	limit := &limitedReader{r: nc}
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(limit, readBuffer), limit: limit}, nil
@@ -161,7 +171,7 @@
 		p.idle = map[string][]*conn{}
 	}
 	now := p.Clock.Now()
-	c.idleSince, c.expiresAt, c.reused = now, now+time.Duration(idleTimeoutFraction*float64(idleTimeout)), true
+	c.idleSince, c.expiresAt = now, now+time.Duration(idleTimeoutFraction*float64(idleTimeout))
 	list := p.idle[address]
 	for len(list) >= maxIdleConns {
 		_ = list[0].Close()
--- /dev/null
+++ b/internal/upstream/process_test.go
@@ -0,0 +1,107 @@
+package upstream_test
+
+import (
+	"bufio"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/internal/upstream"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
+)
+
+// unframedAnswer is an answer that ends with its connection.
+const unframedAnswer = "HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody"
+
+// Guards against a crashed engine that counts as running, and against a running engine that
+// counts as crashed because it accepts no further connection.
+func TestCheckProcess(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// listens is set if the engine's listener stays open, and idle if a connection
+		// from before does. closes makes the engine close each further connection.
+		listens, idle, closes bool
+		want                  completion.Process
+	}{
+		{"listens", true, false, false, completion.Running},
+		{"crashed", false, false, false, completion.Ended},
+		{"listener closed, another connection open", false, true, false, completion.Running},
+		{"closes further connections", true, false, true, completion.Running},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			accepted := make(chan struct{}, 8)
+			go func() {
+				for n := 1; ; n++ {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					accepted <- struct{}{}
+					switch r := bufio.NewReader(c); {
+					case n == 1 && tc.idle:
+						// The first of two connections stays open after its answer.
+						go func() {
+							_, _ = http.ReadRequest(r)
+							_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+							<-t.Context().Done()
+							_ = c.Close()
+						}()
+					case n == 1 || n == 2 && tc.idle:
+						go func() {
+							_, _ = http.ReadRequest(r)
+							_, _ = io.WriteString(c, unframedAnswer)
+							if !tc.listens {
+								_ = l.Close()
+							}
+							_ = c.Close()
+						}()
+					case tc.closes:
+						_ = c.Close()
+					}
+				}
+			}()
+			p := newPool()
+			request := upstream.Request{Address: l.Addr().String(), Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}, ID: "a", MaxIdleConns: 2}
+			var kept *upstream.Exchange
+			if tc.idle {
+				kept, err = p.Send(t.Context(), request)
+				assert.NilError(t, err)
+			}
+			x, err := p.Send(t.Context(), request)
+			assert.NilError(t, err)
+			assert.Equal(t, x.Framing, upstream.EndsWithConnection)
+			_, err = io.Copy(io.Discard, x.Body)
+			assert.NilError(t, err)
+			if kept != nil {
+				kept.Close(true)
+			}
+			assert.Equal(t, x.CheckProcess(t.Context()), tc.want)
+			x.Close(true)
+		})
+	}
+}
+
+// Guards against a check that leaves a connection unused, so that each unframed answer
+// costs one more.
+func TestCheckKeepsConnection(t *testing.T) {
+	address := serveAnswers(t, false, unframedAnswer)
+	p := newPool()
+	x, _, err := send(t, p, address, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, x.CheckProcess(t.Context()), completion.Running)
+	opened := expvar.Get("engine_connections_opened").String()
+	next, err := p.Send(t.Context(), upstream.Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}, ID: "a", MaxIdleTime: time.Second})
+	assert.NilError(t, err)
+	defer next.Close(false)
+	assert.Equal(t, expvar.Get("engine_connections_opened").String(), opened)
+	// Nothing was sent on the connection before, so that no late answer can be on it.
+	assert.Assert(t, !next.Reused)
+}
--- a/pkg/serving/completion/completion.go
+++ b/pkg/serving/completion/completion.go
@@ -5,16 +5,30 @@
 // the answer ends with its connection, and it knows nothing of events: a process that
 // crashes may end the chunks in order in the middle of an event.
 //
+// An operating system closes the connections of a process that crashes as it does at the
+// end of an answer. The process tells the difference: it accepts no connections after a
+// crash. An answer that ends with its connection is therefore complete only if the process
+// that sent it still runs.
+//
 // # Usage
 //
 // The caller of this package reads an answer until HTTP reports its regular end, and then
-// describes the end:
+// describes the end. It looks for the engine's process only if that decides:
 //
-//	end := completion.Ending{Framed: true, Partial: completion.InsideEvent(rest)}
-//	if end.Assess() == completion.Truncated {
+//	end := completion.Ending{Pause: pause, Partial: completion.InsideEvent(rest)}
+//	if end.Assess() == completion.Undecided {
+//		end.Process = look()
+//	}
+//	if end.Assess() != completion.Complete {
 //		// Break off the answer to the caller, so that it does not look complete.
 //	}
 //
+// # Limits
+//
+// A process that ends one connection early and goes on running can't be told from one that
+// ended its answer. A process that crashed and is back within MaxPause can't be told from
+// one that never crashed.
+//
 // No part of this package has a clock, a network or a goroutine.
 //
 // Source: internal/gateway reads the answers.
@@ -22,8 +36,13 @@
 
 import (
 	"bytes"
+	"time"
 )
 
+// MaxPause is the longest time from the last byte of an answer to the end of its
+// connection. A longer one leaves time for the process to crash and to be started again.
+const MaxPause = time.Second
+
 // Verdict is what the end of an answer shows.
 type Verdict string
 
@@ -31,6 +50,21 @@
 const (
 	Complete  Verdict = "complete"
 	Truncated Verdict = "truncated"
+	// Undecided means that only the engine's process can tell.
+	Undecided Verdict = "undecided"
+)
+
+// Process is what is known of the process that sent an answer, after its end.
+type Process string
+
+// States of a process.
+const (
+	// NotChecked means that nobody has looked for the process.
+	NotChecked Process = ""
+	Running    Process = "running"
+	Ended      Process = "ended"
+	// Unreachable means that the process gave no sign in time.
+	Unreachable Process = "unreachable"
 )
 
 // Ending describes an answer that has ended without an error of its connection.
@@ -45,6 +79,10 @@
 	Partial bool
 	// Stopped reports whether the engine stopped the generation before its end.
 	Stopped bool
+	// Pause is the time from the last byte of the body to the end.
+	Pause time.Duration
+	// Process is the state of the engine's process after the end.
+	Process Process
 }
 
 // Assess returns what the end of the answer shows.
@@ -54,10 +92,14 @@
 		return Truncated
 	case e.Framed:
 		return Complete
-	case e.Empty || e.Stopped:
+	case e.Empty, e.Stopped, e.Pause > MaxPause:
 		return Truncated
+	case e.Process == NotChecked:
+		return Undecided
+	case e.Process == Running:
+		return Complete
 	}
-	return Complete
+	return Truncated
 }
 
 // InsideEvent reports whether the bytes after the last whole event of a stream are the
--- a/pkg/serving/completion/completion_test.go
+++ b/pkg/serving/completion/completion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -20,7 +21,13 @@
 		{"framed, inside an event", completion.Ending{Framed: true, Partial: true}, completion.Truncated},
 		{"unframed, inside an event", completion.Ending{Partial: true}, completion.Truncated},
 		{"unframed and empty", completion.Ending{Empty: true}, completion.Truncated},
-		{"unframed, stopped", completion.Ending{Stopped: true}, completion.Truncated},
+		{"unframed, stopped", completion.Ending{Stopped: true, Process: completion.Running}, completion.Truncated},
+		{"unframed, process not checked", completion.Ending{}, completion.Undecided},
+		{"unframed, process runs", completion.Ending{Process: completion.Running}, completion.Complete},
+		{"unframed, process ended", completion.Ending{Process: completion.Ended}, completion.Truncated},
+		{"unframed, process unreachable", completion.Ending{Process: completion.Unreachable}, completion.Truncated},
+		{"unframed, short pause", completion.Ending{Pause: time.Second, Process: completion.Running}, completion.Complete},
+		{"unframed, pause in which the process may have been started again", completion.Ending{Pause: time.Second + 1, Process: completion.Running}, completion.Truncated},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			assert.Equal(t, tc.end.Assess(), tc.want)
