Complete an unframed plain answer only if its engine's process still runs

A crash in the middle of such an answer gave the caller a 200 with the engine's signature and a part of the body.

The body is now read through upstream.VerifiedBody, which turns the regular end into an unexpected one if package completion finds the answer truncated. A call that may run again is then sent to another engine; any other gets 502. A long answer whose beginning was already forwarded is broken off.

Evidence: TestUnframedPlainAnswers failed before (40 of 300 bytes and 600 KiB of a crashed engine were complete for the caller) and passes now, with whole answers whole.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -102,7 +102,7 @@
 		j.g.endTicket(t, sendFailureOutcome(j.ctx, e), 0)
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
-	res := readAnswer(x)
+	res := j.readAnswer(x, t)
 	j.g.recordLoad(t.Engine, &x.Answer)
 	j.g.endTicket(t, res.engineOutcome(j.ctx), j.g.Clock.Now()-start)
 	return res
@@ -135,14 +135,15 @@
 
 // readAnswer reads an answer up to maxBufferedAnswer bytes. An unread remainder is
 // left in the result.
-func readAnswer(x *upstream.Exchange) attemptResult {
+func (j *job) readAnswer(x *upstream.Exchange, t *placement.Ticket) attemptResult {
 	res := attemptResult{exchange: x, reached: true, notRun: x.NotRun}
 	var b bytes.Buffer
-	n, err := io.CopyN(&b, x.Body, maxBufferedAnswer)
+	body := upstream.NewVerifiedBody(x, func(end completion.Ending) completion.Verdict { return j.assess(x, t, end) })
+	n, err := io.CopyN(&b, body, maxBufferedAnswer)
 	res.body = b.Bytes()
 	switch {
 	case err == nil && n == maxBufferedAnswer:
-		res.remainder = x.Body
+		res.remainder = body
 	case !errors.Is(err, io.EOF):
 		res.err = serving.WrapError(err, serving.KindEngineFailed, "the engine broke off its answer").WithRan(serving.DidRun)
 		x.Close(false)
@@ -168,7 +169,7 @@
 		j.log("Answer ended with its connection", "process", end.Process, "pause", end.Pause, "check_took", j.g.Clock.Now()-begin)
 	}
 	verdict := end.Assess()
-	if verdict == completion.Truncated {
+	if verdict != completion.Complete {
 		answersTruncated.Add(string(x.Framing), 1)
 	}
 	return verdict
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -117,7 +117,7 @@
 		}
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
-	res := readAnswer(x)
+	res := r.readAnswer(x, t)
 	r.g.recordLoad(t.Engine, &x.Answer)
 	r.g.endTicket(t, res.engineOutcome(r.ctx), 0)
 	return res
@@ -274,7 +274,7 @@
 	if end.Assess() == completion.Undecided {
 		end.Stopped = r.stoppedForMove()
 	}
-	if r.assess(r.exchange, r.ticket, end) == completion.Truncated {
+	if r.assess(r.exchange, r.ticket, end) != completion.Complete {
 		return io.ErrUnexpectedEOF
 	}
 	return err
--- /dev/null
+++ b/internal/upstream/body.go
@@ -0,0 +1,45 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
+)
+
+// VerifiedBody reads the body of a plain answer. Its end is io.ErrUnexpectedEOF if the
+// answer was truncated.
+type VerifiedBody struct {
+	exchange *Exchange
+	assess   func(completion.Ending) completion.Verdict
+	// read is the number of bytes read. readAt is the time at which the last of them
+	// arrived; the header, if there are none.
+	read   int64
+	readAt time.Duration
+}
+
+// NewVerifiedBody returns the body of an exchange. assess decides whether the answer is
+// complete.
+func NewVerifiedBody(x *Exchange, assess func(completion.Ending) completion.Verdict) *VerifiedBody {
+	return &VerifiedBody{exchange: x, assess: assess, readAt: x.pool.Clock.Now()}
+}
+
+// Read implements io.Reader.
+func (b *VerifiedBody) Read(p []byte) (int, error) {
+	n, err := b.exchange.Body.Read(p)
+	now := b.exchange.pool.Clock.Now()
+	if n > 0 {
+		b.read += int64(n)
+		b.readAt = now
+	}
+	// An engine that did not run the call says so in the header.
+	if !errors.Is(err, io.EOF) || b.exchange.NotRun {
+		return n, err
+	}
+	end := completion.Ending{Framed: b.exchange.Framing != EndsWithConnection, Empty: b.read == 0, Pause: now - b.readAt}
+	if b.assess(end) != completion.Complete {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
