Detect truncated unframed answers at the project's own interface

The transport now reads bodies through VerifiedBody.

Evidence: TestTransportUnframedAnswer, "engine crashes", failed before (no error) and passes now.

--- a/internal/upstream/process_test.go
+++ b/internal/upstream/process_test.go
@@ -105,3 +105,39 @@
 	// Nothing was sent on the connection before, so that no late answer can be on it.
 	assert.Assert(t, !next.Reused)
 }
+
+// Guards against a truncated answer that counts as whole at the project's own interface.
+func TestTransportUnframedAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		crashes bool
+		want    error
+	}{
+		{"engine runs", false, nil},
+		{"engine crashes", true, io.ErrUnexpectedEOF},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, unframedAnswer)
+				if tc.crashes {
+					_ = l.Close()
+				}
+			}()
+			client := &http.Client{Transport: &upstream.Transport{Pool: newPool(), MaxIdleConns: 1}}
+			res, err := client.Get("http://" + l.Addr().String() + "/x")
+			assert.NilError(t, err)
+			defer res.Body.Close()
+			_, err = io.ReadAll(res.Body)
+			assert.Equal(t, err, tc.want)
+		})
+	}
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -1,12 +1,15 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 )
 
 // Transport is an http.RoundTripper that sends requests over the connections of a pool.
@@ -43,7 +46,7 @@
 		length = n
 	}
 	return &http.Response{Status: strconv.Itoa(x.Status) + " " + http.StatusText(x.Status), StatusCode: x.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: x.Header, ContentLength: length, Body: &exchangeBody{exchange: x}, Request: r}, nil
+		Header: x.Header, ContentLength: length, Body: newExchangeBody(r.Context(), x), Request: r}, nil
 }
 
 // CloseIdleConnections closes the idle connections of the pool. http.Client calls it.
@@ -51,14 +54,23 @@
 
 // exchangeBody is the body of an exchange. Closing it ends the exchange.
 type exchangeBody struct {
-	exchange *Exchange
+	*VerifiedBody
 	complete bool
 	closed   bool
 }
 
+func newExchangeBody(ctx context.Context, x *Exchange) *exchangeBody {
+	return &exchangeBody{VerifiedBody: NewVerifiedBody(x, func(end completion.Ending) completion.Verdict {
+		if end.Assess() == completion.Undecided {
+			end.Process = x.CheckProcess(ctx)
+		}
+		return end.Assess()
+	})}
+}
+
 // Read implements io.Reader.
 func (b *exchangeBody) Read(p []byte) (int, error) {
-	n, err := b.exchange.Body.Read(p)
+	n, err := b.VerifiedBody.Read(p)
 	b.complete = b.complete || errors.Is(err, io.EOF)
 	return n, err
 }
