Take a stream for truncated if the answer to the request to stop it was lost

If the engine stopped it and the answer to that request was lost or unreadable, the end of an unframed stream counted as its regular end, and the caller got a short answer framed as complete. The engine's process runs on, so that looking for it does not help.

The end of such a stream now counts as the stop, and the generation is resumed from its last copy, at the destination or at its source.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -65,7 +65,8 @@
 	// latestCopy is the copy from which the generation can be resumed.
 	latestCopy serving.MemoryCopy
 	// stopping is set before the source is requested to stop the generation, and
-	// stopped once the source has confirmed it.
+	// stopped once the source has confirmed it. If the answer to the request was lost,
+	// stopping stays set and stopped does not become set.
 	stopping bool
 	stopped  bool
 	cancel   context.CancelFunc
@@ -183,7 +184,7 @@
 		"after", begin-m.startedAt, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", destUse.Running, "held", destUse.Held,
 		"expected", destUse.Expected, "err", err)
 	switch {
-	case err != nil:
+	case err != nil || res.Handle == "" && (res.Outcome == serving.Moved || res.Outcome == serving.MoveFailed):
 		// The source may have stopped the generation. If it has, the stream ends.
 	case res.Handle != "":
 		m.latestCopy, m.stopped = serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}, true
@@ -396,7 +397,7 @@
 		return false
 	}
 	x, err := r.resumeAtDestination(m, m.dest)
-	if err != nil && m.stopped {
+	if err != nil && m.stopping {
 		// The source still has the memory of a generation that it stopped.
 		x, err = r.resumeAtSource(m)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -280,8 +280,8 @@
 	return err
 }
 
-// stoppedForMove reports whether the engine stopped the generation for its move. It waits
-// for the result of a request to stop it.
+// stoppedForMove reports whether the engine stopped the generation for its move, or may
+// have. It waits for the result of a request to stop it.
 func (r *relay) stoppedForMove() bool {
 	r.mu.Lock()
 	m := r.move
@@ -291,7 +291,9 @@
 		return false
 	}
 	<-m.done
-	return m.stopped
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return m.stopping
 }
 
 // recordEvent updates the relay and the ticket for an event. It returns false if the
