Do not panic when neither engine of a move resumes the generation

Callers saw a stream that was broken off in any case, but the process panicked in the log line "Move failed": a failed attempt at the destination followed by one at the source leaves no destination to log.

Evidence: TestMoveNotResumed failed before ("http: panic serving ... nil pointer dereference", streams_lost unchanged) and passes now.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -396,13 +396,14 @@
 	if m.dest == nil {
 		return false
 	}
+	dest := m.dest.Engine
 	x, err := r.resumeAtDestination(m, m.dest)
 	if err != nil && m.stopping {
 		// The source still has the memory of a generation that it stopped.
 		x, err = r.resumeAtSource(m)
 	}
 	if err != nil {
-		r.log("Move failed", "source", m.source.Engine, "destination", m.dest.Engine, "stopped", m.stopped, "cause", cause, "err", err)
+		r.log("Move failed", "source", m.source.Engine, "destination", dest, "stopped", m.stopped, "cause", cause, "err", err)
 		return false
 	}
 	r.exchange = x
