Block calls that crash engines, with and without prompt parts

Cause, two faces of one fault: the evidence knew prompt parts only. Lost plain calls were not recorded at all. Of a stream, only the parts that other prompts may share were known; a sound request with the same parts cleared them, so that the request itself stayed unknown (traced: answers at 8.72, 9.45 and 22.78 s).

The hash of a call, over account, method, host, target and body, is now one more part of it, in a range of its own, so that no caller can choose a prompt part equal to it. servePlain records lost calls and sound answers. An entry looks for the process right after a loss: if it has ended at two engines, the block needs no wait for heartbeats; if one runs, it waits for them. A request that was lost twice in a row was sent to the second engine after the first had ended, and counts as two losses.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -41,8 +41,8 @@
 	remainder io.Reader
 	err       error
 	// notRun means that the engine did not run the call, reached that the call may have
-	// arrived at the engine.
-	notRun, reached bool
+	// arrived at the engine, and brokenOff that the answer was truncated.
+	notRun, reached, brokenOff bool
 }
 
 // servePlain serves a call whose answer is one message and not a stream.
@@ -60,6 +60,12 @@
 			j.answer(last, err)
 			return
 		}
+		if err := j.checkBlocked(); err != nil {
+			// The call was blocked while it waited for an engine or was retried.
+			j.g.endTicket(ticket, placement.Abandoned, 0)
+			j.answer(last, err)
+			return
+		}
 		last.discard()
 		last = j.attempt(ticket, maxAttempts)
 		j.tried = append(j.tried, ticket.Engine)
@@ -99,12 +105,24 @@
 	x, err := j.g.upstream.Send(ctx, j.engineRequest(t, nil, maxIdleTime))
 	if err != nil {
 		e := serving.AsError(err)
-		j.g.endTicket(t, sendFailureOutcome(j.ctx, e), 0)
+		outcome := sendFailureOutcome(j.ctx, e)
+		j.g.endTicket(t, outcome, 0)
+		if outcome == placement.Broken && ctx.Err() == nil {
+			j.recordLost(t)
+		}
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
 	res := j.readAnswer(x, t)
 	j.g.recordLoad(t.Engine, &x.Answer)
 	j.g.endTicket(t, res.engineOutcome(j.ctx), j.g.Clock.Now()-start)
+	switch {
+	case res.brokenOff && ctx.Err() == nil:
+		j.recordLost(t)
+	case res.err == nil && !res.notRun:
+		j.g.board.mu.Lock()
+		j.recordSound()
+		j.g.board.mu.Unlock()
+	}
 	return res
 }
 
@@ -145,6 +163,7 @@
 	case err == nil && n == maxBufferedAnswer:
 		res.remainder = body
 	case !errors.Is(err, io.EOF):
+		res.brokenOff = true
 		res.err = serving.WrapError(err, serving.KindEngineFailed, "the engine broke off its answer").WithRan(serving.DidRun)
 		x.Close(false)
 	case x.Status/100 == 2 && (!x.Signed || x.Encoded):
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -9,36 +10,46 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
-// blockedRetryAfter is the Retry-After of a call whose prompt is blocked. It is longer
-// than the timeouts of current callers, because a block lasts for minutes.
-const blockedRetryAfter = time.Minute
+const (
+	// blockedRetryAfter is the Retry-After of a call that is blocked. It is longer than the
+	// timeouts of current callers, because a block lasts for minutes.
+	blockedRetryAfter = time.Minute
+	// lossCheckTimeout bounds the look for the process of an engine that lost a call. Without
+	// a result, the heartbeats tell later whether it crashed.
+	lossCheckTimeout = 200 * time.Millisecond
+)
 
-// checkPrompt returns an error if the current view blocks the prompt of the call.
-func (j *job) checkPrompt() error {
-	b := j.g.board.view.Load().blocks.Match(j.shared)
+// checkBlocked returns an error if the current view blocks the call.
+func (j *job) checkBlocked() error {
+	b := j.g.board.view.Load().blocks.Match(j.parts)
 	if b == nil {
 		return nil
 	}
-	return serving.NewError(serving.KindPromptBlocked, "engines crashed with the prompt parts "+b.String()).WithRetryAfter(blockedRetryAfter)
+	return serving.NewError(serving.KindPromptBlocked, "engines crashed with the call or prompt parts "+b.String()).WithRetryAfter(blockedRetryAfter)
 }
 
 // hasBegun reports whether an answer of a number of events has begun, as the outcomes of
 // prompt parts count it.
 func hasBegun(events int64) bool { return events >= quarantine.SoundEvents }
 
-// recordSound records that an answer has begun with the parts of the prompt. The caller
-// holds mu of the blackboard.
+// recordSound records that an answer to the call has begun. The caller holds mu of the
+// blackboard.
 func (j *job) recordSound() {
-	j.g.board.outcomes.Sound(j.g.Clock.Now(), j.shared)
+	j.g.board.outcomes.Sound(j.g.Clock.Now(), j.parts)
 }
 
 // recordLost records that the engine ended the connection before the answer had begun.
 func (j *job) recordLost(t *placement.Ticket) {
+	lostAt := j.g.Clock.Now()
+	ctx, cancel := context.WithTimeout(j.ctx, lossCheckTimeout)
+	defer cancel()
+	process := j.g.upstream.CheckProcess(ctx, t.Address, t.MaxIdleConns)
 	lostBeforeAnswer.Add(1)
-	j.log("Engine ended before the answer began", "engine_started", t.Started, "parts", partNames(j.Parts))
+	j.log("Engine ended before the answer began", "engine_started", t.Started, "process", process,
+		"call", j.parts[len(j.parts)-1].String(), "parts", partNames(j.Parts))
 	j.g.board.mu.Lock()
 	defer j.g.board.mu.Unlock()
-	j.g.board.outcomes.Lost(j.g.Clock.Now(), quarantine.LostCall{Request: j.ID, Engine: t.Engine, EngineStarted: t.Started, Parts: j.shared})
+	j.g.board.outcomes.Lost(lostAt, quarantine.LostCall{Request: j.ID, Engine: t.Engine, EngineStarted: t.Started, Parts: j.parts, Process: process})
 }
 
 // partNames returns the hashes of prompt parts in hexadecimal, as callers send them.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,8 +30,9 @@
 	w http.ResponseWriter
 	*serving.Call
 	*routing.Decision
-	// shared holds the parts of the prompt that other prompts may have.
-	shared []quarantine.Part
+	// parts holds the hash of the call and the parts of its prompt that other prompts may
+	// have, by which calls that crash engines are recognised.
+	parts []quarantine.Part
 	// arrivedAt is when the header of the request had been read. deadline is when the
 	// caller's or the route's timeout expires, whichever is first.
 	arrivedAt, deadline time.Duration
@@ -63,12 +64,13 @@
 		g.Dialect.Refuse(w, nil, serving.AsError(err))
 		return
 	}
-	j := &job{g: g, w: w, Call: call, shared: quarantine.Shareable(call.Parts), arrivedAt: arrivedAt, ctx: r.Context()}
+	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context()}
 	if err := j.decide(); err != nil {
 		j.refuse(err)
 		return
 	}
-	if err := j.checkPrompt(); err != nil {
+	j.parts = append(quarantine.Shareable(call.Parts), quarantine.HashCall(j.accountID(), call.Method, call.Host, call.Target, call.Body))
+	if err := j.checkBlocked(); err != nil {
 		j.refuse(err)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,8 +78,8 @@
 			r.refuse(err)
 			return false
 		}
-		if err := r.checkPrompt(); err != nil {
-			// The prompt was blocked while the call waited for an engine.
+		if err := r.checkBlocked(); err != nil {
+			// The call was blocked while the call waited for an engine.
 			r.g.endTicket(ticket, placement.Abandoned, 0)
 			r.refuse(err)
 			return false
--- a/internal/upstream/process.go
+++ b/internal/upstream/process.go
@@ -18,15 +18,20 @@
 	listenerCloseTime = 10 * time.Millisecond
 )
 
-// CheckProcess reports whether a process still accepts connections at an engine's address.
-// The connection that it opens for this is kept for the next call, in place of the one
-// that ended with the answer.
+// CheckProcess reports whether a process still accepts connections at the engine's address.
 func (x *Exchange) CheckProcess(ctx context.Context) completion.Process {
+	return x.pool.CheckProcess(ctx, x.address, x.maxIdleConns)
+}
+
+// CheckProcess reports whether a process still accepts connections at an engine's address,
+// after one of its connections has ended. The connection that it opens for this is kept for
+// the next call, unless there are maxIdleConns already.
+func (p *Pool) CheckProcess(ctx context.Context, address string, maxIdleConns int) completion.Process {
 	closedEarly := false
 	for range processCheckAttempts {
-		c, err := dial(ctx, x.address)
+		c, err := dial(ctx, address)
 		switch {
-		case err == nil && x.pool.keepIfOpen(ctx, x, c):
+		case err == nil && p.keepIfOpen(ctx, c, address, maxIdleConns):
 			return completion.Running
 		case err == nil && closedEarly:
 			// A process that is there, but has no room for one more connection.
@@ -34,7 +39,7 @@
 		case err == nil:
 			closedEarly = true
 		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-			if x.pool.hasOpenConn(x.address) {
+			if p.hasOpenConn(address) {
 				return completion.Running
 			}
 			return completion.Ended
@@ -47,7 +52,7 @@
 
 // keepIfOpen keeps a new connection for the next call, unless the engine closes it within
 // listenerCloseTime. It returns false in this case.
-func (p *Pool) keepIfOpen(ctx context.Context, x *Exchange, c *conn) bool {
+func (p *Pool) keepIfOpen(ctx context.Context, c *conn, address string, maxIdleConns int) bool {
 	t := time.NewTimer(listenerCloseTime)
 	defer t.Stop()
 	select {
@@ -58,7 +63,7 @@
 		_ = c.Close()
 		return false
 	}
-	p.put(x.address, c, x.IdleTimeout, x.maxIdleConns)
+	p.put(address, c, 0, maxIdleConns)
 	return true
 }
 
--- a/pkg/serving/quarantine/blocklist.go
+++ b/pkg/serving/quarantine/blocklist.go
@@ -16,11 +16,19 @@
 	return slices.Compact(b)
 }
 
-// String returns the parts in hexadecimal, as callers send them.
+// String returns the hash in hexadecimal; that of a prompt part as callers send it.
+func (p Part) String() string {
+	if p.isCall() {
+		return "call:" + strconv.FormatUint(uint64(p&^callBit), 16)
+	}
+	return strconv.FormatUint(uint64(p), 16)
+}
+
+// String returns the parts in hexadecimal.
 func (b Block) String() string {
 	out := make([]string, len(b))
 	for i, part := range b {
-		out[i] = strconv.FormatUint(uint64(part), 16)
+		out[i] = part.String()
 	}
 	return strings.Join(out, "+")
 }
--- a/pkg/serving/quarantine/doc.go
+++ b/pkg/serving/quarantine/doc.go
@@ -1,5 +1,5 @@
-// Package quarantine finds the prompt parts that crash engines, from the calls that were
-// lost with their engines, and blocks the prompts that have them.
+// Package quarantine finds the calls and the prompt parts that crash engines, from the calls
+// that were lost with their engines, and blocks them.
 //
 // A call is lost with its engine if the engine ends the connection before the answer has
 // begun. One lost call says little: the engine may have ended for another reason, and
@@ -9,12 +9,17 @@
 // known to be sound, are blocked together only: a call that has one of them but not all
 // is still sent, and its outcome tells them apart.
 //
+// The hash of a call, with its account, target and body, is one more part of it. It finds a
+// call that comes again and crashes engines although it has no prompt parts, or although
+// other calls with the same ones are sound.
+//
 // # Usage
 //
 // An entry records the outcomes of its own calls in an [Observer] and reports them:
 //
-//	o.Lost(now, quarantine.LostCall{Request: id, Engine: engine, Parts: quarantine.Shareable(parts)})
-//	o.Sound(now, quarantine.Shareable(parts))
+//	parts := append(quarantine.Shareable(prompt), quarantine.HashCall(account, method, host, target, body))
+//	o.Lost(now, quarantine.LostCall{Request: id, Engine: engine, Parts: parts})
+//	o.Sound(now, parts)
 //	send(o.Report(now), o.SoundAmong(now, suspects))
 //
 // A control host collects the reports of all entries in an [Evidence], returns the
@@ -29,8 +34,10 @@
 //
 // # Bounds
 //
-// An Observer holds up to 2 x 4096 sound parts and 64 lost calls, an Evidence 512 lost
-// calls for ten minutes, and each lost call up to 128 parts. Only a call that loses its
+// An Observer holds up to 2 x 4096 sound prompt parts, as many sound calls and 64 lost
+// calls, an Evidence 512 lost calls for ten minutes, and each lost call up to 128 prompt
+// parts. A hash of 63 bits of SHA-256 keeps callers from choosing a call with the hash of
+// another account's. Only a call that loses its
 // engine adds evidence. No part of this package has a clock, a network or a goroutine.
 //
 // Source: internal/gateway observes, internal/hub collects, and package deployment
--- a/pkg/serving/quarantine/evidence.go
+++ b/pkg/serving/quarantine/evidence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 )
 
 const (
@@ -13,7 +14,8 @@
 	evidenceTTL = 10 * time.Minute
 	// maxLostCalls bounds the lost calls that are kept; the oldest are dropped first.
 	maxLostCalls = 512
-	// maxSuspects bounds the suspects that are returned to entries.
+	// maxSuspects bounds the prompt parts, and also the calls, among the suspects that are
+	// returned to entries.
 	maxSuspects = 256
 	// lossWindow is the time within which losses count as one, because engines that lose
 	// their power or their network end together, whatever their calls have in common.
@@ -26,8 +28,9 @@
 	// explain the losses equally well is blocked.
 	minLossesTied = 4
 	// settleTime is how long a finding waits for reports of sound parts and of engines
-	// that are alive. With only minLosses, every engine should have had the time for a
-	// heartbeat that all control hosts know of.
+	// that are alive. Every engine should have had the time for a heartbeat that all control
+	// hosts know of if there are only minLosses, unless all processes are known to have
+	// ended, or if a process was seen to run.
 	settleTime      = 250 * time.Millisecond
 	settleTimeFirst = 2500 * time.Millisecond
 	// aliveAfter is how long after a loss a heartbeat of the same start of the engine
@@ -101,7 +104,7 @@
 	key := lossKey{c.Request, engineStart{c.Engine, c.EngineStarted}}
 	l, known := e.lost[key]
 	if !known {
-		c.Parts = NewBlock(c.Parts[:min(len(c.Parts), maxParts)])
+		c.Parts = NewBlock(c.Parts[:min(len(c.Parts), maxParts+1)])
 		l.LostCall = c
 	}
 	if direct && l.direct == 0 {
@@ -135,7 +138,7 @@
 	}
 	known, ok := e.sound[p.Part]
 	switch {
-	case !ok && len(e.sound) >= 2*maxSuspects:
+	case !ok && len(e.sound) >= 4*maxSuspects:
 		return
 	case ok && p.At <= known.at+soundStep:
 		return
@@ -175,7 +178,11 @@
 	if !e.suspectsValid || e.suspectsOf != blocks || now-e.suspectsAt > suspectsTTL {
 		e.expire(now)
 		all := candidates(e.unexplained(blocks), blocks)
-		e.suspects, e.suspectsValid, e.suspectsOf, e.suspectsAt = all[:min(len(all), maxSuspects)], true, blocks, now
+		// Hashes of calls sort behind those of prompt parts.
+		firstCall, _ := slices.BinarySearch(all, callBit)
+		prompts, calls := all[:firstCall], all[firstCall:]
+		e.suspects = slices.Concat(prompts[:min(len(prompts), maxSuspects)], calls[:min(len(calls), maxSuspects)])
+		e.suspectsValid, e.suspectsOf, e.suspectsAt = true, blocks, now
 	}
 	return e.suspects
 }
@@ -267,15 +274,27 @@
 	if wasSound {
 		lost = slices.DeleteFunc(slices.Clone(lost), func(l loss) bool { return known.at >= l.At })
 	}
+	// inWindow holds the requests that were lost since windowStart. One that is lost again
+	// was sent to another engine in between, so that the engines did not end together.
+	inWindow := map[serving.RequestID]bool{}
+	ended, running := 0, 0
 	for _, l := range lost {
 		engines[engineStart{l.Engine, l.EngineStarted}] = true
-		if f.Losses == 0 || l.At-windowStart > lossWindow {
+		switch l.Process {
+		case completion.Ended:
+			ended++
+		case completion.Running:
+			running++
+		}
+		if f.Losses == 0 || l.At-windowStart > lossWindow || inWindow[l.Request] {
 			f.Losses++
 			windowStart = l.At
+			clear(inWindow)
 			if f.Losses <= minLosses+1 {
 				enoughAt = l.At
 			}
 		}
+		inWindow[l.Request] = true
 	}
 	f.Calls, f.lost = len(lost), lost
 	f.Engines = len(engines)
@@ -283,7 +302,7 @@
 	if wasSound {
 		required = minLossesSound
 	}
-	if min(f.Losses, f.Engines) == minLosses {
+	if running > 0 || min(f.Losses, f.Engines) == minLosses && ended < len(lost) {
 		settle = settleTimeFirst
 	}
 	if min(f.Losses, f.Engines) < required || now-enoughAt < settle {
--- a/pkg/serving/quarantine/observer.go
+++ b/pkg/serving/quarantine/observer.go
@@ -1,9 +1,12 @@
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 )
 
 const (
@@ -23,9 +26,31 @@
 	soundGeneration = 4096
 )
 
-// Part is the hash of a prompt part, as the caller assigned it.
+// Part is the hash of a prompt part, as the caller assigned it, or with callBit the hash of
+// a whole call.
 type Part uint64
 
+// callBit is set in the hash of a call and cleared in that of a prompt part, so that a
+// caller can't choose a prompt part that equals another caller's call.
+const callBit Part = 1 << 63
+
+// isCall reports whether the hash is that of a whole call.
+func (p Part) isCall() bool { return p&callBit != 0 }
+
+// HashCall returns the hash of a call. Two calls have the same hash if they come from the
+// same account and have the same method, host, target and body.
+func HashCall(account serving.ClientAccountID, method, host, target string, body []byte) Part {
+	h := sha256.New()
+	var length [8]byte
+	for _, field := range [][]byte{[]byte(account), []byte(method), []byte(host), []byte(target), body} {
+		// The length keeps two fields from being read as one.
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		h.Write(length[:])
+		h.Write(field)
+	}
+	return Part(binary.BigEndian.Uint64(h.Sum(nil))) | callBit
+}
+
 // Shareable returns the parts of a prompt that other prompts may share, which are all but
 // the last one.
 func Shareable(parts []serving.PromptPart) []Part {
@@ -38,7 +63,7 @@
 	}
 	out := make([]Part, len(parts))
 	for i, part := range parts {
-		out[i] = Part(part.Hash)
+		out[i] = Part(part.Hash) &^ callBit
 	}
 	return out
 }
@@ -49,8 +74,11 @@
 	Engine  serving.EngineID
 	// EngineStarted is the start time of the engine's process in Unix milliseconds.
 	EngineStarted int64
-	// Parts are the shareable parts of the prompt. An Evidence sorts them.
+	// Parts are the hash of the call and the shareable parts of its prompt. An Evidence
+	// sorts them.
 	Parts []Part
+	// Process is the state of the engine's process just after the loss.
+	Process completion.Process
 	// At is the time of the loss.
 	At time.Duration
 }
@@ -65,12 +93,40 @@
 // It is not safe for concurrent use.
 type Observer struct {
 	lost []LostCall
-	// sound holds the time at which an answer last began with each part; older is the
-	// generation before.
-	sound, older map[Part]time.Duration
+	// prompts holds the sound parts of prompts, and calls the sound calls.
+	prompts, calls soundSet
+}
+
+// soundSet holds the time at which an answer last began with each part. It drops the older
+// half when it is full.
+type soundSet struct {
+	recent, older map[Part]time.Duration
+}
+
+func (s *soundSet) add(now time.Duration, part Part) {
+	if s.recent == nil || len(s.recent) >= soundGeneration {
+		s.older, s.recent = s.recent, map[Part]time.Duration{}
+	}
+	s.recent[part] = now
 }
 
-// Lost records a lost call. Calls without shareable parts are ignored.
+func (s *soundSet) lookUp(part Part) (time.Duration, bool) {
+	at, ok := s.recent[part]
+	if !ok {
+		at, ok = s.older[part]
+	}
+	return at, ok
+}
+
+// soundSet returns the set that holds a part.
+func (o *Observer) soundSet(part Part) *soundSet {
+	if part.isCall() {
+		return &o.calls
+	}
+	return &o.prompts
+}
+
+// Lost records a lost call. Calls without parts are ignored.
 func (o *Observer) Lost(now time.Duration, c LostCall) {
 	if len(c.Parts) == 0 {
 		return
@@ -85,11 +141,8 @@
 
 // Sound records that an answer has begun with parts.
 func (o *Observer) Sound(now time.Duration, parts []Part) {
-	if o.sound == nil || len(o.sound) >= soundGeneration {
-		o.older, o.sound = o.sound, map[Part]time.Duration{}
-	}
 	for _, part := range parts {
-		o.sound[part] = now
+		o.soundSet(part).add(now, part)
 	}
 }
 
@@ -103,11 +156,7 @@
 func (o *Observer) SoundAmong(suspects []Part) []SoundPart {
 	var out []SoundPart
 	for _, part := range suspects {
-		at, ok := o.sound[part]
-		if !ok {
-			at, ok = o.older[part]
-		}
-		if ok {
+		if at, ok := o.soundSet(part).lookUp(part); ok {
 			out = append(out, SoundPart{part, at})
 		}
 	}
--- a/pkg/serving/quarantine/quarantine_test.go
+++ b/pkg/serving/quarantine/quarantine_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
@@ -29,12 +31,25 @@
 	sound bool
 	alive string
 	parts []quarantine.Part
+	// request is the id of the lost request; each event is of another one if it is empty.
+	request string
+	process completion.Process
 }
 
 func lost(at time.Duration, engine string, parts ...quarantine.Part) event {
 	return event{at: at, lost: engine, parts: parts}
 }
 
+func (e event) after(p completion.Process) event {
+	e.process = p
+	return e
+}
+
+func (e event) of(request string) event {
+	e.request = request
+	return e
+}
+
 func sound(at time.Duration, parts ...quarantine.Part) event {
 	return event{at: at, sound: true, parts: parts}
 }
@@ -46,7 +61,10 @@
 	for i, ev := range events {
 		switch {
 		case ev.lost != "":
-			e.Lost(ev.at, quarantine.LostCall{Request: serving.RequestID(fmt.Sprint("r", i)), Engine: serving.EngineID(ev.lost), EngineStarted: 1, Parts: ev.parts, At: ev.at}, true)
+			if ev.request == "" {
+				ev.request = fmt.Sprint("r", i)
+			}
+			e.Lost(ev.at, quarantine.LostCall{Request: serving.RequestID(ev.request), Engine: serving.EngineID(ev.lost), EngineStarted: 1, Parts: ev.parts, At: ev.at, Process: ev.process}, true)
 		case ev.alive != "":
 			e.Alive(serving.EngineID(ev.alive), 1, ev.at)
 		default:
@@ -77,6 +95,12 @@
 		{"two losses: heartbeats may still come", []event{lost(0, "e1", crashing), lost(seconds(1), "e2", crashing)}, seconds(3), nil},
 		{"two losses", []event{lost(0, "e1", crashing), lost(seconds(1), "e2", crashing)}, seconds(3.5), []quarantine.Part{crashing}},
 		{"three losses need no further wait", []event{lost(0, "e1", crashing), lost(seconds(1), "e2", crashing), lost(seconds(2), "e3", crashing)}, seconds(2.5), []quarantine.Part{crashing}},
+		{"two losses, both processes ended", []event{lost(0, "e1", crashing).after(completion.Ended), lost(seconds(1), "e2", crashing).after(completion.Ended)}, seconds(1.3), []quarantine.Part{crashing}},
+		{"two losses, one process ended", []event{lost(0, "e1", crashing).after(completion.Ended), lost(seconds(1), "e2", crashing).after(completion.Unreachable)}, seconds(3), nil},
+		{"three losses, the processes run: heartbeats may still come", []event{lost(0, "e1", crashing).after(completion.Running), lost(seconds(1), "e2", crashing).after(completion.Running), lost(seconds(2), "e3", crashing).after(completion.Running)},
+			seconds(4), nil},
+		{"one request, lost with one engine after the other", []event{lost(0, "e1", crashing).of("a").after(completion.Ended), lost(seconds(0.1), "e2", crashing).of("a").after(completion.Ended)}, seconds(0.4), []quarantine.Part{crashing}},
+		{"two requests, lost at the same time", []event{lost(0, "e1", crashing).after(completion.Ended), lost(seconds(0.1), "e2", crashing).after(completion.Ended)}, seconds(60), nil},
 		{"the other parts were sound since", []event{lost(0, "e1", system, document, crashing), lost(seconds(1), "e2", system, document, crashing), sound(seconds(1.1), system), sound(seconds(0.5), document)},
 			seconds(4), []quarantine.Part{crashing}},
 		{"parts that were always lost together", []event{lost(0, "e1", system, crashing), lost(seconds(1), "e2", system, crashing)}, seconds(4), []quarantine.Part{system, crashing}},
@@ -109,6 +133,42 @@
 	}
 }
 
+// Guards against a call that counts as another one: of another account, with fields that
+// are divided differently, or as a prompt part that a caller chose.
+func TestHashCall(t *testing.T) {
+	call := quarantine.HashCall("a", "GET", "h", "/x", []byte("b"))
+	assert.Equal(t, call, quarantine.HashCall("a", "GET", "h", "/x", []byte("b")))
+	for _, other := range []quarantine.Part{
+		quarantine.HashCall("b", "GET", "h", "/x", []byte("b")),
+		quarantine.HashCall("", "aGET", "h", "/x", []byte("b")),
+		quarantine.HashCall("a", "GET", "h", "/xb", nil),
+		quarantine.HashCall("a", "POST", "h", "/x", []byte("b")),
+		quarantine.HashCall("a", "GET", "h", "/x", []byte("c")),
+		quarantine.Shareable([]serving.PromptPart{{Hash: uint64(call)}, {}})[0],
+	} {
+		assert.Assert(t, call != other)
+	}
+}
+
+// Guards against suspects of which an answer is never reported because there are too many
+// of the other kind.
+func TestSuspectsOfBothKinds(t *testing.T) {
+	e := &quarantine.Evidence{}
+	call := quarantine.HashCall("a", "GET", "h", "/x", nil)
+	for i := range 10 {
+		parts := []quarantine.Part{call + quarantine.Part(i)}
+		for k := range 100 {
+			parts = append(parts, quarantine.Part(100*i+k))
+		}
+		e.Lost(0, quarantine.LostCall{Request: serving.RequestID(fmt.Sprint(i)), Engine: "e", Parts: parts}, true)
+	}
+	suspects := e.Suspects(0, nil)
+	for i := range 10 {
+		assert.Assert(t, slices.Contains(suspects, call+quarantine.Part(i)))
+	}
+	assert.Equal(t, len(suspects), 256+10)
+}
+
 // Guards against a block of several parts that lets through the part among them that
 // crashes engines, when it comes with other parts.
 func TestNarrowerBlockAfterOneMoreLoss(t *testing.T) {
--- a/pkg/serving/quarantine/wire.go
+++ b/pkg/serving/quarantine/wire.go
@@ -5,6 +5,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 )
 
 // ToWire converts the block to its protobuf message.
@@ -47,7 +48,7 @@
 	out := make([]*schema.LostCall, len(lost))
 	for i, c := range lost {
 		out[i] = &schema.LostCall{Request: string(c.Request), Engine: string(c.Engine), EngineStartedMs: c.EngineStarted,
-			Parts: toNumbers(c.Parts), AgeMs: max(0, now-c.At).Milliseconds()}
+			Parts: toNumbers(c.Parts), AgeMs: max(0, now-c.At).Milliseconds(), Process: string(c.Process)}
 	}
 	return out
 }
@@ -57,7 +58,7 @@
 	out := make([]LostCall, len(in))
 	for i, m := range in {
 		out[i] = LostCall{Request: serving.RequestID(m.GetRequest()), Engine: serving.EngineID(m.GetEngine()), EngineStarted: m.GetEngineStartedMs(),
-			Parts: PartsFromWire(m.GetParts()), At: now - time.Duration(m.GetAgeMs())*time.Millisecond}
+			Parts: PartsFromWire(m.GetParts()), At: now - time.Duration(m.GetAgeMs())*time.Millisecond, Process: completion.Process(m.GetProcess())}
 	}
 	return out
 }
