Stop retrying a call under which two engines have crashed

A call that lost its engine for another reason is still retried once after a crash, and as before if the process runs.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -75,7 +75,7 @@
 		if !last.notRun {
 			j.possibleRuns++
 		}
-		if j.possibleRuns >= maxAttempts || !j.mayRetry(last.reached) {
+		if j.possibleRuns >= maxAttempts || j.crashes >= maxCrashes || !j.mayRetry(last.reached) {
 			break
 		}
 		j.log("Call retried", "not_run", last.notRun, "err", last.err, "ran", j.possibleRuns)
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
@@ -17,6 +18,9 @@
 	// lossCheckTimeout bounds the look for the process of an engine that lost a call. Without
 	// a result, the heartbeats tell later whether it crashed.
 	lossCheckTimeout = 200 * time.Millisecond
+	// maxCrashes is the number of engines that may crash while they have the same call before
+	// it is not sent to another one.
+	maxCrashes = 2
 )
 
 // checkBlocked returns an error if the current view blocks the call.
@@ -44,8 +48,11 @@
 	ctx, cancel := context.WithTimeout(j.ctx, lossCheckTimeout)
 	defer cancel()
 	process := j.g.upstream.CheckProcess(ctx, t.Address, t.MaxIdleConns)
+	if process == completion.Ended {
+		j.crashes++
+	}
 	lostBeforeAnswer.Add(1)
-	j.log("Engine ended before the answer began", "engine_started", t.Started, "process", process,
+	j.log("Engine ended before the answer began", "engine_started", t.Started, "process", process, "crashes", j.crashes,
 		"call", j.parts[len(j.parts)-1].String(), "parts", partNames(j.Parts))
 	j.g.board.mu.Lock()
 	defer j.g.board.mu.Unlock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,7 +39,9 @@
 	ctx                 context.Context
 	tried               []serving.EngineID
 	// possibleRuns counts the engines that may have run the call.
-	possibleRuns  int
+	possibleRuns int
+	// crashes counts the engines whose process ended while they had the call.
+	crashes       int
 	retries       int
 	revision      uint64
 	engine        serving.EngineID
