Block calls that crash engines at the project's own interface as well

A lookup crashed up to three engines per call; a request whose prompt prefix others share was cleared by their answers.

Requests and service calls now have the hash of the whole call as one more part, and the entry looks for the engine's process after a loss. A call that lost several engines is not sent to a further one; losses with a process that still runs don't count for that.

Evidence: TestServiceCallThatCrashesEngines (all engines crashed by lookups, 6 by orders) and TestRequestThatCrashesEnginesBehindSoundPrefix (no engine left) failed before and pass now; the bound is three.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -266,7 +266,7 @@
 		e.eventLog.add(eventFirstToken, a.request.ID, "engine", string(a.engine.Engine))
 	}
 	if next, sound := a.sequencer.Next(), a.firstIndex+quarantine.SoundEvents; next >= sound && next-serving.TokenIndex(n) < sound {
-		e.prompts.recordSound(a.request)
+		e.prompts.recordSound(requestParts(a.request))
 	}
 	a.lastFrameAt, a.failing, a.resumes = now, false, 0
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -93,7 +93,7 @@
 	e.retries.request()
 	s := &completionState{tried: map[serving.EngineID]bool{}, ran: serving.NotRun}
 	for range maxAttempts {
-		if err := e.prompts.check(c.request); err != nil {
+		if err := e.prompts.check(requestParts(c.request)); err != nil {
 			return s.failure(err)
 		}
 		a, err := e.admit(ctx, c, s)
@@ -104,11 +104,11 @@
 		err = e.runCounted(ctx, a, out)
 		e.endAttempt(a, err)
 		if err == nil {
-			e.prompts.recordSound(a.request)
+			e.prompts.recordSound(requestParts(a.request))
 			return nil
 		}
 		s.recordFailure(a, err)
-		mayRestart := !a.lostEngine(ctx, err) || e.prompts.recordLost(a)
+		mayRestart := !a.lostEngine(ctx, err) || e.recordLostAttempt(ctx, a)
 		if !out.canResume() {
 			e.cancelInBackground(a)
 		}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -114,6 +114,9 @@
 		b := e.board.load()
 		err := e.mayDispatch(b) // The view may have expired during the claim.
 		var n *Engine
+		if err == nil {
+			err = e.prompts.check(o.call.parts())
+		}
 		if err == nil {
 			n, err = e.placeCall(b, o.call.service, tried)
 		}
--- a/internal/entry/prompts.go
+++ b/internal/entry/prompts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,12 +21,14 @@
 	promptBlockTTL = 10 * time.Minute
 	// promptRetryAfter is the Retry-After of a request whose prompt is blocked.
 	promptRetryAfter = time.Minute
+	// lossCheckTimeout bounds the look for the process of an engine that lost a call.
+	lossCheckTimeout = 200 * time.Millisecond
 	// maxPromptBlocks bounds the blocks of an entry.
 	maxPromptBlocks = 64
 )
 
-// prompts finds prompts that crash engines and blocks them. Its parts of a prompt are the
-// prefix hashes of the request. Entries exchange evidence and blocks with their membership
+// prompts finds calls and prompts that crash engines and blocks them. Its parts of a prompt
+// are the prefix hashes of the request. Entries exchange evidence and blocks with their membership
 // records, so that a part that crashed engines at one entry is known to all.
 type prompts struct {
 	clock serving.Clock
@@ -42,41 +45,66 @@
 	until time.Duration
 }
 
-func promptParts(r *serving.Request) []quarantine.Part {
-	return quarantine.PartsFromWire(r.PrefixHashes)
+// requestParts returns the prompt parts of a request and the hash of its call.
+func requestParts(r *serving.Request) []quarantine.Part {
+	parts := quarantine.FromHashes(r.PrefixHashes)
+	if r.CallHash != 0 {
+		parts = append(parts, quarantine.Part(r.CallHash))
+	}
+	return parts
+}
+
+// parts returns the hash of the call.
+func (c *serviceCall) parts() []quarantine.Part {
+	method := http.MethodPost
+	if c.idempotent {
+		method = http.MethodGet
+	}
+	return []quarantine.Part{quarantine.HashCall(c.account, method, string(c.service), c.path+"?"+c.query, c.body)}
 }
 
-// check returns an error if the prompt of a request is blocked.
-func (p *prompts) check(r *serving.Request) error {
+// check returns an error if a call with the given parts is blocked.
+func (p *prompts) check(parts []quarantine.Part) error {
 	blocks := p.list.Load()
 	if len(blocks.Blocks()) == 0 {
 		return nil
 	}
-	b := blocks.Match(promptParts(r))
+	b := blocks.Match(parts)
 	if b == nil {
 		return nil
 	}
-	return serving.NewError(serving.KindPromptBlocked, "engines crashed with the prompt prefix "+b.String()).WithRetryAfter(promptRetryAfter)
+	return serving.NewError(serving.KindPromptBlocked, "engines crashed with the call or prompt prefix "+b.String()).WithRetryAfter(promptRetryAfter)
 }
 
-// recordSound records that an answer to a request has begun.
-func (p *prompts) recordSound(r *serving.Request) {
-	if len(r.PrefixHashes) == 0 {
-		return
-	}
+// recordSound records that an answer to a call with the given parts has begun.
+func (p *prompts) recordSound(parts []quarantine.Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.outcomes.Sound(p.clock.Now(), promptParts(r))
+	p.outcomes.Sound(p.clock.Now(), parts)
 }
 
-// recordLost records that an attempt lost its engine before the answer had begun. It
+// recordLostAttempt records that an attempt lost its engine before the answer had begun. It
 // reports whether the request may be sent to another engine.
-func (p *prompts) recordLost(a *attempt) (mayRestart bool) {
-	now := p.clock.Now()
-	c := quarantine.LostCall{Request: a.request.ID, Engine: a.engine.Engine, EngineStarted: int64(a.engine.Incarnation), Parts: promptParts(a.request), At: now}
+func (e *Entry) recordLostAttempt(ctx context.Context, a *attempt) (mayRestart bool) {
+	at := e.prompts.clock.Now()
 	if a.failing {
-		c.At = a.failedAt
+		at = a.failedAt
 	}
+	return e.recordLost(ctx, a.request.ID, a.engine, requestParts(a.request), at)
+}
+
+// recordLost records that a call lost its engine at a time, before the answer had begun. It
+// reports whether the call may be sent to another engine.
+func (e *Entry) recordLost(ctx context.Context, id serving.RequestID, n *Engine, parts []quarantine.Part, at time.Duration) (mayRetry bool) {
+	ctx, cancel := context.WithTimeout(ctx, lossCheckTimeout)
+	defer cancel()
+	process := e.enginePool.CheckProcess(ctx, n.Address, maxIdlePerHost)
+	klog.InfoS("Engine ended before the answer began", "request", id, "engine", n.Engine, "engine_started", uint64(n.Incarnation), "process", process)
+	return e.prompts.recordLost(quarantine.LostCall{Request: id, Engine: n.Engine, EngineStarted: int64(n.Incarnation), Parts: parts, At: at, Process: process})
+}
+
+func (p *prompts) recordLost(c quarantine.LostCall) (mayRetry bool) {
+	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.evidence.Lost(now, c, true)
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -11,6 +11,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
 const (
@@ -137,6 +138,7 @@
 		Priority: serving.PriorityNormal, MaxTokens: c.MaxTokens,
 		PromptTokens: serving.Tokens(len(c.Prompt)/promptBytesPerToken + 1),
 		PrefixHashes: prefixHashes(c.Prompt),
+		CallHash:     uint64(quarantine.HashCall(account, r.Method, "", r.URL.Path, b)),
 		DataCentre:   e.Settings.DataCentre, Region: e.Settings.Region,
 	}
 	if c.Priority != nil {
--- a/internal/entry/servicecall.go
+++ b/internal/entry/servicecall.go
@@ -27,7 +27,9 @@
 	sent bool
 	// refused is true if the service stated that the call did not run.
 	refused bool
-	err     error
+	// mayRetry is false if the call was lost with several engines.
+	mayRetry bool
+	err      error
 }
 
 // definite reports whether the answer shows that the call ran to its end, possibly with
@@ -82,11 +84,25 @@
 	}
 	res, err := client.Do(r)
 	if err != nil {
-		return &callResult{err: err, sent: sent.Load()}
+		return &callResult{err: err, sent: sent.Load(), mayRetry: !sent.Load() || e.mayRetryLost(ctx, n, c)}
 	}
 	defer res.Body.Close()
 	answer, err := readAnswer(res)
-	return &callResult{answer: answer, sent: true, err: err, refused: answer != nil && reportsNotRun(answer)}
+	if err != nil {
+		tooLarge := serving.AsError(err).Kind == serving.KindTooLarge
+		return &callResult{sent: true, err: err, mayRetry: tooLarge || e.mayRetryLost(ctx, n, c)}
+	}
+	result := &callResult{answer: answer, sent: true, mayRetry: true, refused: reportsNotRun(answer)}
+	if !result.refused {
+		e.prompts.recordSound(c.parts())
+	}
+	return result
+}
+
+// mayRetryLost records that a call got no answer and reports whether it may be sent to
+// another engine.
+func (e *Entry) mayRetryLost(ctx context.Context, n *Engine, c *serviceCall) bool {
+	return ctx.Err() != nil || e.recordLost(ctx, c.id, n, c.parts(), e.prompts.clock.Now())
 }
 
 func readAnswer(res *http.Response) (*schema.Answer, error) {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -199,6 +199,9 @@
 		b := e.board.load()
 		err := e.mayDispatch(b)
 		var target *Engine
+		if err == nil {
+			err = e.prompts.check(c.parts())
+		}
 		if err == nil {
 			target, err = e.placeCall(b, c.service, tried)
 		}
@@ -213,7 +216,7 @@
 		if res.sent && !res.refused {
 			ran = serving.RanUnknown
 		}
-		if n+1 >= maxAttempts || ctx.Err() != nil || !e.retries.retry() || !waitRetryBackoff(ctx, n) {
+		if !res.mayRetry || n+1 >= maxAttempts || ctx.Err() != nil || !e.retries.retry() || !waitRetryBackoff(ctx, n) {
 			return nil, withRan(res.failure(), ran)
 		}
 	}
--- a/pkg/serving/dispatch.go
+++ b/pkg/serving/dispatch.go
@@ -16,6 +16,9 @@
 	MaxTokens Tokens
 	// PrefixHashes are the hashes of the prompt's block-aligned prefixes, shortest first.
 	PrefixHashes []uint64
+	// CallHash is the hash of the whole call, as package quarantine computes it; 0 if it is
+	// not known.
+	CallHash uint64
 	// DataCentre and Region are those of the entry that dispatches the request.
 	DataCentre DataCentreID
 	Region     RegionID
--- a/pkg/serving/quarantine/evidence.go
+++ b/pkg/serving/quarantine/evidence.go
@@ -334,7 +334,7 @@
 		}
 		engines := map[engineStart]bool{}
 		for key, l := range e.lost {
-			if !l.alive && slices.Contains(l.Parts, part) {
+			if !l.alive && l.Process != completion.Running && slices.Contains(l.Parts, part) {
 				engines[key.engineStart] = true
 			}
 		}
--- a/pkg/serving/quarantine/observer.go
+++ b/pkg/serving/quarantine/observer.go
@@ -51,6 +51,15 @@
 	return Part(binary.BigEndian.Uint64(h.Sum(nil))) | callBit
 }
 
+// FromHashes returns the parts of a prompt with the given hashes.
+func FromHashes(hashes []uint64) []Part {
+	out := make([]Part, len(hashes))
+	for i, n := range hashes {
+		out[i] = Part(n) &^ callBit
+	}
+	return out
+}
+
 // Shareable returns the parts of a prompt that other prompts may share, which are all but
 // the last one.
 func Shareable(parts []serving.PromptPart) []Part {
