Trust no refusal that may be a copy of an earlier one

A refusal without the id of its call was accepted for the call in progress on any connection: now only as the first answer on a new one; otherwise it is unknown whether the call ran. A call that is sent again to an engine that refused it could meet the copy of its own refusal: it no longer uses the connection on which it was refused. Requests to move memory have no ids and accepted the late answer to a call: they discard answers with an id and have connections of their own.

Evidence: TestRepeatedRefusal ("without an id", "of the same call") and TestEngineRequests failed before and pass now.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -355,7 +355,7 @@
 func (g *Gateway) sendEngineRequest(ctx context.Context, address string, req serving.EngineRequest) (serving.MoveResult, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engineRequestTimeout)
 	defer cancel()
-	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: req.Method, Target: req.Target, Host: address, Body: req.Body, MaxIdleTime: upstream.SafeIdleTime, MaxIdleConns: 1})
+	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: req.Method, Target: req.Target, Host: address, Body: req.Body, AnswerWithoutID: true, MaxIdleTime: upstream.SafeIdleTime, MaxIdleConns: 1})
 	if err != nil {
 		return serving.MoveResult{Outcome: serving.MoveFailed}, err
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -57,6 +57,9 @@
 	// ID is the call's id, which the engine returns in its answer; empty if the call has
 	// none.
 	ID serving.RequestID
+	// AnswerWithoutID means that the engine's answer has no id. One that has belongs to a
+	// call, and such requests don't share connections with calls.
+	AnswerWithoutID bool
 	// MaxIdleTime is the maximum idle time of a connection that is reused for the call;
 	// 0 means that a new connection is opened.
 	MaxIdleTime time.Duration
@@ -68,6 +71,9 @@
 	Connected func(reused bool)
 }
 
+// key returns the key of the connections that may be used for the request.
+func (r *Request) key() poolKey { return poolKey{r.Address, r.AnswerWithoutID} }
+
 // Exchange is a call together with the engine's answer to it. Close must be called.
 type Exchange struct {
 	serving.Answer
@@ -79,8 +85,9 @@
 	Reused bool
 
 	pool         *Pool
-	address      string
+	key          poolKey
 	maxIdleConns int
+	id           serving.RequestID
 	conn         *conn
 	response     *http.Response
 	// stopCloseOnCancel keeps a canceled context from closing conn. It returns false if
@@ -91,11 +98,11 @@
 // Send sends a call and returns once the header of the answer has arrived. Canceling
 // ctx closes the connection, also while the body of the answer is read.
 func (p *Pool) Send(ctx context.Context, r Request) (*Exchange, error) {
-	c, err := p.get(ctx, r.Address, r.MaxIdleTime)
+	c, err := p.get(ctx, &r)
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{pool: p, address: r.Address, maxIdleConns: r.MaxIdleConns, conn: c, Reused: c.reused}
+	x := &Exchange{pool: p, key: r.key(), maxIdleConns: r.MaxIdleConns, id: r.ID, conn: c, Reused: c.reused}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.Connected != nil {
 		r.Connected(c.reused)
@@ -150,8 +157,12 @@
 			continue
 		}
 		answer := x.pool.Dialect.DecodeAnswer(res.StatusCode, res.Header)
-		// An engine may refuse a call before it has read the id.
-		if r.ID == "" || answer.RequestID == r.ID || answer.RequestID == "" && answer.NotRun {
+		// An engine may refuse a call before it has read the id. On a connection that had an
+		// answer before, such a refusal may be a copy of an earlier one.
+		if answer.RequestID == "" && answer.NotRun && r.ID != "" && (x.Reused || others > 0) {
+			return errors.New("the engine sent a refusal without an id on a connection that was used before; it may belong to an earlier call")
+		}
+		if answer.RequestID == r.ID || r.ID == "" && !r.AnswerWithoutID || answer.RequestID == "" && answer.NotRun {
 			x.response, x.Answer, x.Header, x.Body = res, answer, res.Header, res.Body
 			x.Framing = framingOf(res, r.Method)
 			return nil
@@ -177,5 +188,8 @@
 		return
 	}
 	x.conn.reused = true
-	x.pool.put(x.address, x.conn, x.IdleTimeout, x.maxIdleConns)
+	if x.NotRun {
+		x.conn.recordRefusal(x.id)
+	}
+	x.pool.put(x.key, x.conn, x.IdleTimeout, x.maxIdleConns)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -64,7 +65,14 @@
 	IdleTimeout time.Duration
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[poolKey][]*conn
+}
+
+// poolKey identifies connections that may be used for the same calls. A late answer to a
+// call with an id must not come before the answer to one without.
+type poolKey struct {
+	address         string
+	answerWithoutID bool
 }
 
 // conn is one connection to an engine.
@@ -77,15 +85,31 @@
 	idleSince time.Duration
 	// reused is set once the connection has been used for a call.
 	reused bool
+	// refused holds the ids of the last calls that the engine refused on this connection.
+	refused []serving.RequestID
 }
 
-// get returns a connection that was idle for at most maxIdleTime, or a new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration) (*conn, error) {
-	if c := p.takeIdle(address, maxIdleTime); c != nil {
-		connectionsReused.Add(1)
-		return c, nil
+// maxRefused bounds the refused calls that a connection remembers. A call is sent to an
+// engine that refused it only shortly afterwards.
+const maxRefused = 8
+
+// recordRefusal records that the engine refused a call on this connection.
+func (c *conn) recordRefusal(id serving.RequestID) {
+	c.refused = append(c.refused, id)
+	c.refused = c.refused[max(0, len(c.refused)-maxRefused):]
+}
+
+// get returns a connection for a request: an idle one or a new one.
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
+	if c := p.takeIdle(r.key(), r.MaxIdleTime); c != nil {
+		if !slices.Contains(c.refused, r.ID) {
+			connectionsReused.Add(1)
+			return c, nil
+		}
+		// A late copy of that refusal could not be told from an answer to this call.
+		_ = c.Close()
 	}
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, r.Address)
 	if err != nil {
 		return nil, serving.WrapError(err, serving.KindEngineFailed, "connect to the engine")
 	}
@@ -131,19 +155,19 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
-func (p *Pool) takeIdle(address string, maxIdleTime time.Duration) *conn {
+func (p *Pool) takeIdle(key poolKey, maxIdleTime time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	list := p.idle[address]
+	list := p.idle[key]
 	for len(list) > 0 {
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
-		p.idle[address] = list
+		p.idle[key] = list
 		if now-c.idleSince > maxIdleTime && now < c.expiresAt {
 			// The other connections were idle for longer. They are kept for calls that
 			// may run again, which allow longer idle times.
-			p.idle[address] = append(list, c)
+			p.idle[key] = append(list, c)
 			return nil
 		}
 		if now >= c.expiresAt || c.reader.Buffered() > 0 || !isOpen(c.Conn) {
@@ -157,7 +181,7 @@
 
 // put keeps a connection for the next call. If there are maxIdleConns idle connections
 // already, it replaces the oldest one.
-func (p *Pool) put(address string, c *conn, idleTimeout time.Duration, maxIdleConns int) {
+func (p *Pool) put(key poolKey, c *conn, idleTimeout time.Duration, maxIdleConns int) {
 	if maxIdleConns <= 0 {
 		_ = c.Close()
 		return
@@ -168,16 +192,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
-		p.idle = map[string][]*conn{}
+		p.idle = map[poolKey][]*conn{}
 	}
 	now := p.Clock.Now()
 	c.idleSince, c.expiresAt = now, now+time.Duration(idleTimeoutFraction*float64(idleTimeout))
-	list := p.idle[address]
+	list := p.idle[key]
 	for len(list) >= maxIdleConns {
 		_ = list[0].Close()
 		list = list[1:]
 	}
-	p.idle[address] = append(list, c)
+	p.idle[key] = append(list, c)
 }
 
 // Run closes idle connections shortly before their engines do, until ctx is canceled.
@@ -201,7 +225,7 @@
 func (p *Pool) closeIdle(at time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, list := range p.idle {
+	for key, list := range p.idle {
 		open := list[:0]
 		for _, c := range list {
 			if at >= c.expiresAt {
@@ -211,10 +235,10 @@
 			open = append(open, c)
 		}
 		if len(open) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, key)
 			continue
 		}
-		p.idle[address] = open
+		p.idle[key] = open
 	}
 }
 
--- a/internal/upstream/process.go
+++ b/internal/upstream/process.go
@@ -20,18 +20,22 @@
 
 // CheckProcess reports whether a process still accepts connections at the engine's address.
 func (x *Exchange) CheckProcess(ctx context.Context) completion.Process {
-	return x.pool.CheckProcess(ctx, x.address, x.maxIdleConns)
+	return x.pool.checkProcess(ctx, x.key, x.maxIdleConns)
 }
 
 // CheckProcess reports whether a process still accepts connections at an engine's address,
 // after one of its connections has ended. The connection that it opens for this is kept for
 // the next call, unless there are maxIdleConns already.
 func (p *Pool) CheckProcess(ctx context.Context, address string, maxIdleConns int) completion.Process {
+	return p.checkProcess(ctx, poolKey{address: address}, maxIdleConns)
+}
+
+func (p *Pool) checkProcess(ctx context.Context, key poolKey, maxIdleConns int) completion.Process {
 	closedEarly := false
 	for range processCheckAttempts {
-		c, err := dial(ctx, address)
+		c, err := dial(ctx, key.address)
 		switch {
-		case err == nil && p.keepIfOpen(ctx, c, address, maxIdleConns):
+		case err == nil && p.keepIfOpen(ctx, c, key, maxIdleConns):
 			return completion.Running
 		case err == nil && closedEarly:
 			// A process that is there, but has no room for one more connection.
@@ -39,7 +43,7 @@
 		case err == nil:
 			closedEarly = true
 		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-			if p.hasOpenConn(address) {
+			if p.hasOpenConn(key) {
 				return completion.Running
 			}
 			return completion.Ended
@@ -52,7 +56,7 @@
 
 // keepIfOpen keeps a new connection for the next call, unless the engine closes it within
 // listenerCloseTime. It returns false in this case.
-func (p *Pool) keepIfOpen(ctx context.Context, c *conn, address string, maxIdleConns int) bool {
+func (p *Pool) keepIfOpen(ctx context.Context, c *conn, key poolKey, maxIdleConns int) bool {
 	t := time.NewTimer(listenerCloseTime)
 	defer t.Stop()
 	select {
@@ -63,15 +67,15 @@
 		_ = c.Close()
 		return false
 	}
-	p.put(address, c, 0, maxIdleConns)
+	p.put(key, c, 0, maxIdleConns)
 	return true
 }
 
-// hasOpenConn reports whether an idle connection to an address is open.
-func (p *Pool) hasOpenConn(address string) bool {
+// hasOpenConn reports whether an idle connection is open.
+func (p *Pool) hasOpenConn(key poolKey) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
+	for _, c := range p.idle[key] {
 		if isOpen(c.Conn) {
 			return true
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -186,6 +187,73 @@
 	}
 }
 
+// Guards against an earlier refusal that an engine sends once more on a kept connection, and
+// that is taken for the refusal of a call that runs.
+func TestRepeatedRefusal(t *testing.T) {
+	const (
+		refusal       = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		refusalOfCall = "HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	)
+	for _, tc := range []struct {
+		name              string
+		first, second     string
+		firstID, secondID string
+		// status is the status of the second answer, 0 if it must not be known whether the
+		// second call ran.
+		status int
+	}{
+		{"without an id", one, refusal + two, "1", "2", 0},
+		{"with the id of an earlier call", refusalOfCall, refusalOfCall + two, "1", "2", http.StatusOK},
+		{"of the same call, which is sent again", refusalOfCall, refusalOfCall + one, "1", "1", http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPool()
+			address := serveAnswers(t, false, tc.first, tc.second)
+			_, _, err := send(t, p, address, tc.firstID)
+			assert.NilError(t, err)
+			x, _, err := send(t, p, address, tc.secondID)
+			if tc.status == 0 {
+				assert.Assert(t, err != nil)
+				assert.Equal(t, serving.AsError(err).Ran, serving.RanUnknown)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, x.Status, tc.status)
+			// On a new connection the engine answers with its first answer, which is the
+			// refusal of this very call.
+			assert.Equal(t, x.Reused, tc.status == http.StatusOK)
+		})
+	}
+}
+
+// Guards against a late answer to a call that is taken for the answer to an engine request,
+// which has no id.
+func TestEngineRequests(t *testing.T) {
+	const accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	late := "HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	x, err := newPool().Send(t.Context(), upstream.Request{Address: serveAnswers(t, false, late+accepted), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, AnswerWithoutID: true})
+	assert.NilError(t, err)
+	assert.Equal(t, x.Status, http.StatusOK)
+	x.Close(false)
+
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+	}))
+	defer server.Close()
+	p := newPool()
+	for _, tc := range []struct {
+		id     string
+		reused bool
+	}{{"1", false}, {"", false}, {"", true}, {"2", true}} {
+		x, err := p.Send(t.Context(), upstream.Request{Address: server.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {tc.id}}, MaxIdleConns: 2,
+			ID: serving.RequestID(tc.id), AnswerWithoutID: tc.id == "", MaxIdleTime: time.Second})
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, x.Body)
+		x.Close(true)
+		assert.Equal(t, x.Reused, tc.reused, tc.id)
+	}
+}
+
 // Guards against calls that are written to an idle connection that the engine has
 // already closed. Such a call fails, and counts as possibly run although it was not.
 func TestConnectionClosedWhileIdle(t *testing.T) {
