Refuse calls that a stopping entry can't answer, and answer all others

It could happen here: an entry that shuts down took every call for 2.5 s, whatever its expected length; with the calls from before they were cut when the grace period was over. A request on a connection that was opened in time was read after that and dropped without an answer.

pkg/serving/shutdown decides from the time left, the objective of the route, the expected length and the measured time per token whether a call is very likely answered in time. Any other gets 503, not run, at once, and its caller connects to another entry. Calls that are taken end before the connections do: what has no answer by then gets 504. After the load balancer's notice the entry closes its listener and its idle connections, and still answers requests that come on open ones.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// graceReserve is the part of the grace period that is reserved for closing
 	// connections and exiting.
 	graceReserve = 300 * time.Millisecond
+	// abortReserve is the time before that in which calls that are not answered get an error.
+	abortReserve = 100 * time.Millisecond
 )
 
 // Gateway is the entry process.
@@ -67,7 +69,13 @@
 	// room. Calls for which this entry chooses the engine wait in board.waitQueue.
 	fairQueue placement.FairQueue
 	watcher   watcher
+	callers   connTracker
 	draining  atomic.Bool
+	// endsAt is the time in nanoseconds by which calls must be answered; it is set before
+	// draining.
+	endsAt atomic.Int64
+	// ending is canceled at endsAt.
+	ending context.Context
 	// baseCtx is the parent context of requests to engines that may outlive the call
 	// they belong to.
 	baseCtx context.Context
@@ -89,8 +97,11 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	g.baseCtx = background
+	ending, end := context.WithCancel(background)
+	defer end()
+	g.ending = ending
 	servers := []*http.Server{
-		{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader},
+		{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: g.callers.observe},
 		{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
 	var group errgroup.Group
@@ -106,7 +117,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	g.shutDown(servers)
+	g.shutDown(front, servers, end)
 	klog.InfoS("Entry stopped", "host", g.Host, "in_progress", inProgress.Value())
 	return nil
 }
@@ -150,13 +161,24 @@
 }
 
 // shutDown fails the readiness checks, keeps serving until the load balancer has
-// noticed, and then waits for the requests in progress. Requests that are still in
+// noticed, and then waits for the requests in progress. A request that comes in meanwhile on
+// an open connection is still answered, if only by a refusal. Requests that are still in
 // progress at the end of the grace period are aborted.
-func (g *Gateway) shutDown(servers []*http.Server) {
+func (g *Gateway) shutDown(front net.Listener, servers []*http.Server, end context.CancelFunc) {
 	start := g.Clock.Now()
+	untilEnd := g.Grace - graceReserve - abortReserve
+	g.endsAt.Store(int64(start + untilEnd))
+	t := time.AfterFunc(untilEnd, end)
+	defer t.Stop()
 	g.draining.Store(true)
 	klog.InfoS("Entry shutting down", "host", g.Host, "in_progress", inProgress.Value(), "grace", g.Grace)
 	time.Sleep(min(drainNotice, g.Grace/2))
+	_ = front.Close()
+	// Also closes the idle connections.
+	servers[0].SetKeepAlivesEnabled(false)
+	for g.callers.inUse() && g.Clock.Now()-start < g.Grace-graceReserve {
+		time.Sleep(shutdownPollInterval)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, g.Grace-graceReserve-(g.Clock.Now()-start)))
 	defer cancel()
 	if err := servers[0].Shutdown(ctx); err != nil {
@@ -181,6 +203,9 @@
 	mu      sync.Mutex
 	pool    placement.Pool
 	lengths placement.Lengths
+	// tokenTime is the moving average of the time per token of the streams, 0 before the
+	// first one.
+	tokenTime time.Duration
 	// outcomes records which prompt parts answers began with or were lost with, and
 	// suspects are the parts of which the hub wants to know.
 	outcomes  quarantine.Observer
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -76,7 +76,15 @@
 		j.refuse(err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), j.deadline-arrivedAt)
+	if err := j.checkShutdown(); err != nil {
+		j.refuse(err)
+		return
+	}
+	ctx, abort := context.WithCancelCause(r.Context())
+	defer abort(nil)
+	stop := context.AfterFunc(g.ending, func() { abort(errShutdown) })
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, j.deadline-arrivedAt)
 	defer cancel()
 	j.ctx = ctx
 	if j.Route.Kind == serving.KindStreamRoute {
--- /dev/null
+++ b/pkg/serving/shutdown/shutdown_test.go
@@ -0,0 +1,40 @@
+package shutdown_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericdrum.org/turmericdrum/pkg/serving/shutdown"
+)
+
+// Load pattern: rolling restarts of all entries with a grace period of 8 s, beside long
+// generations of about 10 s, short ones and plain calls. Guards against calls that are
+// taken although they can't be answered in time, and against refusing those that can.
+func TestFits(t *testing.T) {
+	const ms = time.Millisecond
+	long := shutdown.Call{TimeLeft: 39 * time.Second, Objective: 1800 * ms, Tokens: 944, MaxTokens: 4000, TokenTime: 9 * ms}
+	short := shutdown.Call{TimeLeft: 6 * time.Second, Objective: 1500 * ms, Tokens: 16, MaxTokens: 48}
+	plain := shutdown.Call{TimeLeft: 5 * time.Second, Objective: 300 * ms}
+	for _, tc := range []struct {
+		name      string
+		call      shutdown.Call
+		graceLeft time.Duration
+		want      bool
+	}{
+		{"long generation at the signal", long, 7700 * ms, false},
+		{"long generation with a short maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Tokens: 944, MaxTokens: 500, TokenTime: long.TokenTime}, 7700 * ms, true},
+		{"long generation, grace for its deadline", long, 39 * time.Second, true},
+		{"short generation at the signal", short, 7700 * ms, true},
+		{"short generation at the end", short, 1500 * ms, false},
+		{"plain call after the load balancer's notice", plain, 5200 * ms, true},
+		{"plain call at the end", plain, 500 * ms, false},
+		{"plain call at the end with little time left", shutdown.Call{TimeLeft: 400 * ms, Objective: 300 * ms}, 500 * ms, true},
+		{"plain call without an objective", shutdown.Call{TimeLeft: 5 * time.Second}, 4900 * ms, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, tc.call.Fits(tc.graceLeft), tc.want)
+		})
+	}
+}
