Test answers whose header is cut, and log why a stream ended at shutdown

A header that is cut anywhere was an error here before.

TestTruncatedHeader cuts four headers at each byte. The line "Stream lost" now has the end of the shutdown as its cause instead of the error of the connection that it closes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -218,6 +218,9 @@
 		callersDisconnected.Add(1)
 		r.log("Caller disconnected", "events", r.events, "moved", r.moveCount)
 	} else {
+		if r.ctx.Err() != nil {
+			err = context.Cause(r.ctx)
+		}
 		streamsLost.Add(1)
 		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "unfinished_bytes", r.unfinished,
 			"since_last_event", r.g.Clock.Now()-r.lastEventAt, "err", err)
--- a/internal/upstream/process_test.go
+++ b/internal/upstream/process_test.go
@@ -141,3 +141,28 @@
 		})
 	}
 }
+
+// Guards against an engine that stops in the middle of its answer's header and closes the
+// connection, and whose answer counts as whole with an empty or short body.
+func TestTruncatedHeader(t *testing.T) {
+	for _, tc := range []struct{ name, header string }{
+		{"length", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"no framing", "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\n\r\n"},
+		{"interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 12\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for n := range len(tc.header) + 1 {
+				address := serveAnswers(t, false, tc.header[:n])
+				client := &http.Client{Transport: &upstream.Transport{Pool: newPool()}}
+				res, err := client.Get("http://" + address + "/x")
+				if err != nil {
+					continue
+				}
+				b, err := io.ReadAll(res.Body)
+				res.Body.Close()
+				assert.Assert(t, err != nil, "after %q: status %d, body %q", tc.header[:n], res.StatusCode, b)
+			}
+		})
+	}
+}
