--- a/internal/upstream/process.go
+++ b/internal/upstream/process.go
@@ -31,17 +31,17 @@
 }
 
 func (p *Pool) checkProcess(ctx context.Context, key poolKey, maxIdleConns int) completion.Process {
-	closedEarly := false
 	for range processCheckAttempts {
 		c, err := dial(ctx, key.address)
 		switch {
 		case err == nil && p.keepIfOpen(ctx, c, key, maxIdleConns):
 			return completion.Running
-		case err == nil && closedEarly:
-			// A process that is there, but has no room for one more connection.
-			return completion.Running
 		case err == nil:
-			closedEarly = true
+			// Either the engine has no room for one more connection, or a proxy in front of it
+			// accepted the connection.
+			if p.hasOpenConn(key) {
+				return completion.Running
+			}
 		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 			if p.hasOpenConn(key) {
 				return completion.Running
