Measure the pause before an answer's end by the wait of its reader

Found in the read of this change, before anyone was served by it: a whole unframed answer whose reader was busy for over a second, as behind a slow caller, counted as truncated, because the pause was taken from the last byte. It is now the wait for the end itself. If the reader was busy for longer, the process may have been started again in that time; the engine must then still be listed with the same start. A body is also assessed only once.

Evidence: TestSlowReader failed before (unexpected EOF) and passes now.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -184,7 +184,7 @@
 		"after", begin-m.startedAt, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", destUse.Running, "held", destUse.Held,
 		"expected", destUse.Expected, "err", err)
 	switch {
-	case err != nil || res.Handle == "" && (res.Outcome == serving.Moved || res.Outcome == serving.MoveFailed):
+	case err != nil || res.Outcome == serving.MoveFailed && res.Handle == "":
 		// The source may have stopped the generation. If it has, the stream ends.
 	case res.Handle != "":
 		m.latestCopy, m.stopped = serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}, true
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -181,11 +181,11 @@
 	if end.Assess() == completion.Undecided {
 		begin := j.g.Clock.Now()
 		end.Process = x.CheckProcess(j.ctx)
-		if j.g.restarted(t) {
+		if j.g.restarted(t, end.MayHaveRestarted()) {
 			end.Process = completion.Ended
 		}
 		processChecks.Add(string(end.Process), 1)
-		j.log("Answer ended with its connection", "process", end.Process, "pause", end.Pause, "check_took", j.g.Clock.Now()-begin)
+		j.log("Answer ended with its connection", "process", end.Process, "pause", end.Pause, "busy", end.Busy, "check_took", j.g.Clock.Now()-begin)
 	}
 	verdict := end.Assess()
 	if verdict != completion.Complete {
@@ -195,12 +195,12 @@
 }
 
 // restarted reports whether the engine of a ticket is known to have been started again
-// since.
-func (g *Gateway) restarted(t *placement.Ticket) bool {
+// since. If strict is set, the engine must also be known to run still.
+func (g *Gateway) restarted(t *placement.Ticket, strict bool) bool {
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
 	target, ok := g.board.pool.Lookup(t.Engine)
-	return ok && target.Started != t.Started && t.Started != 0
+	return !ok && strict || ok && target.Started != t.Started && t.Started != 0
 }
 
 // engineOutcome returns the outcome to record in the engine's health for an answer.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,7 +79,7 @@
 			return false
 		}
 		if err := r.checkBlocked(); err != nil {
-			// The call was blocked while the call waited for an engine.
+			// The call was blocked while it waited for an engine.
 			r.g.endTicket(ticket, placement.Abandoned, 0)
 			r.refuse(err)
 			return false
@@ -234,6 +234,7 @@
 	events := upstream.NewEventReader(r.exchange.Body)
 	var batch []byte
 	for {
+		waitedFrom := r.g.Clock.Now()
 		event, err := events.Next()
 		if err == nil {
 			if r.recordEvent(event) {
@@ -244,7 +245,7 @@
 			}
 		} else {
 			r.unfinished = len(event)
-			if err = r.classifyEnd(err, event); errors.Is(err, io.EOF) {
+			if err = r.classifyEnd(err, event, waitedFrom); errors.Is(err, io.EOF) {
 				batch = append(batch, event...)
 			}
 		}
@@ -267,13 +268,14 @@
 }
 
 // classifyEnd distinguishes the end of a complete answer from its truncation, which is
-// io.ErrUnexpectedEOF. rest holds the bytes after the last event.
-func (r *relay) classifyEnd(err error, rest []byte) error {
+// io.ErrUnexpectedEOF. rest holds the bytes after the last event, and waitedFrom is when the
+// relay began to wait for the next one.
+func (r *relay) classifyEnd(err error, rest []byte, waitedFrom time.Duration) error {
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
 	end := completion.Ending{Framed: r.exchange.Framing != upstream.EndsWithConnection, Empty: r.events == 0,
-		Partial: completion.InsideEvent(rest), Pause: r.g.Clock.Now() - r.lastEventAt}
+		Partial: completion.InsideEvent(rest), Pause: r.g.Clock.Now() - waitedFrom, Busy: waitedFrom - r.lastEventAt}
 	if end.Assess() == completion.Undecided {
 		end.Stopped = r.stoppedForMove()
 	}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -17,6 +17,8 @@
 	// arrived; the header, if there are none.
 	read   int64
 	readAt time.Duration
+	// end is the error at the end of the body, nil before.
+	end error
 }
 
 // NewVerifiedBody returns the body of an exchange. assess decides whether the answer is
@@ -27,19 +29,23 @@
 
 // Read implements io.Reader.
 func (b *VerifiedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	startedAt := b.exchange.pool.Clock.Now()
 	n, err := b.exchange.Body.Read(p)
 	now := b.exchange.pool.Clock.Now()
+	end := completion.Ending{Framed: b.exchange.Framing != EndsWithConnection, Pause: now - startedAt, Busy: startedAt - b.readAt}
 	if n > 0 {
 		b.read += int64(n)
 		b.readAt = now
+		end.Pause, end.Busy = 0, 0
 	}
+	end.Empty = b.read == 0
 	// An engine that did not run the call says so in the header.
-	if !errors.Is(err, io.EOF) || b.exchange.NotRun {
-		return n, err
-	}
-	end := completion.Ending{Framed: b.exchange.Framing != EndsWithConnection, Empty: b.read == 0, Pause: now - b.readAt}
-	if b.assess(end) != completion.Complete {
-		return n, io.ErrUnexpectedEOF
+	if errors.Is(err, io.EOF) && !b.exchange.NotRun && b.assess(end) != completion.Complete {
+		err = io.ErrUnexpectedEOF
 	}
+	b.end = err
 	return n, err
 }
--- a/internal/upstream/process_test.go
+++ b/internal/upstream/process_test.go
@@ -167,3 +167,17 @@
 		})
 	}
 }
+
+// Guards against a whole answer that counts as truncated because its reader was busy, as
+// behind a slow caller, while the connection ended.
+func TestSlowReader(t *testing.T) {
+	client := &http.Client{Transport: &upstream.Transport{Pool: newPool()}}
+	res, err := client.Get("http://" + serveAnswers(t, false, unframedAnswer) + "/x")
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	_, err = io.ReadFull(res.Body, make([]byte, len("body")))
+	assert.NilError(t, err)
+	time.Sleep(completion.MaxPause + 100*time.Millisecond)
+	_, err = res.Body.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+}
--- a/pkg/serving/completion/completion.go
+++ b/pkg/serving/completion/completion.go
@@ -39,8 +39,8 @@
 	"time"
 )
 
-// MaxPause is the longest time from the last byte of an answer to the end of its
-// connection. A longer one leaves time for the process to crash and to be started again.
+// MaxPause is the longest time for which the reader of an answer may wait for the end of its
+// connection. A longer wait leaves time for the process to crash and to be started again.
 const MaxPause = time.Second
 
 // Verdict is what the end of an answer shows.
@@ -79,12 +79,19 @@
 	Partial bool
 	// Stopped reports whether the engine stopped the generation before its end.
 	Stopped bool
-	// Pause is the time from the last byte of the body to the end.
-	Pause time.Duration
+	// Pause is how long the reader waited for the end. Busy is the time before that, from the
+	// last byte of the body, in which the reader did something else, such as writing to a
+	// slow caller; the connection may have ended in that time.
+	Pause, Busy time.Duration
 	// Process is the state of the engine's process after the end.
 	Process Process
 }
 
+// MayHaveRestarted reports whether the connection may have ended so long ago that the
+// process can have been started again since. Then a process that runs is the same one only
+// if its heartbeats say so.
+func (e Ending) MayHaveRestarted() bool { return e.Busy > MaxPause }
+
 // Assess returns what the end of the answer shows.
 func (e Ending) Assess() Verdict {
 	switch {
