--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -223,11 +223,19 @@
 		}
 		streamsLost.Add(1)
 		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "unfinished_bytes", r.unfinished,
-			"since_last_event", r.g.Clock.Now()-r.lastEventAt, "err", err)
+			"since_last_event", r.sinceLastEvent(), "err", err)
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// sinceLastEvent returns the time since the last event, 0 if there was none.
+func (r *relay) sinceLastEvent() time.Duration {
+	if r.events == 0 {
+		return 0
+	}
+	return r.g.Clock.Now() - r.lastEventAt
+}
+
 // forwardEvents forwards the events of one engine's answer. It returns nil at the
 // regular end of the stream.
 func (r *relay) forwardEvents(control *http.ResponseController) error {
