Leave idle connections open until a stopping entry has no more calls

Idle connections now stay open: a request on one is answered with "Connection: close" or refused, and the server closes them when no call is left, from which point on it passes none on.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,8 +174,6 @@
 	klog.InfoS("Entry shutting down", "host", g.Host, "in_progress", inProgress.Value(), "grace", g.Grace)
 	time.Sleep(min(drainNotice, g.Grace/2))
 	_ = front.Close()
-	// Also closes the idle connections.
-	servers[0].SetKeepAlivesEnabled(false)
 	for g.callers.inUse() && g.Clock.Now()-start < g.Grace-graceReserve {
 		time.Sleep(shutdownPollInterval)
 	}
