Let no end of a connection pass a silenced link of the soak

Traced: the proxy in front of the engine dropped the bytes of a silenced link, but passed the end of the connection on. TCP delivers no end behind a gap, so that no entry can meet that. Framed answers hid it; unframed ones are new in the soak. The proxy now holds the end back while its link drops bytes, and resets a connection of which it dropped some. The check is unchanged.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -23,6 +23,10 @@
 // linkDelayTime is longer than the delay between regions and shorter than every timeout.
 const linkDelayTime = 80 * time.Millisecond
 
+// linkPollInterval is the interval at which the end of a connection waits for a link that
+// drops bytes.
+const linkPollInterval = 20 * time.Millisecond
+
 // proxy simulates the network link to a target on the same machine: it forwards connections
 // to the target, in one of several modes.
 type proxy struct {
@@ -83,21 +87,33 @@
 }
 
 // copy forwards bytes in one direction until either side closes its connection. The flag
-// answer is set for bytes that the target sends.
+// answer is set for bytes that the target sends. The end of a connection does not pass a link
+// that drops bytes, and after dropped bytes it is a reset: TCP delivers no end behind a gap.
 func (p *proxy) copy(to, from net.Conn, answer bool) {
 	defer to.Close()
 	defer from.Close()
 	b := make([]byte, 16<<10)
+	dropped := false
 	for {
 		n, err := from.Read(b)
-		if n > 0 && p.passes(answer) {
-			if _, err := to.Write(b[:n]); err != nil {
+		if n > 0 {
+			if !p.passes(answer) {
+				dropped = true
+			} else if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
 		}
-		if err != nil {
-			return
+		if err == nil {
+			continue
 		}
+		for !p.passes(answer) {
+			dropped = true
+			time.Sleep(linkPollInterval)
+		}
+		if dropped {
+			closeWithReset(to)
+		}
+		return
 	}
 }
 
@@ -135,12 +151,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			// Without this, Close would end the connection with FIN instead of RST.
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
+		closeWithReset(c)
+	}
+}
+
+func closeWithReset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		// Without this, Close would end the connection with FIN instead of RST.
+		_ = t.SetLinger(0)
 	}
+	_ = c.Close()
 }
 
 func (p *proxy) close() {
