Pass on whole answers of streaming routes that are no series of events

Found in the read of this change: since a framed answer on a streaming route whose body is no series of events, such as a text, counted as ended inside an event and was broken off. Only bodies of the type text/event-stream, or without a type, are checked for a partial event.

The file that records lost calls is named after what it does, quarantine.go.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,8 +204,8 @@
 	// tokenTime is the moving average of the time per token of the streams, 0 before the
 	// first one.
 	tokenTime time.Duration
-	// outcomes records which prompt parts answers began with or were lost with, and
-	// suspects are the parts of which the hub wants to know.
+	// outcomes records with which calls and prompt parts answers began or engines were lost,
+	// and suspects are those of which the hub wants to know.
 	outcomes  quarantine.Observer
 	suspects  []quarantine.Part
 	waitQueue waitQueue
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/quarantine.go
@@ -33,7 +33,7 @@
 }
 
 // hasBegun reports whether an answer of a number of events has begun, as the outcomes of
-// prompt parts count it.
+// calls count it.
 func hasBegun(events int64) bool { return events >= quarantine.SoundEvents }
 
 // recordSound records that an answer to the call has begun. The caller holds mu of the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -282,8 +283,8 @@
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
-	end := completion.Ending{Framed: r.exchange.Framing != upstream.EndsWithConnection, Empty: r.events == 0,
-		Partial: completion.InsideEvent(rest), Pause: r.g.Clock.Now() - waitedFrom, Busy: waitedFrom - r.lastEventAt}
+	end := completion.Ending{Framed: r.exchange.Framing != upstream.EndsWithConnection, Empty: r.events == 0 && len(rest) == 0,
+		Partial: isEventStream(r.exchange.Header) && completion.InsideEvent(rest), Pause: r.g.Clock.Now() - waitedFrom, Busy: waitedFrom - r.lastEventAt}
 	if end.Assess() == completion.Undecided {
 		end.Stopped = r.stoppedForMove()
 	}
@@ -293,6 +294,13 @@
 	return err
 }
 
+// isEventStream reports whether the body of an answer is a series of events.
+func isEventStream(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+}
+
 // stoppedForMove reports whether the engine stopped the generation for its move, or may
 // have. It waits for the result of a request to stop it.
 func (r *relay) stoppedForMove() bool {
