Show data folders that a restart and a later power loss make unreadable

Cause first, in tests: MemoryDisk can end its process without a power loss, and a power loss keeps or loses each name that was not synced on its own.

--- a/pkg/serving/journal/memory.go
+++ b/pkg/serving/journal/memory.go
@@ -44,12 +44,28 @@
 	return &MemoryDisk{files: map[string]*memoryFile{}, durable: map[string]*memoryFile{}}
 }
 
-// Crash simulates a power loss. It discards everything that was not synced,
-// except that a random number of the bytes appended to a file since its last sync
-// remain, and the last of these may be corrupted. It releases the lock.
+// Crash simulates a power loss. It discards everything that was not synced, with two
+// exceptions: a random number of the bytes appended to a file since its last sync
+// remain, and the last of these may be corrupted; and each creation, rename or removal
+// since the last sync of the folder may remain independently of the others. It releases
+// the lock.
 func (d *MemoryDisk) Crash(random serving.Random) {
 	d.locked = false
+	current := d.files
 	d.files = maps.Clone(d.durable)
+	names := maps.Clone(d.durable)
+	maps.Copy(names, current)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		f, kept := current[name]
+		if f == d.durable[name] || random.IntN(2) == 0 {
+			continue
+		}
+		if kept {
+			d.files[name] = f
+		} else {
+			delete(d.files, name)
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(d.files)) {
 		f := d.files[name]
 		// Copies ensure that writes through files that were open at the crash do not
@@ -66,6 +82,10 @@
 	d.durable = maps.Clone(d.files)
 }
 
+// Kill simulates the end of the process that uses the disk. The files stay as they are,
+// whether they were synced or not. It releases the lock.
+func (d *MemoryDisk) Kill() { d.locked = false }
+
 // Corrupt inverts a bit of a stored byte.
 func (d *MemoryDisk) Corrupt(name string, offset int) {
 	f := d.files[name]
--- a/pkg/serving/ledger/cluster_test.go
+++ b/pkg/serving/ledger/cluster_test.go
@@ -260,13 +260,13 @@
 			}
 			_ = h.journal.Save(rd)
 			h.disk.FailSyncs = false
-			h.crash()
+			h.stop()
 			return
 		}
 		err := h.journal.Save(rd)
 		h.replica.Persisted(rd, err)
 		if err != nil {
-			h.crash()
+			h.stop()
 			return
 		}
 		h.send(rd.Messages)
--- a/pkg/serving/ledger/ledger_test.go
+++ b/pkg/serving/ledger/ledger_test.go
@@ -66,8 +66,9 @@
 }
 
 // Guards against two leaders in a term, lost or changed committed entries, reads
-// that miss an acknowledged write, overlapping membership changes, and the loss of
-// changes when a second host loses its disk after the first one was replaced.
+// that miss an acknowledged write, overlapping membership changes, the loss of
+// changes when a second host loses its disk after the first one was replaced, and data
+// folders that a killed process and a later power loss leave unreadable or incomplete.
 // LEDGER_SEED selects a single schedule to repeat, and LEDGER_FAULT the name of a
 // defect to inject into it.
 func TestSchedules(t *testing.T) {
@@ -80,7 +81,7 @@
 	stats, err := runSchedules(1, scheduleCount(2500), "", true)
 	t.Log(fmt.Sprint(stats))
 	assert.NilError(t, err)
-	for _, k := range []string{"crashes", "torn", "freezes", "cuts", "isolations", "wipes", "full_disks", "replacements", "second_losses", "installs", "reads"} {
+	for _, k := range []string{"crashes", "kills", "torn", "freezes", "cuts", "isolations", "wipes", "full_disks", "replacements", "second_losses", "installs", "reads"} {
 		assert.Assert(t, stats[k] > 0, "no schedule had %s", k)
 	}
 }
--- a/pkg/serving/ledger/schedule_test.go
+++ b/pkg/serving/ledger/schedule_test.go
@@ -131,7 +131,7 @@
 	switch c.random.IntN(9) {
 	case 0:
 		c.stats["crashes"]++
-		h.crash()
+		h.stop()
 		c.after(d, h.restart)
 	case 1:
 		c.stats["torn"]++
@@ -267,6 +267,26 @@
 	h.disk.Crash(h.c.random)
 }
 
+// kill ends the process. The disk keeps what was written, synced or not.
+func (h *host) kill() {
+	if !h.up {
+		return
+	}
+	h.c.stats["kills"]++
+	h.up = false
+	h.abortCalls()
+	h.disk.Kill()
+}
+
+// stop kills the process in half of the cases, and cuts the host's power otherwise.
+func (h *host) stop() {
+	if h.c.random.IntN(2) == 0 {
+		h.kill()
+		return
+	}
+	h.crash()
+}
+
 func (h *host) resume() {
 	if !h.up || !h.frozen {
 		return
