Log what a data folder held and which votes a candidate lacks

A control host that doesn't answer reads gave no reason in its log: neither what its data folder held when it was opened, nor why no leader was elected. 'Data folder opened' has the segments, the discarded bytes, the last index, the term, the vote and the voters; 'No leader elected' has the voters that have and have not granted their vote, every 2 s while a candidate is without a leader. control_replica_reopened counts replicas that were reopened after an error.

--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -13,6 +13,7 @@
 	neededVoters      = expvar.NewInt("control_voters_required")
 	knownLearners     = expvar.NewInt("control_learners")
 	silentVoters      = expvar.NewInt("control_voters_silent")
+	replicaReopened   = expvar.NewInt("control_replica_reopened")
 	membershipChanges = expvar.NewMap("control_membership_changes")
 	blockedPrompts    = expvar.NewInt("prompts_blocked")
 	suspectParts      = expvar.NewInt("prompt_parts_suspected")
--- a/internal/hub/replica_runner.go
+++ b/internal/hub/replica_runner.go
@@ -84,6 +84,7 @@
 			// identity.
 			bootstrap = false
 		}
+		replicaReopened.Add(1)
 		klog.ErrorS(err, "Replica stopped, reopening it", "host", h.Host, "bootstrap", bootstrap)
 		select {
 		case <-ctx.Done():
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	// sync.
 	maxEventsPerSync = 4096
 	inboxSize        = 4096
+	// missingLeaderInterval is the time without a leader after which the state of the
+	// election is logged, and the interval at which it is repeated.
+	missingLeaderInterval = 2 * time.Second
 	// snapshotFormat is the first byte of a snapshot. It distinguishes an empty
 	// state of the machine from the first snapshot of a cluster, which has no
 	// bytes.
@@ -83,6 +87,8 @@
 	pendingProposals map[ledger.Index]pendingProposal
 	pendingReads     []pendingRead
 	pendingChanges   []pendingChange
+	// missingLeaderLogged is when logMissingLeader last logged.
+	missingLeaderLogged time.Duration
 }
 
 // nodeStatus is the immutable status that the control goroutine publishes to other
@@ -162,9 +168,21 @@
 	}
 	n.applied, n.snapshotIndex = state.Snapshot.Index, state.Snapshot.Index
 	n.publishStatus()
+	s := n.replica.Status()
+	klog.InfoS("Data folder opened", "replica", j.Self(), "created", j.Created(), "segments", j.Segments(), "discarded_bytes", j.DiscardedBytes(),
+		"snapshot", s.Snapshot, "last", s.Last, "term", s.Term, "vote", state.Hard.Vote, "voters", voterIDs(s.Membership))
 	return nil
 }
 
+func voterIDs(m ledger.Membership) (out []string) {
+	for _, member := range m.Members {
+		if member.Voter {
+			out = append(out, member.ID.String())
+		}
+	}
+	return out
+}
+
 // loop runs on the control goroutine. All events that arrive during one sync are
 // handled before the next sync and share it.
 func (n *Node) loop(ctx context.Context) error {
@@ -315,5 +333,25 @@
 }
 
 func (n *Node) publishStatus() {
-	n.status.Store(&nodeStatus{Status: n.replica.Status(), applied: n.applied})
+	s := n.replica.Status()
+	n.status.Store(&nodeStatus{Status: s, applied: n.applied})
+	n.logMissingLeader(&s)
+}
+
+// logMissingLeader logs, at an interval, which voters have not granted their vote while
+// this replica tries to become the leader.
+func (n *Node) logMissingLeader(s *ledger.Status) {
+	now := n.Clock.Now()
+	if len(s.Granted) == 0 || now-s.LastContact < missingLeaderInterval || now-n.missingLeaderLogged < missingLeaderInterval {
+		return
+	}
+	n.missingLeaderLogged = now
+	var missing []string
+	for _, m := range s.Membership.Members {
+		if m.Voter && !slices.Contains(s.Granted, m.ID) {
+			missing = append(missing, m.ID.String())
+		}
+	}
+	klog.InfoS("No leader elected", "replica", s.Self, "role", s.Role, "term", s.Term, "last", s.Last, "since_contact", now-s.LastContact,
+		"granted", s.Granted, "not_granted", missing, "joint", s.Membership.Joint())
 }
--- a/pkg/serving/journal/journal.go
+++ b/pkg/serving/journal/journal.go
@@ -49,6 +49,7 @@
 	file          File
 	failed        error
 	created       bool
+	discarded     int
 }
 
 // segment is one file of the log. size is the size of its intact frames in bytes,
@@ -111,6 +112,7 @@
 	}
 	if c.torn {
 		last := c.segments[len(c.segments)-1]
+		j.discarded = c.tornBytes
 		// The truncation must be durable before the next segment is created, since
 		// an incomplete frame is damage in any segment but the last.
 		if err := j.disk.Truncate(segmentName(last.number), int64(last.size)); err != nil {
@@ -127,6 +129,13 @@
 // Created reports whether Open found a folder without data.
 func (j *Journal) Created() bool { return j.created }
 
+// DiscardedBytes returns the size of the incomplete frame that Open discarded, 0 if
+// there was none.
+func (j *Journal) DiscardedBytes() int { return j.discarded }
+
+// Segments returns the number of segments.
+func (j *Journal) Segments() int { return len(j.segments) }
+
 // loadOrCreateIdentity reads the identity, or creates it in a folder without data.
 func (j *Journal) loadOrCreateIdentity(opts Options) error {
 	names, err := j.disk.Names()
--- a/pkg/serving/journal/load.go
+++ b/pkg/serving/journal/load.go
@@ -11,9 +11,10 @@
 type folderContent struct {
 	state    ledger.PersistentState
 	segments []segment
-	// torn is set if the last segment ends with an incomplete frame, which its size
-	// does not include.
-	torn bool
+	// torn is set if the last segment ends with an incomplete frame of tornBytes, which
+	// its size does not include.
+	torn      bool
+	tornBytes int
 }
 
 // load reads a folder without changing it.
@@ -93,7 +94,7 @@
 	}
 	s.size = intact
 	c.segments = append(c.segments, s)
-	c.torn = intact < len(b)
+	c.torn, c.tornBytes = intact < len(b), len(b)-intact
 	return nil
 }
 
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -315,6 +315,11 @@
 	s := Status{Self: r.cfg.Self, Role: r.role, Term: r.hard.Term, Leader: r.leader, LeaderAddress: r.leaderAddress(),
 		Commit: r.commit, Last: r.log.last(), Snapshot: r.log.snapshot.Index, Membership: r.Membership(),
 		MembershipCommitted: r.log.membershipIndex() <= r.commit, LastContact: r.lastContact}
+	for id, granted := range r.votes {
+		if granted {
+			s.Granted = append(s.Granted, id)
+		}
+	}
 	if r.role == Leader {
 		s.LeaseUntil, s.ElectedAt = r.leaseUntil(), r.electedAt
 		s.Match = map[serving.ReplicaID]Index{r.cfg.Self: r.stable}
--- a/pkg/serving/ledger/types.go
+++ b/pkg/serving/ledger/types.go
@@ -124,6 +124,9 @@
 	LastContact time.Duration
 	// LeaseUntil is the end of the leader lease, 0 if this replica has none.
 	LeaseUntil time.Duration
+	// Granted holds, on a candidate or pre-candidate, the voters that have granted their
+	// vote, including itself.
+	Granted []serving.ReplicaID
 }
 
 // Contact is the leader's contact with one other member.
