Make all that was read from the data folder durable before it counts

What callers saw: after a final loss of two disks and all power a control host could not open its data folder, or lacked what it had acknowledged. With two of five disks lost the three others are all needed, so no leader is elected and the configuration can't be read; without the entry an older one is read.

Cause: a process that is killed between the write of a frame and its sync, or whose sync fails, leaves the frame in the page cache. The restarted process read it, took it for durable, acknowledged it to the leader and went on in a new segment; nothing ever synced the old one. A power loss then took the frame (an acknowledged entry that the replica lacks) or tore it (a torn frame in a segment that isn't the last is damage, and the folder is refused for good). By the same omission the names of segments that attempts to open a full disk had left were never synced, and a power loss could lose one in the middle. Class of fault: data that can be read is taken for data that is durable.

Now Open rewrites the last segment under a new file, with its sync and that of the folder, before it creates the next one, and syncs the folder before it builds on the identity that it found. A sync of the old file would not do: after a failed sync the operating system may have dropped the pages. Each segment was once the last, so all earlier ones are durable by the same step. Disk.Truncate has no caller any more and is removed.

--- a/pkg/serving/journal/disk.go
+++ b/pkg/serving/journal/disk.go
@@ -23,8 +23,6 @@
 	Read(name string) ([]byte, error)
 	// Create creates an empty file for appending, or empties an existing one.
 	Create(name string) (File, error)
-	// Truncate shortens a file and syncs it.
-	Truncate(name string, size int64) error
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncFolder() error
@@ -96,15 +94,6 @@
 	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
 }
 
-// Truncate implements Disk.
-func (f *Folder) Truncate(name string, size int64) error {
-	path := filepath.Join(f.path, name)
-	if err := os.Truncate(path, size); err != nil {
-		return err
-	}
-	return syncPath(path)
-}
-
 // Rename implements Disk.
 func (f *Folder) Rename(from, to string) error {
 	return os.Rename(filepath.Join(f.path, from), filepath.Join(f.path, to))
--- a/pkg/serving/journal/journal.go
+++ b/pkg/serving/journal/journal.go
@@ -83,8 +83,9 @@
 
 func damaged(message string) error { return serving.NewError(serving.KindDamaged, message) }
 
-// Open locks the folder, verifies its contents and loads them. It truncates an
-// incomplete last frame and returns an error for any other damage.
+// Open locks the folder, verifies its contents and loads them. It discards an
+// incomplete last frame and returns an error for any other damage. All that it returns
+// is durable.
 func Open(disk Disk, opts Options) (*Journal, ledger.PersistentState, error) {
 	unlock, err := disk.Lock()
 	if err != nil {
@@ -110,19 +111,26 @@
 	if err != nil {
 		return ledger.PersistentState{}, err
 	}
-	if c.torn {
-		last := c.segments[len(c.segments)-1]
-		j.discarded = c.tornBytes
-		// The truncation must be durable before the next segment is created, since
-		// an incomplete frame is damage in any segment but the last.
-		if err := j.disk.Truncate(segmentName(last.number), int64(last.size)); err != nil {
-			return ledger.PersistentState{}, serving.WrapError(err, serving.KindStorage, "truncate incomplete record")
-		}
-	}
+	j.discarded = c.tornBytes
 	j.hard, j.segments, j.snapshotIndex = c.state.Hard, c.segments, c.state.Snapshot.Index
+	if err := j.rewriteLastSegment(c.lastFrames); err != nil {
+		return ledger.PersistentState{}, err
+	}
 	return c.state, j.roll()
 }
 
+// rewriteLastSegment makes the frames that were read from the last segment durable. The
+// process before may have ended between the write and the sync of a frame, or its sync
+// may have failed. A sync of the same file would not help after a failed one, because
+// the operating system may have dropped the data and marked its pages as written.
+// Earlier segments are durable, because each was the last one when the next was created.
+func (j *Journal) rewriteLastSegment(frames []byte) error {
+	if len(j.segments) == 0 {
+		return nil
+	}
+	return writeFile(j.disk, segmentName(j.segments[len(j.segments)-1].number), frames)
+}
+
 // Self returns the identity stored in the folder.
 func (j *Journal) Self() serving.ReplicaID { return j.self }
 
@@ -158,6 +166,10 @@
 		if opts.Host != "" && j.self.Host != opts.Host {
 			return serving.NewError(serving.KindInvalid, "the data folder belongs to host "+string(j.self.Host)+", not "+string(opts.Host))
 		}
+		// The process before may have ended between a rename and the sync of the folder.
+		if err := j.disk.SyncFolder(); err != nil {
+			return serving.WrapError(err, serving.KindStorage, "sync data folder")
+		}
 		return nil
 	}
 	// The initial snapshot is written before the identity. A folder with only a
--- a/pkg/serving/journal/load.go
+++ b/pkg/serving/journal/load.go
@@ -15,6 +15,8 @@
 	// its size does not include.
 	torn      bool
 	tornBytes int
+	// lastFrames are the intact frames of the last segment.
+	lastFrames []byte
 }
 
 // load reads a folder without changing it.
@@ -94,7 +96,7 @@
 	}
 	s.size = intact
 	c.segments = append(c.segments, s)
-	c.torn, c.tornBytes = intact < len(b), len(b)-intact
+	c.torn, c.tornBytes, c.lastFrames = intact < len(b), len(b)-intact, b[:intact]
 	return nil
 }
 
--- a/pkg/serving/journal/memory.go
+++ b/pkg/serving/journal/memory.go
@@ -124,16 +124,6 @@
 	return f, nil
 }
 
-// Truncate implements Disk.
-func (d *MemoryDisk) Truncate(name string, size int64) error {
-	f, ok := d.files[name]
-	if !ok {
-		return fs.ErrNotExist
-	}
-	f.data = slices.Clone(f.data[:size])
-	return f.Sync()
-}
-
 // Rename implements Disk.
 func (d *MemoryDisk) Rename(from, to string) error {
 	f, ok := d.files[from]
