Reuse the number of an empty segment when a data folder is reopened

What operators saw: a control host whose disk is full reopens its replica every 500 ms, and each attempt left one more empty segment.

Cause: Open always created the next number, also behind a segment without a frame. An empty segment holds nothing, so its number is used again.

--- a/pkg/serving/journal/journal.go
+++ b/pkg/serving/journal/journal.go
@@ -125,7 +125,9 @@
 // the operating system may have dropped the data and marked its pages as written.
 // Earlier segments are durable, because each was the last one when the next was created.
 func (j *Journal) rewriteLastSegment(frames []byte) error {
-	if len(j.segments) == 0 {
+	if len(frames) == 0 {
+		// roll creates an empty last segment anew, under the same number.
+		j.segments = j.segments[:max(len(j.segments)-1, 0)]
 		return nil
 	}
 	return writeFile(j.disk, segmentName(j.segments[len(j.segments)-1].number), frames)
--- a/pkg/serving/journal/restart_test.go
+++ b/pkg/serving/journal/restart_test.go
@@ -81,3 +81,25 @@
 		assert.Assert(t, len(state.Entries) >= 3, fmt.Sprintf("seed %d: %d entries", seed, len(state.Entries)))
 	}
 }
+
+// Guards against a disk that fills up with empty segments while a replica tries at an
+// interval to reopen its data folder on a full disk.
+func TestRestartsOnFullDiskAddNoSegments(t *testing.T) {
+	d := journal.NewMemoryDisk()
+	j, _ := open(t, d)
+	save(t, j, ledger.Ready{Entries: entries(1, 1, 6)})
+	// The segment has its full size, so the next frame needs a new one.
+	d.Capacity = 1
+	assert.ErrorIs(t, j.Save(ledger.Ready{Entries: entries(1, 7, 7)}), journal.ErrDiskFull)
+	assert.NilError(t, j.Close())
+	before, _ := d.Names()
+	for range 100 {
+		_, _, err := journal.Open(d, journal.Options{Host: "leon-1"})
+		assert.ErrorIs(t, err, journal.ErrDiskFull)
+	}
+	after, _ := d.Names()
+	assert.Equal(t, len(after), len(before))
+	d.Capacity = 0
+	_, state := open(t, d)
+	assert.DeepEqual(t, state.Entries, entries(1, 1, 6))
+}
