Count the time of a suspension in leases and ages

Cause: the clock of the leases was that of package time, which Linux stops while a host is suspended; the platform suspends hosts. A resumed leader took its lease for valid, up to 475 ms more, although another leader was elected and had committed. Class of fault: an assumption that was written down (package ledger) and that the deployment doesn't keep.

--- a/pkg/serving/ledger/doc.go
+++ b/pkg/serving/ledger/doc.go
@@ -29,9 +29,9 @@
 // send time of the last heartbeat round that a quorum acknowledged, for
 // ElectionMin × (1 − MaxDrift). It relies on two assumptions: the monotonic
 // clocks of two hosts drift relative to each other by at most MaxDrift, and a
-// clock advances while its process is stopped. Linux does not advance the clock
-// of package time while the whole host is suspended, so a host that runs a replica
-// must not be suspended and resumed. Wall clocks are never used.
+// clock advances while its process is stopped or its host is suspended.
+// [serving.MonotonicClock] does so on Linux, the clock of package time doesn't. Wall
+// clocks are never used.
 //
 // # Membership
 //
