Keep the limit that an engine names, over all entries together

What operators saw: an engine that names a limit of 3.3 requests a second got 43 in 4 s; allowed are 25.

Class of fault: a word of an engine that nothing passes on.

The platform's header is decoded once, into serving.Answer. pkg/serving/pacing decides, without clock or network: the share of an entry is the limit times its part of the demand for the service. Entries report demand and the newest word of each engine with their load; hubs add them up, so that all entries keep a limit 100 to 300 ms after the first hears it. Shares that others no longer report come back after 10 to 20 s, so that a split doesn't spend them twice. All choices go through the pool: first attempts, retries, calls that wait, destinations of moves; requests to copy memory are counted and delay later calls. Generations are placed at limited engines by the entry itself, since the share is the entry's. Without an engine that takes the call within its wait it is rejected at once, with the time until the first does.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,9 +206,11 @@
 	tokenTime time.Duration
 	// outcomes records with which calls and prompt parts answers began or engines were lost,
 	// and suspects are those of which the hub wants to know.
-	outcomes  quarantine.Observer
-	suspects  []quarantine.Part
-	waitQueue waitQueue
+	outcomes quarantine.Observer
+	// limitLogged is when a change of an engine's limit was last logged.
+	limitLogged time.Duration
+	suspects    []quarantine.Part
+	waitQueue   waitQueue
 	// streams holds the streams in progress by engine.
 	streams map[serving.EngineID]map[*relay]bool
 	// movePlans holds the plans for engines that are leaving.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	movePauses          = newHistogram("move_pause_ms")
 	callersDisconnected = expvar.NewInt("callers_left")
 	eventsDropped       = expvar.NewInt("events_dropped")
+	limitsChanged       = expvar.NewInt("engine_limits_changed")
+	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -148,7 +148,7 @@
 func (g *Gateway) updateCopy(ctx context.Context, r *relay, m *move) bool {
 	for copiedAt := g.Clock.Now(); ; {
 		begin := g.Clock.Now()
-		res, err := g.sendEngineRequest(ctx, m.source.Address, g.Dialect.MoveRequest(r.ID, m.dest.Address, false))
+		res, err := g.sendEngineRequest(ctx, m.source, g.Dialect.MoveRequest(r.ID, m.dest.Address, false))
 		took := g.Clock.Now() - begin
 		klog.V(1).InfoS("Memory copy updated", "request", r.ID, "source", m.source.Engine, "outcome", res.Outcome, "took", took, "made", res.Events, "err", err)
 		switch {
@@ -175,7 +175,7 @@
 	m.stopping = true
 	r.mu.Unlock()
 	begin := g.Clock.Now()
-	res, err := g.sendEngineRequest(ctx, m.source.Address, g.Dialect.MoveRequest(r.ID, m.dest.Address, true))
+	res, err := g.sendEngineRequest(ctx, m.source, g.Dialect.MoveRequest(r.ID, m.dest.Address, true))
 	moves.Add(string(res.Outcome), 1)
 	destUse := g.totalUse(m.dest.Engine)
 	r.mu.Lock()
@@ -223,7 +223,7 @@
 			continue
 		}
 		begin := g.Clock.Now()
-		res, err := g.sendEngineRequest(ctx, m.source.Address, g.Dialect.MoveRequest(r.ID, dest.Address, false))
+		res, err := g.sendEngineRequest(ctx, m.source, g.Dialect.MoveRequest(r.ID, dest.Address, false))
 		klog.InfoS("First memory copy requested", "request", r.ID, "source", m.source.Engine, "destination", dest.Engine, "outcome", res.Outcome,
 			"took", g.Clock.Now()-begin, "made", res.Events, "running", dest.Before().Running, "held", dest.Before().Held, "near", dest.DataCentre == m.source.DataCentre, "err", err)
 		switch {
@@ -296,7 +296,7 @@
 	m.dest, m.latestCopy = dest, latestCopy
 	r.mu.Unlock()
 	if old.Handle != "" && old.Handle != latestCopy.Handle {
-		go g.freeCopy(r.ID, old)
+		go g.freeCopy(r.ID, m.source, old)
 	}
 }
 
@@ -352,10 +352,11 @@
 
 // sendEngineRequest sends a request to an engine and decodes its answer. Canceling
 // ctx doesn't abort the request, because the engine would still execute it.
-func (g *Gateway) sendEngineRequest(ctx context.Context, address string, req serving.EngineRequest) (serving.MoveResult, error) {
+func (g *Gateway) sendEngineRequest(ctx context.Context, target placement.Target, req serving.EngineRequest) (serving.MoveResult, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engineRequestTimeout)
 	defer cancel()
-	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: req.Method, Target: req.Target, Host: address, Body: req.Body, AnswerWithoutID: true, MaxIdleTime: upstream.SafeIdleTime, MaxIdleConns: 1})
+	g.countRequest(target.Engine)
+	x, err := g.upstream.Send(ctx, upstream.Request{Address: target.Address, Method: req.Method, Target: req.Target, Host: target.Address, Body: req.Body, AnswerWithoutID: true, MaxIdleTime: upstream.SafeIdleTime, MaxIdleConns: 1})
 	if err != nil {
 		return serving.MoveResult{Outcome: serving.MoveFailed}, err
 	}
@@ -367,6 +368,14 @@
 	return g.Dialect.DecodeMove(x.Status, body), nil
 }
 
+// countRequest counts a request towards the limit that the engine has named. Requests that
+// move a generation aren't delayed by the limit, but calls after them are.
+func (g *Gateway) countRequest(id serving.EngineID) {
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	g.board.pool.CountRequest(g.Clock.Now(), id)
+}
+
 // resumeAfterMove resumes a generation at the destination of its move after its stream
 // was interrupted. It returns false if that is not possible.
 func (r *relay) resumeAfterMove(cause error) bool {
@@ -446,6 +455,7 @@
 	r.g.endTicket(m.dest, placement.Abandoned, 0)
 	m.dest = nil
 	source := &placement.Ticket{Target: m.source}
+	r.g.countRequest(m.source.Engine)
 	x, err := r.g.upstream.Send(r.ctx, r.engineRequest(source, &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}, upstream.SafeIdleTime))
 	if err != nil {
 		return nil, err
@@ -476,13 +486,13 @@
 		if m.latestCopy.Handle == "" {
 			return
 		}
-		g.freeCopy(r.ID, m.latestCopy)
+		g.freeCopy(r.ID, m.source, m.latestCopy)
 	}()
 }
 
 // freeCopy requests the source of a copy to free it at both engines.
-func (g *Gateway) freeCopy(id serving.RequestID, c serving.MemoryCopy) {
-	if _, err := g.sendEngineRequest(g.baseCtx, c.Address, g.Dialect.DropCopyRequest(c.Handle)); err != nil {
+func (g *Gateway) freeCopy(id serving.RequestID, source placement.Target, c serving.MemoryCopy) {
+	if _, err := g.sendEngineRequest(g.baseCtx, source, g.Dialect.DropCopyRequest(c.Handle)); err != nil {
 		klog.InfoS("Copy not freed; it expires by itself", "request", id, "source", c.Address, "err", err)
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -36,6 +36,9 @@
 		}
 	}()
 	for {
+		if ticket := g.placePaced(need); ticket != nil {
+			return ticket, nil
+		}
 		hub := g.watcher.availablePlacementHub()
 		if hub == nil {
 			return g.place(ctx, need, rank, deadline-g.Clock.Now())
@@ -68,6 +71,13 @@
 	}
 }
 
+// placePaced claims an engine that has named a limit, within this entry's share of it.
+func (g *Gateway) placePaced(need *placement.Need) *placement.Ticket {
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	return g.board.pool.PlacePaced(g.Clock.Now(), need)
+}
+
 // requestEngine asks the hub to choose an engine. The result is empty if no engine
 // has room.
 func (g *Gateway) requestEngine(ctx context.Context, hub schema.Hub, need *placement.Need, regions []serving.RegionID) (serving.EngineID, error) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -113,7 +113,7 @@
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
 	res := j.readAnswer(x, t)
-	j.g.recordLoad(t.Engine, &x.Answer)
+	j.g.recordAnswer(t.Engine, &x.Answer)
 	j.g.endTicket(t, res.engineOutcome(j.ctx), j.g.Clock.Now()-start)
 	switch {
 	case res.brokenOff && ctx.Err() == nil:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -223,23 +223,43 @@
 // maxRetries bounds the retries of one call.
 const maxRetries = 3
 
-// recordCall records the first attempt of the call in the retry budget.
+// recordCall records the first attempt of the call in the retry budget, and in the demand
+// for its service.
 func (j *job) recordCall() {
 	j.g.board.mu.Lock()
 	defer j.g.board.mu.Unlock()
-	j.g.Retries.RecordCall(j.g.Clock.Now(), j.Service.ID)
+	now := j.g.Clock.Now()
+	j.g.Retries.RecordCall(now, j.Service.ID)
+	j.g.board.pool.CountCall(now, j.Service.ID)
 }
 
-// recordLoad records the load that an engine reported in an answer, if any.
-func (g *Gateway) recordLoad(id serving.EngineID, a *serving.Answer) {
-	if !a.HasLoad {
+// recordAnswer records the load and the limit that an engine reported in an answer.
+func (g *Gateway) recordAnswer(id serving.EngineID, a *serving.Answer) {
+	if a.Status == http.StatusMisdirectedRequest {
+		// Another engine answered.
 		return
 	}
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
-	g.board.pool.SetLoad(g.Clock.Now(), id, a.Load)
+	now := g.Clock.Now()
+	if a.HasLoad {
+		g.board.pool.SetLoad(now, id, a.Load)
+	}
+	switch {
+	case a.LimitUnreadable:
+		limitsUnreadable.Add(1)
+	case g.board.pool.SetLimit(now, id, a.Limit, a.HasLimit):
+		limitsChanged.Add(1)
+		if now-g.board.limitLogged >= limitLogInterval {
+			g.board.limitLogged = now
+			klog.InfoS("Engine limit changed", "engine", id, "limited", a.HasLimit, "per_second", a.Limit)
+		}
+	}
 }
 
+// limitLogInterval bounds the log lines for engines that change their limit often.
+const limitLogInterval = 200 * time.Millisecond
+
 // setHeader sets the header of the caller's response from an engine's answer.
 func (j *job) setHeader(h http.Header) {
 	out := j.w.Header()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -91,7 +91,7 @@
 		x, err := r.g.upstream.Send(r.ctx, r.engineRequest(ticket, nil, upstream.SafeIdleTime))
 		if err == nil && x.Status == http.StatusOK && x.Signed && !x.Encoded && !x.NotRun {
 			r.exchange = x
-			r.g.recordLoad(ticket.Engine, &x.Answer)
+			r.g.recordAnswer(ticket.Engine, &x.Answer)
 			return true
 		}
 		r.cancelMove()
@@ -119,7 +119,7 @@
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
 	res := r.readAnswer(x, t)
-	r.g.recordLoad(t.Engine, &x.Answer)
+	r.g.recordAnswer(t.Engine, &x.Answer)
 	r.g.endTicket(t, res.engineOutcome(r.ctx), 0)
 	return res
 }
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -30,7 +30,7 @@
 	b := &g.board
 	b.mu.Lock()
 	ticket, err := b.pool.Place(g.Clock.Now(), need)
-	if err == nil || maxWait <= 0 {
+	if err == nil || maxWait <= 0 || waitsTooLong(err, maxWait) {
 		b.mu.Unlock()
 		return ticket, err
 	}
@@ -60,6 +60,13 @@
 	return nil, err
 }
 
+// waitsTooLong reports whether a call can't be placed within maxWait because the limits of
+// all engines are used up for longer.
+func waitsTooLong(err error, maxWait time.Duration) bool {
+	e := serving.AsError(err)
+	return e.Detail == placement.DetailEngineLimit && e.RetryAfter > maxWait
+}
+
 func (q *waitQueue) add(need *placement.Need, rank int) *waitingCall {
 	q.sequence++
 	w := &waitingCall{need: need, rank: rank, sequence: q.sequence, ticket: make(chan *placement.Ticket, 1)}
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -297,7 +297,7 @@
 	if fullList && res.GetComplete() {
 		w.removeUnlisted(listed)
 	}
-	b.pool.SetOtherUse(withoutOwn(usage.FromWire(res.GetUses()), own), int(res.GetEntries()))
+	b.pool.SetOtherUse(now, withoutOwn(usage.FromWire(res.GetUses()), own), int(res.GetEntries()))
 	b.suspects = quarantine.PartsFromWire(res.GetSuspects())
 	b.placeWaiting(now)
 	for _, id := range leaving {
@@ -335,6 +335,7 @@
 			all[i].Expected = max(0, all[i].Expected-o.Expected)
 			all[i].Prefill = max(0, all[i].Prefill-o.Prefill)
 			all[i].Broken = max(0, all[i].Broken-o.Broken)
+			all[i].Demand = max(0, all[i].Demand-o.Demand)
 		}
 	}
 	return all
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -88,7 +88,7 @@
 	for _, u := range totalUse {
 		uses = append(uses, *u)
 	}
-	p.pool.SetOtherUse(uses, n)
+	p.pool.SetOtherUse(now, uses, n)
 }
 
 // totalUse returns the load from all entries by engine, and the number of entries. The
--- a/pkg/serving/call.go
+++ b/pkg/serving/call.go
@@ -99,6 +99,12 @@
 	// Load is valid if HasLoad is set.
 	Load    EngineLoad
 	HasLoad bool
+	// Limit is the number of calls per second that the engine takes from all entries
+	// together. It is valid if HasLimit is set.
+	Limit    float64
+	HasLimit bool
+	// LimitUnreadable reports whether the engine named a limit that is no such number.
+	LimitUnreadable bool
 }
 
 // EngineLoad is the load that an engine reports in an answer: its running and waiting
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -142,6 +142,12 @@
 // kind no_engine if no engine may run the call, and overloaded if none has room now.
 func (p *Pool) Place(now time.Duration, n *Need) (*Ticket, error) {
 	fitting, full := p.fitting(now, n)
+	if len(fitting) == 0 && full > 0 {
+		if wait, ok := p.paceWait(now, n); ok {
+			return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" have named a limit that is used up").
+				WithDetail(DetailEngineLimit).WithRetryAfter(wait)
+		}
+	}
 	if len(fitting) == 0 && full == 0 {
 		return nil, serving.NewError(serving.KindNoEngine, "no engine of service "+string(n.Service.ID)+" is in service").WithRetryAfter(time.Second)
 	}
@@ -161,11 +167,60 @@
 	return t, nil
 }
 
+// DetailEngineLimit is the detail of the error of Place if all engines that may run the
+// call have named a limit that is used up. RetryAfter of the error is the time until the
+// first of them takes a call of this entry.
+const DetailEngineLimit = "engine_limit"
+
+// paceWait returns the time until the first engine takes a call; ok is false unless only
+// their limits keep all of the eligible engines from taking it now.
+func (p *Pool) paceWait(now time.Duration, n *Need) (wait time.Duration, ok bool) {
+	for _, e := range p.engines {
+		if !p.eligible(e, n) || !e.health.available(now) {
+			continue
+		}
+		if p.withinLimit(now, e) {
+			return 0, false
+		}
+		if w := e.pacer.Wait(now, p.demandRate(now, e.Service)); !ok || w < wait {
+			wait, ok = w, true
+		}
+	}
+	return wait, ok
+}
+
+// PlacePaced chooses, among the engines that have named a limit, one that can take a
+// generation now. It returns nil if there is none. A hub doesn't choose such engines,
+// because each entry has its own share of their limits.
+func (p *Pool) PlacePaced(now time.Duration, n *Need) *Ticket {
+	limited := false
+	for _, e := range p.engines {
+		limited = limited || e.pacer.Limited(now)
+	}
+	if !limited {
+		return nil
+	}
+	fitting, _ := p.fitting(now, n)
+	fitting = slices.DeleteFunc(fitting, func(e *engine) bool { return !e.pacer.Limited(now) })
+	if len(fitting) == 0 {
+		return nil
+	}
+	best := p.cheapest(now, fitting, n)
+	p.countAdmitted(now, best)
+	return p.newTicket(best, n)
+}
+
+// withinLimit reports whether an engine may get one more call under the limit that it has
+// named.
+func (p *Pool) withinLimit(now time.Duration, e *engine) bool {
+	return e.pacer.Allows(now, p.demandRate(now, e.Service))
+}
+
 // Claim adds a call to the load of an engine that was chosen elsewhere. It returns
 // nil if the engine can't take the call.
 func (p *Pool) Claim(now time.Duration, id serving.EngineID, n *Need) *Ticket {
 	e := p.engines[id]
-	if e == nil || !p.eligible(e, n) || !e.health.available(now) {
+	if e == nil || !p.eligible(e, n) || !e.health.available(now) || !p.withinLimit(now, e) {
 		return nil
 	}
 	p.countAdmitted(now, e)
@@ -173,12 +228,13 @@
 }
 
 // Avoid returns the engines that should not be chosen for a call because they are in
-// backoff, or because they fail more often or are much slower than their peers.
+// backoff, because they have named a limit, or because they fail more often or are much
+// slower than their peers.
 func (p *Pool) Avoid(now time.Duration, n *Need) []serving.EngineID {
 	var out []serving.EngineID
 	peers := p.peerMedians(now, n)
 	for _, e := range p.engines {
-		if p.eligible(e, n) && (!e.health.available(now) || p.healthCost(now, e, peers) > avoidThreshold) {
+		if p.eligible(e, n) && (!e.health.available(now) || e.pacer.Limited(now) || p.healthCost(now, e, peers) > avoidThreshold) {
 			out = append(out, e.Engine)
 		}
 	}
@@ -191,7 +247,7 @@
 	for _, e := range p.engines {
 		switch {
 		case !p.eligible(e, n):
-		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !e.fits(now, n):
+		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.withinLimit(now, e) || !e.fits(now, n):
 			full++
 		default:
 			fitting = append(fitting, e)
@@ -390,8 +446,9 @@
 	return e.admitted+1 <= share
 }
 
-// countAdmitted counts a call towards the rate that withinColdRate limits.
+// countAdmitted counts a call towards the rates that withinColdRate and withinLimit limit.
 func (p *Pool) countAdmitted(now time.Duration, e *engine) {
+	e.pacer.Take(now)
 	if now-e.windowStart >= time.Second {
 		e.admitted, e.windowStart = 0, now
 	}
--- a/pkg/serving/placement/placement_test.go
+++ b/pkg/serving/placement/placement_test.go
@@ -54,7 +54,7 @@
 					uses = append(uses, usage.Use{Engine: e.Engine, Running: 5, Held: 15_000, Expected: 17_000})
 				}
 			}
-			p.SetOtherUse(uses, 74)
+			p.SetOtherUse(0, uses, 74)
 			ticket, err := p.Place(0, longGeneration())
 			assert.NilError(t, err)
 			perEngine[ticket.Engine]++
@@ -84,14 +84,14 @@
 		}
 		return uses
 	}
-	p.SetOtherUse(full(3), 7)
+	p.SetOtherUse(0, full(3), 7)
 	for range 5 {
 		ticket, err := p.Place(0, longGeneration())
 		assert.NilError(t, err)
 		assert.Equal(t, ticket.Engine, serving.EngineID("e3"))
 		ticket.End(0, placement.OK, 0)
 	}
-	p.SetOtherUse(full(4), 7)
+	p.SetOtherUse(0, full(4), 7)
 	_, err := p.Place(0, longGeneration())
 	assert.Equal(t, serving.KindOf(err), serving.KindOverloaded)
 	p.SetOutOfService([]string{"a-1"})
@@ -161,7 +161,7 @@
 		e := engine("cold", "model", "a-1")
 		e.ColdUntil = 10 * time.Second
 		p.SetEngine(e)
-		p.SetOtherUse(nil, entries)
+		p.SetOtherUse(0, nil, entries)
 		for now := time.Duration(entry) * time.Millisecond; now < 5*time.Second; now += 20 * time.Millisecond {
 			if ticket, err := p.Place(now, &placement.Need{Service: modelService, Prompt: 1}); err == nil {
 				ticket.End(now, placement.OK, 0)
@@ -198,7 +198,7 @@
 		ticket.End(0, placement.Broken, 0)
 		reported = reporter.OwnUse(0)
 	}
-	other.SetOtherUse(reported, 2)
+	other.SetOtherUse(0, reported, 2)
 	for range 30 {
 		ticket, err := other.Place(0, longGeneration())
 		assert.NilError(t, err)
@@ -206,7 +206,7 @@
 		ticket.End(0, placement.OK, 0)
 	}
 	later := 3 * time.Second
-	other.SetOtherUse(reporter.OwnUse(later), 2)
+	other.SetOtherUse(0, reporter.OwnUse(later), 2)
 	tried := false
 	for range 30 {
 		ticket, err := other.Place(later, longGeneration())
@@ -234,7 +234,7 @@
 			p.SetEngine(engine("own", "model", "a-1"))
 			p.SetEngine(engine("same-region", "model", "a-2"))
 			p.SetEngine(engine("other-region", "model", "b-1"))
-			p.SetOtherUse([]usage.Use{{Engine: "own", Running: 2, Expected: tc.held}}, 3)
+			p.SetOtherUse(0, []usage.Use{{Engine: "own", Running: 2, Expected: tc.held}}, 3)
 			need := longGeneration()
 			need.Compare = placement.CompareAll
 			for range 20 {
@@ -268,7 +268,7 @@
 			for _, id := range tc.full {
 				uses = append(uses, usage.Use{Engine: id, Running: 8, Held: 27_000, Expected: 27_000})
 			}
-			p.SetOtherUse(uses, 3)
+			p.SetOtherUse(0, uses, 3)
 			for range 20 {
 				ticket, err := p.Place(0, &placement.Need{Service: modelService, Prompt: 3500, Output: 250, CopyFrom: "a-1"})
 				assert.NilError(t, err)
@@ -381,12 +381,12 @@
 			e := engine("w", "web", "a-1")
 			e.Slots = 200
 			p.SetEngine(e)
-			p.SetOtherUse([]usage.Use{{Engine: "w", Running: serving.Slots(tc.running)}}, tc.entries)
+			p.SetOtherUse(0, []usage.Use{{Engine: "w", Running: serving.Slots(tc.running)}}, tc.entries)
 			need := &placement.Need{Service: service}
 			ticket, err := p.Place(0, need)
 			assert.NilError(t, err)
 			assert.Assert(t, tc.entries*ticket.MaxIdleConns+tc.running+1 <= service.MaxConnections, "%d idle each", ticket.MaxIdleConns)
-			p.SetOtherUse([]usage.Use{{Engine: "w", Running: 50}}, tc.entries)
+			p.SetOtherUse(0, []usage.Use{{Engine: "w", Running: 50}}, tc.entries)
 			_, err = p.Place(0, need)
 			assert.Equal(t, serving.KindOf(err), serving.KindOverloaded)
 		})
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/pacing"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -18,6 +19,7 @@
 	engines      map[serving.EngineID]*engine
 	outOfService map[serving.DataCentreID]bool
 	entries      int
+	demand       map[serving.ServiceID]*pacing.Demand
 }
 
 // engine is the state of one engine as seen by the pool.
@@ -37,6 +39,10 @@
 	// the rate limit of a cold engine.
 	admitted    float64
 	windowStart time.Duration
+	// pacer keeps the limit that the engine has named, and heard is what it named in its
+	// newest answer to this entry; nil if it never named a limit.
+	pacer pacing.Pacer
+	heard *pacing.Limit
 }
 
 // Target is an engine chosen for a call.
@@ -78,6 +84,7 @@
 			fresh.own = e.own
 		}
 		fresh.others.Engine, fresh.own.Engine = status.Engine, status.Engine
+		fresh.pacer.Phase = p.Random.Float64()
 		e = fresh
 		e.State = presence.Ready
 		p.engines[status.Engine] = e
@@ -97,16 +104,26 @@
 
 // SetOtherUse replaces the load from all other entries, and sets the number of
 // entries.
-func (p *Pool) SetOtherUse(uses []usage.Use, entries int) {
+func (p *Pool) SetOtherUse(now time.Duration, uses []usage.Use, entries int) {
 	for _, e := range p.engines {
 		e.others = usage.Use{Engine: e.Engine}
 	}
+	p.entries = max(entries, 1)
 	for i := range uses {
-		if e := p.engines[uses[i].Engine]; e != nil {
-			e.others = uses[i]
+		e := p.engines[uses[i].Engine]
+		if e == nil {
+			continue
+		}
+		e.others = uses[i]
+		if l := uses[i].Limit; l != nil {
+			e.pacer.Hear(now, pacing.Limit{PerSecond: l.PerSecond, Limited: l.Limited, HeardAt: now - max(0, l.Age)})
+		}
+	}
+	for _, e := range p.engines {
+		if e.pacer.Limited(now) {
+			e.pacer.SetOthers(now, e.others.Demand, p.entries)
 		}
 	}
-	p.entries = max(entries, 1)
 }
 
 // Entries returns the number of entries that share the engines, at least 1.
@@ -118,7 +135,13 @@
 	for _, e := range p.engines {
 		u := e.own
 		u.Broken = e.health.recentBroken(now)
-		if u.Running != 0 || u.Expected != 0 || u.Broken != 0 {
+		if e.pacer.Limited(now) {
+			u.Demand = p.demandRate(now, e.Service)
+		}
+		if e.heard != nil {
+			u.Limit = &usage.Limit{PerSecond: e.heard.PerSecond, Limited: e.heard.Limited, Age: now - e.heard.HeardAt}
+		}
+		if u.Demand > 0 || u.Limit != nil || u.Running != 0 || u.Expected != 0 || u.Broken != 0 {
 			out = append(out, u)
 		}
 	}
@@ -132,6 +155,45 @@
 	}
 }
 
+// CountCall counts a call to a service at this entry, towards its share of the limits that
+// the engines of the service name.
+func (p *Pool) CountCall(now time.Duration, id serving.ServiceID) {
+	if p.demand == nil {
+		p.demand = map[serving.ServiceID]*pacing.Demand{}
+	}
+	if p.demand[id] == nil {
+		p.demand[id] = &pacing.Demand{}
+	}
+	p.demand[id].Count(now)
+}
+
+func (p *Pool) demandRate(now time.Duration, id serving.ServiceID) float64 {
+	if d := p.demand[id]; d != nil {
+		return d.Rate(now)
+	}
+	return 0
+}
+
+// SetLimit records what an engine named in an answer to this entry: the number of calls
+// per second that it takes, or no limit. It reports whether that has changed.
+func (p *Pool) SetLimit(now time.Duration, id serving.EngineID, perSecond float64, limited bool) (changed bool) {
+	e := p.engines[id]
+	if e == nil || !limited && e.heard == nil && !e.pacer.Limited(now) {
+		return false
+	}
+	l := pacing.Limit{PerSecond: perSecond, Limited: limited, HeardAt: now}
+	e.heard = &l
+	return e.pacer.Hear(now, l)
+}
+
+// CountRequest counts a request to an engine that isn't a call, such as one to copy memory,
+// towards the limit that the engine has named.
+func (p *Pool) CountRequest(now time.Duration, id serving.EngineID) {
+	if e := p.engines[id]; e != nil {
+		e.pacer.Take(now)
+	}
+}
+
 // Lookup returns an engine by its id, and whether the pool contains it.
 func (p *Pool) Lookup(id serving.EngineID) (Target, bool) {
 	e := p.engines[id]
--- a/pkg/serving/usage/usage.go
+++ b/pkg/serving/usage/usage.go
@@ -34,6 +34,21 @@
 	// Broken counts recent calls without a complete response and failed connection
 	// attempts.
 	Broken int
+	// Demand is the number of calls per second to the engine's service, if the engine has
+	// named a limit.
+	Demand float64
+	// Limit is the newest answer of the engine about its limit; nil if none is known.
+	Limit *Limit
+}
+
+// Limit is what an engine named in an answer.
+type Limit struct {
+	// PerSecond is the number of calls per second that the engine takes from all entries
+	// together, if Limited is set.
+	PerSecond float64
+	Limited   bool
+	// Age is the age of the answer when it was reported.
+	Age time.Duration
 }
 
 // Add adds the load o at the same engine.
@@ -43,6 +58,10 @@
 	u.Expected += o.Expected
 	u.Prefill += o.Prefill
 	u.Broken += o.Broken
+	u.Demand += o.Demand
+	if o.Limit != nil && (u.Limit == nil || o.Limit.Age < u.Limit.Age) {
+		u.Limit = o.Limit
+	}
 }
 
 type report struct {
@@ -85,16 +104,34 @@
 				sum = &Use{Engine: u.Engine}
 				sums[u.Engine] = sum
 			}
-			sum.Add(u)
+			sum.Add(u.aged(now - r.at))
 		}
 	}
 	return sums, reporters
 }
 
+// aged returns the load with the age of the limit increased by d.
+func (u *Use) aged(d time.Duration) *Use {
+	if u.Limit == nil {
+		return u
+	}
+	out, limit := *u, *u.Limit
+	limit.Age += d
+	out.Limit = &limit
+	return &out
+}
+
 // ToWire converts the load to its protobuf message.
 func (u *Use) ToWire() *schema.EngineUse {
-	return &schema.EngineUse{Engine: string(u.Engine), Running: int32(u.Running), HeldTokens: int64(u.Held),
-		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill), Broken: int32(u.Broken)}
+	out := &schema.EngineUse{Engine: string(u.Engine), Running: int32(u.Running), HeldTokens: int64(u.Held),
+		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill), Broken: int32(u.Broken), Demand: u.Demand}
+	if u.Limit != nil {
+		out.Limit = &schema.EngineLimit{AgeMs: u.Limit.Age.Milliseconds()}
+		if u.Limit.Limited {
+			out.Limit.CallsPerSecond = &u.Limit.PerSecond
+		}
+	}
+	return out
 }
 
 // FromWire converts protobuf messages to the loads at their engines.
@@ -103,7 +140,10 @@
 	for i, m := range in {
 		out[i] = Use{Engine: serving.EngineID(m.GetEngine()), Running: serving.Slots(m.GetRunning()),
 			Held: serving.Tokens(m.GetHeldTokens()), Expected: serving.Tokens(m.GetExpectedTokens()), Prefill: serving.Tokens(m.GetPrefillTokens()),
-			Broken: int(m.GetBroken())}
+			Broken: int(m.GetBroken()), Demand: m.GetDemand()}
+		if l := m.GetLimit(); l != nil {
+			out[i].Limit = &Limit{PerSecond: l.GetCallsPerSecond(), Limited: l.CallsPerSecond != nil, Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
+		}
 	}
 	return out
 }
