Reject announced addresses whose port can't be called

The project's own interface took any text for the address of an engine (same class as the heartbeats of the platform, found while looking for it elsewhere). Dialing a port out of range failed at once and counted against the engine, so no process ended; the announcement is rejected now, with the port in the error. TestAnnouncedAddress was red for six of nine addresses.

--- a/pkg/serving/engine/announcement.go
+++ b/pkg/serving/engine/announcement.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"net"
 	"reflect"
+	"strconv"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -88,9 +90,24 @@
 	if a.Engine == "" || a.Address == "" || a.DataCentre == "" {
 		return nil, serving.NewError(serving.KindInvalid, "an announcement needs engine, address and data_centre")
 	}
+	if err := a.checkValues(); err != nil {
+		return nil, err
+	}
 	return &a, nil
 }
 
+// checkValues returns an error if a value can't be that of a running engine.
+func (a *Announcement) checkValues() error {
+	_, port, err := net.SplitHostPort(a.Address)
+	if err != nil {
+		return serving.WrapError(err, serving.KindInvalid, "the announcement's address")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return serving.NewError(serving.KindInvalid, "the port of the announcement's address "+a.Address+" is not from 1 to 65535")
+	}
+	return nil
+}
+
 // HasModel reports whether the engine has announced a model at any version.
 func (a *Announcement) HasModel(m serving.ModelID) bool {
 	for _, ref := range a.Models {
--- a/pkg/serving/engine/engine_test.go
+++ b/pkg/serving/engine/engine_test.go
@@ -163,3 +163,26 @@
 	fmt.Println(d.State(time.Second, "engine-1"), d.State(time.Minute, "engine-1"))
 	// Output: alive dead
 }
+
+// Guards against an announced address that can't be called.
+func TestAnnouncedAddress(t *testing.T) {
+	for _, tc := range []struct {
+		address string
+		valid   bool
+	}{
+		{"10.0.0.9:8080", true},
+		{"engine-1.example:65535", true},
+		{"[::1]:80", true},
+		{"10.0.0.9", false},
+		{"10.0.0.9:", false},
+		{"10.0.0.9:0", false},
+		{"10.0.0.9:65536", false},
+		{"10.0.0.9:-1", false},
+		{"10.0.0.9:http", false},
+	} {
+		t.Run(tc.address, func(t *testing.T) {
+			_, err := engine.DecodeAnnouncement([]byte(`{"engine":"e-1","address":"` + tc.address + `","data_centre":"dc-1"}`))
+			assert.Equal(t, err == nil, tc.valid, "%v", err)
+		})
+	}
+}
