--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -119,6 +119,16 @@
 	return found
 }
 
+// expectVoters returns an error unless the leader knows a number of voters.
+func (c *testHubs) expectVoters(n int) error {
+	return c.onLeader(func(h *Hub) error {
+		if got := voters(h); got != n {
+			return fmt.Errorf("%d voters instead of %d", got, n)
+		}
+		return nil
+	})
+}
+
 // expectEverywhere waits until every hub has published a configuration version.
 func (c *testHubs) expectEverywhere(version uint64) {
 	c.t.Helper()
@@ -192,6 +202,35 @@
 	c.expectEverywhere(2)
 }
 
+// Load pattern: changes are sent all the while, and the disk of each hub in turn is full
+// for longer than a replica waits before it reopens its folder, never two at once. Guards
+// against changes that are refused or not answered after all disks have space again.
+func TestChangesAfterDisksWereFullInTurn(t *testing.T) {
+	t.Parallel()
+	c := startHubs(t)
+	version := uint64(1)
+	c.put(version)
+	eventually(t, func() error { return c.expectVoters(len(c.hubs)) })
+	for range 2 {
+		for i := range c.disks {
+			f := &c.disks[(c.leader()+i)%len(c.disks)]
+			t.Cleanup(f.clear)
+			f.set(func(f *diskFaults) { f.full = true })
+			for end := time.Now().Add(reopenPause + 200*time.Millisecond); time.Now().Before(end); {
+				version++
+				c.put(version)
+			}
+			f.clear()
+			c.expectEverywhere(version)
+		}
+	}
+	for range 3 {
+		version++
+		c.put(version)
+		c.expectEverywhere(version)
+	}
+}
+
 // Load pattern: two operators send versions at the same time, each version twice,
 // while one of the hubs is restarted. Guards against a lower version or other content
 // of the same version that replaces the highest acknowledged one.
