Wait for five voters before two of five disks become full in a test

On a busy machine a hub's process is 10 s old by then and accepts a change with fewer voters. The test waits for five voters now; what it asserts afterwards is unchanged. Tests of the package draw no port twice, which was one way to an address in use.

--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -163,6 +163,9 @@
 			t.Parallel()
 			c := startHubs(t)
 			c.put(1)
+			// Two disks can fail only once there are five voters. A hub that has run for
+			// votersTimeout accepts changes with fewer.
+			eventually(t, func() error { return c.expectVoters(len(c.hubs)) })
 			first := c.leader()
 			for _, n := range tc.faulty {
 				f := &c.disks[(first+n)%len(c.hubs)]
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,14 +34,23 @@
 	}
 }
 
+// usedPorts holds the ports that freePort has returned.
+var usedPorts sync.Map
+
 // freePort returns a port that is free on 127.0.0.1 and therefore most likely also on
-// the addresses of the test hubs.
+// the addresses of the test hubs. It returns each port only once, because tests that run
+// in parallel use the same addresses.
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		port := l.Addr().(*net.TCPAddr).Port
+		_ = l.Close()
+		if _, used := usedPorts.LoadOrStore(port, true); !used {
+			return port
+		}
+	}
 }
 
 type testHubs struct {
