Send nothing to engines that say that they leave or want a pause

The pool keeps both per process of an engine: what it said itself goes before a directory that still shows it as ready, and streams there begin to move at the first such answer. If every engine that may run a call wants none for longer than the call can wait, it is rejected at once, with the time until the first takes calls again.

Open: entries don't tell each other, and the project's own interface has no such words.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,7 @@
 	callersDisconnected = expvar.NewInt("callers_left")
 	eventsDropped       = expvar.NewInt("events_dropped")
 	limitsChanged       = expvar.NewInt("engine_limits_changed")
+	pausesAsked         = expvar.NewInt("engine_pauses_asked")
 	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
 )
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -233,7 +233,7 @@
 	j.g.board.pool.CountCall(now, j.Service.ID)
 }
 
-// recordAnswer records the load and the limit that an engine reported in an answer.
+// recordAnswer records what an engine said of itself in an answer.
 func (g *Gateway) recordAnswer(id serving.EngineID, a *serving.Answer) {
 	if a.Status == http.StatusMisdirectedRequest {
 		// Another engine answered.
@@ -245,6 +245,14 @@
 	if a.HasLoad {
 		g.board.pool.SetLoad(now, id, a.Load)
 	}
+	if a.Pause > 0 {
+		pausesAsked.Add(1)
+		g.board.pool.Pause(now, id, a.Pause)
+	}
+	if a.Leaving && g.board.pool.SetLeaving(id) {
+		klog.InfoS("Engine says that it leaves", "engine", id, "streams", len(g.board.streams[id]))
+		g.moveStreams(id)
+	}
 	switch {
 	case a.LimitUnreadable:
 		limitsUnreadable.Add(1)
--- a/pkg/serving/call.go
+++ b/pkg/serving/call.go
@@ -99,6 +99,11 @@
 	// Load is valid if HasLoad is set.
 	Load    EngineLoad
 	HasLoad bool
+	// Leaving reports whether the engine says that it leaves.
+	Leaving bool
+	// Pause is the time for which the engine wants no requests from this entry; 0 if it
+	// named none.
+	Pause time.Duration
 	// Limit is the number of calls per second that the engine takes from all entries
 	// together. It is valid if HasLimit is set.
 	Limit    float64
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -144,7 +144,7 @@
 	fitting, full := p.fitting(now, n)
 	if len(fitting) == 0 && full > 0 {
 		if wait, ok := p.paceWait(now, n); ok {
-			return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" have named a limit that is used up").
+			return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" take no more calls for now").
 				WithDetail(DetailEngineLimit).WithRetryAfter(wait)
 		}
 	}
@@ -168,21 +168,21 @@
 }
 
 // DetailEngineLimit is the detail of the error of Place if all engines that may run the
-// call have named a limit that is used up. RetryAfter of the error is the time until the
-// first of them takes a call of this entry.
+// call have named a limit that is used up, or want no calls for a time. RetryAfter of the
+// error is the time until the first of them takes a call of this entry.
 const DetailEngineLimit = "engine_limit"
 
-// paceWait returns the time until the first engine takes a call; ok is false unless only
-// their limits keep all of the eligible engines from taking it now.
+// paceWait returns the time until the first engine takes a call; ok is false unless all
+// of the eligible engines have named a reason not to take it now.
 func (p *Pool) paceWait(now time.Duration, n *Need) (wait time.Duration, ok bool) {
 	for _, e := range p.engines {
-		if !p.eligible(e, n) || !e.health.available(now) {
+		if !p.eligible(e, n) {
 			continue
 		}
-		if p.withinLimit(now, e) {
+		if p.takesCalls(now, e) {
 			return 0, false
 		}
-		if w := e.pacer.Wait(now, p.demandRate(now, e.Service)); !ok || w < wait {
+		if w := max(e.pausedUntil-now, e.pacer.Wait(now, p.demandRate(now, e.Service))); !ok || w < wait {
 			wait, ok = w, true
 		}
 	}
@@ -210,17 +210,17 @@
 	return p.newTicket(best, n)
 }
 
-// withinLimit reports whether an engine may get one more call under the limit that it has
-// named.
-func (p *Pool) withinLimit(now time.Duration, e *engine) bool {
-	return e.pacer.Allows(now, p.demandRate(now, e.Service))
+// takesCalls reports whether an engine may get one more call under what it has named: a
+// limit, or a time without calls.
+func (p *Pool) takesCalls(now time.Duration, e *engine) bool {
+	return now >= e.pausedUntil && e.pacer.Allows(now, p.demandRate(now, e.Service))
 }
 
 // Claim adds a call to the load of an engine that was chosen elsewhere. It returns
 // nil if the engine can't take the call.
 func (p *Pool) Claim(now time.Duration, id serving.EngineID, n *Need) *Ticket {
 	e := p.engines[id]
-	if e == nil || !p.eligible(e, n) || !e.health.available(now) || !p.withinLimit(now, e) {
+	if e == nil || !p.eligible(e, n) || !e.health.available(now) || !p.takesCalls(now, e) {
 		return nil
 	}
 	p.countAdmitted(now, e)
@@ -228,13 +228,13 @@
 }
 
 // Avoid returns the engines that should not be chosen for a call because they are in
-// backoff, because they have named a limit, or because they fail more often or are much
+// backoff, because they have named a limit or want no calls, or because they fail more often or are much
 // slower than their peers.
 func (p *Pool) Avoid(now time.Duration, n *Need) []serving.EngineID {
 	var out []serving.EngineID
 	peers := p.peerMedians(now, n)
 	for _, e := range p.engines {
-		if p.eligible(e, n) && (!e.health.available(now) || e.pacer.Limited(now) || p.healthCost(now, e, peers) > avoidThreshold) {
+		if p.eligible(e, n) && (!e.health.available(now) || now < e.pausedUntil || e.pacer.Limited(now) || p.healthCost(now, e, peers) > avoidThreshold) {
 			out = append(out, e.Engine)
 		}
 	}
@@ -247,7 +247,7 @@
 	for _, e := range p.engines {
 		switch {
 		case !p.eligible(e, n):
-		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.withinLimit(now, e) || !e.fits(now, n):
+		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.takesCalls(now, e) || !e.fits(now, n):
 			full++
 		default:
 			fitting = append(fitting, e)
@@ -309,7 +309,7 @@
 
 // eligible reports whether the engine may run the call, regardless of its load.
 func (p *Pool) eligible(e *engine, n *Need) bool {
-	return e.Service == n.Service.ID && e.Usable() && !p.outOfService[e.DataCentre] && (!n.SameDataCentre || e.DataCentre == n.CopyFrom) &&
+	return e.Service == n.Service.ID && e.Usable() && !e.saidLeaving && !p.outOfService[e.DataCentre] && (!n.SameDataCentre || e.DataCentre == n.CopyFrom) &&
 		(n.Allows == nil || n.Allows(e.region)) && !slices.Contains(n.Exclude, e.Engine)
 }
 
@@ -446,7 +446,7 @@
 	return e.admitted+1 <= share
 }
 
-// countAdmitted counts a call towards the rates that withinColdRate and withinLimit limit.
+// countAdmitted counts a call towards the rates that withinColdRate and takesCalls limit.
 func (p *Pool) countAdmitted(now time.Duration, e *engine) {
 	e.pacer.Take(now)
 	if now-e.windowStart >= time.Second {
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -43,6 +43,12 @@
 	// newest answer to this entry; nil if it never named a limit.
 	pacer pacing.Pacer
 	heard *pacing.Limit
+	// saidLeaving is set once the engine has said in an answer that it leaves. It goes
+	// before the state in the directory, which may be older.
+	saidLeaving bool
+	// pausedUntil is the end of the time for which the engine wants no requests from this
+	// entry.
+	pausedUntil time.Duration
 }
 
 // Target is an engine chosen for a call.
@@ -58,7 +64,7 @@
 }
 
 func (e *engine) target() Target {
-	return Target{Engine: e.Engine, Address: e.Address, DataCentre: e.DataCentre, Leaving: e.State != presence.Ready, Started: e.Started}
+	return Target{Engine: e.Engine, Address: e.Address, DataCentre: e.DataCentre, Leaving: e.State != presence.Ready || e.saidLeaving, Started: e.Started}
 }
 
 // SetOutOfService replaces the list of data centres that get no new calls.
@@ -174,6 +180,24 @@
 	return 0
 }
 
+// SetLeaving records that an engine has said in an answer that it leaves. Until another
+// process runs there, it gets no new calls. It returns true at the first such answer.
+func (p *Pool) SetLeaving(id serving.EngineID) (startsLeaving bool) {
+	e := p.engines[id]
+	if e == nil || e.saidLeaving {
+		return false
+	}
+	e.saidLeaving = true
+	return e.State == presence.Ready
+}
+
+// Pause keeps calls of this entry from an engine for a time.
+func (p *Pool) Pause(now time.Duration, id serving.EngineID, d time.Duration) {
+	if e := p.engines[id]; e != nil {
+		e.pausedUntil = max(e.pausedUntil, now+d)
+	}
+}
+
 // SetLimit records what an engine named in an answer to this entry: the number of calls
 // per second that it takes, or no limit. It reports whether that has changed.
 func (p *Pool) SetLimit(now time.Duration, id serving.EngineID, perSecond float64, limited bool) (changed bool) {
