--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -64,7 +64,9 @@
 	clocks [5]jumpingClock
 }
 
-func (c *testHubs) host(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
+// host returns the address of hub i. Test processes that run at the same time have
+// different ones, because freePort can't know the ports that the others have drawn.
+func (c *testHubs) host(i int) string { return fmt.Sprintf("127.7.%d.%d", os.Getpid()%250+1, i+1) }
 
 func (c *testHubs) address(i int) string { return fmt.Sprintf("http://%s:%d", c.host(i), c.port) }
 
@@ -182,7 +184,7 @@
 				return fmt.Errorf("%d voters", voters(h))
 			}
 			for _, m := range s.Members {
-				if (m.ID.Host == "127.0.7.1" || m.ID.Host == "127.0.7.2") && m.ID.Incarnation == "initial" {
+				if (m.ID.Host == serving.HostID(c.host(0)) || m.ID.Host == serving.HostID(c.host(1))) && m.ID.Incarnation == "initial" {
 					return fmt.Errorf("%s is still a voter", m.ID)
 				}
 			}
