Keep shares of a limit while no hub reports the other entries

What operators would see: with all hubs unreachable for over 20 s, each entry takes an engine's whole limit.

Cause: the remembered demand of the others ran out with the clock, and an entry that heard a limit before any report took the others for idle after a second. It runs out with their reports now, and equal demand is assumed until the first report after the limit. Also the number of entries is known before an engine names its limit.

--- a/pkg/serving/pacing/pacing.go
+++ b/pkg/serving/pacing/pacing.go
@@ -35,11 +35,11 @@
 const (
 	// DemandWindow is the time constant of the average of the demand.
 	DemandWindow = 3 * time.Second
-	// holdPeak is how long a share still counts a demand of other entries that is no
-	// longer reported.
+	// holdPeak is how long a share still counts a demand of other entries that their
+	// reports no longer show. Without reports it counts on.
 	holdPeak = 10 * time.Second
-	// assumeEqual is how long after the first limit an entry assumes that all entries have
-	// its own demand, until their reports have arrived.
+	// assumeEqual is how long after the first limit reports of the other entries must have
+	// arrived. Until then an entry assumes that all have its own demand.
 	assumeEqual = time.Second
 	// saveTime bounds the calls that are saved if it is enough for more than one.
 	saveTime = 250 * time.Millisecond
@@ -104,6 +104,8 @@
 	limitedSince time.Duration
 	others       peak
 	entries      int
+	// othersAt is when the demand of the other entries was last set.
+	othersAt time.Duration
 	// saved is the number of calls that the share has allowed and that were not sent, at
 	// updatedAt. For a small share, the part above 1 tells how long one call is saved.
 	saved     float64
@@ -149,13 +151,13 @@
 // all entries.
 func (p *Pacer) SetOthers(now time.Duration, perSecond float64, entries int) {
 	p.others.set(now, perSecond)
-	p.entries = entries
+	p.entries, p.othersAt = entries, now
 }
 
 // share returns the calls per second that this entry may send.
 func (p *Pacer) share(now time.Duration, own float64) float64 {
-	others := p.others.highest(now)
-	if now-p.limitedSince < assumeEqual {
+	others := p.others.highest()
+	if min(now, p.othersAt)-p.limitedSince < assumeEqual {
 		others = max(others, own*float64(p.entries-1))
 	}
 	share := p.limit.PerSecond * own / (own + others)
@@ -218,28 +220,23 @@
 	p.saved = max(p.saved-1, -max(1, share*maxDebtTime.Seconds()))
 }
 
-// peak holds the highest of the values that were set within holdPeak, in two halves.
+// peak holds the highest of the values that were set in two periods of holdPeak, the
+// current one and the one before. Time passes only when values are set.
 type peak struct {
 	current, before float64
-	// since is when the current half began.
+	// since is when the current period began.
 	since time.Duration
 }
 
-func (k *peak) advance(now time.Duration) {
+func (k *peak) set(now time.Duration, v float64) {
 	switch passed := now - k.since; {
 	case passed >= 2*holdPeak:
-		k.current, k.before, k.since = 0, 0, now
+		// No value was set for a while. The newest one before still counts.
+		k.before, k.current, k.since = k.highest(), 0, now
 	case passed >= holdPeak:
 		k.before, k.current, k.since = k.current, 0, k.since+holdPeak
 	}
-}
-
-func (k *peak) set(now time.Duration, v float64) {
-	k.advance(now)
 	k.current = max(k.current, v)
 }
 
-func (k *peak) highest(now time.Duration) float64 {
-	k.advance(now)
-	return max(k.current, k.before)
-}
+func (k *peak) highest() float64 { return max(k.current, k.before) }
--- a/pkg/serving/pacing/pacing_test.go
+++ b/pkg/serving/pacing/pacing_test.go
@@ -34,6 +34,8 @@
 	now   time.Duration
 	sent  []time.Duration
 	calls int
+	// silent is set while no reports of other entries arrive.
+	silent bool
 	// history holds the reported demands by time and entry.
 	history [][]float64
 }
@@ -93,7 +95,9 @@
 	for i := range f.entries {
 		e := &f.entries[i]
 		e.pacer.Hear(f.now, pacing.Limit{PerSecond: f.limit, Limited: named, HeardAt: f.now})
-		e.pacer.SetOthers(f.now, total-seen[i], len(f.entries))
+		if !f.silent {
+			e.pacer.SetOthers(f.now, total-seen[i], len(f.entries))
+		}
 	}
 }
 
@@ -164,6 +168,34 @@
 	}
 }
 
+// Guards against entries that each take the whole limit while no hub answers, for however
+// long that is.
+func TestLimitHoldsWithoutReports(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// reports is how long reports of other entries arrive before they stop, with the
+		// engine's limit or before it.
+		reports time.Duration
+		named   bool
+	}{
+		{"hubs lost while the limit is known", 5 * time.Second, true},
+		{"hubs lost before the limit is named", 5 * time.Second, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(rand.New(rand.NewPCG(1, 9)), 7, 3.3, reportEvery)
+			for i := range f.entries {
+				f.entries[i].rate = 5
+			}
+			f.run(tc.reports, tc.named)
+			f.silent = true
+			named := f.now
+			f.run(2*time.Minute, true)
+			most := f.mostInWindow(named + noticeTime)
+			assert.Assert(t, most <= f.allowed(), "%d calls in %v; allowed %d", most, window, f.allowed())
+		})
+	}
+}
+
 // Guards against an engine that gets far fewer calls than it takes, because most callers
 // are at one entry or because the entries are many.
 func TestLimitIsUsed(t *testing.T) {
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -126,9 +126,7 @@
 		}
 	}
 	for _, e := range p.engines {
-		if e.pacer.Limited(now) {
-			e.pacer.SetOthers(now, e.others.Demand, p.entries)
-		}
+		e.pacer.SetOthers(now, e.others.Demand, p.entries)
 	}
 }
 
