--- a/pkg/serving/journal/doc.go
+++ b/pkg/serving/journal/doc.go
@@ -27,7 +27,9 @@
 // # Damage
 //
 // A crash can leave only the last frame of the last segment incomplete; Open
-// truncates it. Damage to that frame after it was synced cannot be distinguished
+// discards it. What Open returns is durable, although the process before may have
+// ended between a write and its sync: Open writes the last segment anew before it
+// creates the next one, so that all earlier segments are durable as well. Damage to that frame after it was synced cannot be distinguished
 // from a crash, so Open then discards entries that the replica acknowledged. Any
 // other damage is an error of kind damaged. After a failed write or sync it is
 // unknown which data is durable, so the journal refuses every further write with
--- a/pkg/serving/placement/said.go
+++ b/pkg/serving/placement/said.go
@@ -9,9 +9,9 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 )
 
-// This file has what engines say of themselves in their answers, and how it limits the
-// calls that they get: that they leave, that they want no calls for a time, and how many
-// calls per second they take from all entries together.
+// The functions below record what engines say of themselves in their answers, and apply it
+// to the calls that they get: that they leave, that they want no calls for a time, and how
+// many calls per second they take from all entries together.
 
 // CountCall counts a call to a service at this entry, towards its share of the limits that
 // the engines of the service name.
