Reject log messages that no replica could have sent

Report of other operators: one malformed message took a whole process down.

As a second line, a panic in the replica's loop stops the replica, which the hub opens again, and a panic in a poll or in a move of an entry counts as a failed poll or move. Handlers hold no lock across a panic.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,3 +218,17 @@
 	// movePlans holds the plans for engines that are leaving.
 	movePlans map[serving.EngineID]*relocation.Plan
 }
+
+// recovered calls f and returns a panic as an error. Goroutines that process messages of
+// other processes use it, so that one unexpected message doesn't end the entry with all its
+// calls.
+func recovered(what string, f func() error) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			panics.Add(1)
+			err = serving.NewError(serving.KindInternal, fmt.Sprintf("%s: panic: %v", what, r))
+			klog.ErrorS(err, "Recovered from a panic", "stack", string(debug.Stack()))
+		}
+	}()
+	return f()
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	limitsChanged       = expvar.NewInt("engine_limits_changed")
 	pausesAsked         = expvar.NewInt("engine_pauses_asked")
 	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
+	panics              = expvar.NewInt("panics_recovered")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -122,7 +122,10 @@
 	if size := r.ticket.Use().Held; r.worthMoving() && r.move.plan.Reserve(g.Clock.Now(), size, true) {
 		r.move.reserved, r.move.sameDC = size, true
 	}
-	go g.runMove(ctx, r, r.move)
+	go func(m *move) {
+		// The error has been logged, and the stream goes on at its source.
+		_ = recovered("move the stream", func() error { g.runMove(ctx, r, m); return nil })
+	}(r.move)
 }
 
 // runMove copies the memory while the generation continues at the source. Once the
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -101,7 +101,7 @@
 		if h == nil {
 			return
 		}
-		if err := w.poll(ctx, h); err != nil {
+		if err := recovered("poll the hub", func() error { return w.poll(ctx, h) }); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -246,14 +246,19 @@
 		klog.ErrorS(err, "Configuration rejected", "revision", state.GetRevision(), "version", state.GetConfig().GetVersion())
 		return
 	}
-	w.g.board.mu.Lock()
-	w.g.board.pool.SetOutOfService(state.GetOut())
-	w.g.board.view.Store(&view{revision: state.GetRevision(), table: table, blocks: quarantine.BlocksFromWire(state.GetBlocks())})
-	w.g.board.placeWaiting(w.g.Clock.Now())
-	w.g.board.mu.Unlock()
+	w.g.board.setView(w.g.Clock.Now(), state, table)
 	klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", table.Config.Version, "out", state.GetOut(), "blocks", len(state.GetBlocks()))
 }
 
+// setView replaces the view.
+func (b *blackboard) setView(now time.Duration, state *schema.DeploymentState, table *routing.Table) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pool.SetOutOfService(state.GetOut())
+	b.view.Store(&view{revision: state.GetRevision(), table: table, blocks: quarantine.BlocksFromWire(state.GetBlocks())})
+	b.placeWaiting(now)
+}
+
 // table returns the routing table of a state. It reuses the table of the old view if
 // the version is the same.
 func (w *watcher) table(state *schema.DeploymentState, old *view) (*routing.Table, error) {
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -23,18 +23,26 @@
 // Watch implements schema.Hub. It answers immediately if the entry is not up to date,
 // and otherwise after a change or when the wait that the entry asked for is over.
 func (h *Hub) Watch(ctx context.Context, in *schema.WatchRequest) (*schema.WatchResult, error) {
+	if changed := h.recordPoll(in); changed != nil {
+		h.waitForChange(ctx, changed, min(time.Duration(in.GetWaitMs())*time.Millisecond, maxWait))
+	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.watchResult(in), nil
+}
+
+// recordPoll records what an entry reports with a poll. If the entry is up to date, it
+// returns the channel that is closed at the next change, else nil.
+func (h *Hub) recordPoll(in *schema.WatchRequest) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	now := h.Clock.Now()
 	h.local.Report(now, in.GetEntry(), usage.FromWire(in.GetUses()))
 	h.collect(now, in.GetLostCalls(), in.GetSoundParts(), true)
-	if !h.hasUpdates(in) {
-		changed := h.changed
-		h.mu.Unlock()
-		h.waitForChange(ctx, changed, min(time.Duration(in.GetWaitMs())*time.Millisecond, maxWait))
-		h.mu.Lock()
+	if h.hasUpdates(in) {
+		return nil
 	}
-	defer h.mu.Unlock()
-	return h.watchResult(in), nil
+	return h.changed
 }
 
 // hasUpdates reports whether the entry is not up to date. The caller holds mu.
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"expvar"
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
 )
 
+// messagesRejected counts messages of other replicas that no replica could have sent.
+var messagesRejected = expvar.NewInt("log_messages_rejected")
+
 // request is one call that the control goroutine handles; exactly one of
 // command, read and change is set.
 type request struct {
@@ -154,10 +160,15 @@
 // drops messages while the inbox is full.
 func (n *Node) Deliver(_ context.Context, in *schema.LogMessages) (*schema.DeliverResult, error) {
 	n.setup()
+	var invalid error
 	for _, wire := range in.GetMessages() {
 		m, err := fromWire(wire)
 		if err != nil {
-			return nil, err
+			// The other messages are independent of it.
+			messagesRejected.Add(1)
+			klog.InfoS("Log message rejected", "from", wire.GetFrom(), "address", wire.GetFromAddress(), "type", wire.GetType(), "err", err)
+			invalid = err
+			continue
 		}
 		n.addresses.Store(wire.GetFrom(), wire.GetFromAddress())
 		select {
@@ -174,6 +185,9 @@
 		})
 		slices.Sort(out.Seen)
 	}
+	if invalid != nil {
+		return nil, invalid
+	}
 	return out, nil
 }
 
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -137,6 +139,18 @@
 	defer cancel()
 	defer n.failPending()
 	klog.InfoS("replica started", "replica", n.journal.Self(), "address", n.Address, "applied", n.applied)
+	return n.loopRecovered(ctx)
+}
+
+// loopRecovered runs loop. It returns a panic as an error, so that an unexpected message
+// stops this replica but not the rest of the process, which may open the replica again.
+func (n *Node) loopRecovered(ctx context.Context) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = serving.NewError(serving.KindInternal, fmt.Sprint("the replica panicked: ", r))
+			klog.ErrorS(err, "Replica panicked", "replica", n.journal.Self(), "stack", string(debug.Stack()))
+		}
+	}()
 	return n.loop(ctx)
 }
 
@@ -161,6 +175,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	cfg.CheckSnapshot = n.checkSnapshot
 	n.replica, err = ledger.New(cfg, state, n.Clock.Now())
 	if err != nil {
 		_ = j.Close()
@@ -308,6 +323,22 @@
 	return nil
 }
 
+// checkSnapshot returns an error for a snapshot from which the machine can't be restored.
+// Once such a snapshot is stored, the replica could not be opened again.
+func (n *Node) checkSnapshot(data []byte) error {
+	var err error
+	if len(data) > 0 && data[0] != snapshotFormat {
+		err = serving.NewError(serving.KindDamaged, "the snapshot was written by a newer version")
+	} else if checker, ok := n.Machine.(serving.SnapshotChecker); ok && len(data) > 0 {
+		err = checker.CheckSnapshot(data[1:])
+	}
+	if err != nil {
+		messagesRejected.Add(1)
+		klog.ErrorS(err, "Snapshot of the leader rejected", "replica", n.journal.Self(), "bytes", len(data))
+	}
+	return err
+}
+
 func (n *Node) send(messages []ledger.Message) {
 	if len(messages) == 0 {
 		return
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -79,7 +79,7 @@
 			return m, err
 		}
 	}
-	return m, nil
+	return m, m.Validate()
 }
 
 func membersFromWire(in []*schema.Member) (out []ledger.Member, err error) {
--- a/pkg/serving/deployment/machine.go
+++ b/pkg/serving/deployment/machine.go
@@ -27,7 +27,10 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
-var _ serving.StateMachine = (*Machine)(nil)
+var (
+	_ serving.StateMachine    = (*Machine)(nil)
+	_ serving.SnapshotChecker = (*Machine)(nil)
+)
 
 // Machine is the state machine. It is safe for concurrent use.
 type Machine struct {
@@ -185,11 +188,25 @@
 	return b, nil
 }
 
-// Restore implements serving.StateMachine.
-func (m *Machine) Restore(snapshot []byte) error {
+func decodeState(snapshot []byte) (*schema.DeploymentState, error) {
 	state := &schema.DeploymentState{}
 	if err := proto.Unmarshal(snapshot, state); err != nil {
-		return serving.WrapError(err, serving.KindDamaged, "decode the deployment state")
+		return nil, serving.WrapError(err, serving.KindDamaged, "decode the deployment state")
+	}
+	return state, nil
+}
+
+// CheckSnapshot implements serving.SnapshotChecker.
+func (m *Machine) CheckSnapshot(snapshot []byte) error {
+	_, err := decodeState(snapshot)
+	return err
+}
+
+// Restore implements serving.StateMachine.
+func (m *Machine) Restore(snapshot []byte) error {
+	state, err := decodeState(snapshot)
+	if err != nil {
+		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -43,6 +43,9 @@
 	// so that a member slightly behind needs no snapshot. Negative means none.
 	KeepEntries int
 	Random      serving.Random
+	// CheckSnapshot, if set, returns an error for the data of a snapshot that must not be
+	// installed.
+	CheckSnapshot func(data []byte) error
 }
 
 func (c *Config) setDefaults() {
--- a/pkg/serving/ledger/replication.go
+++ b/pkg/serving/ledger/replication.go
@@ -191,6 +191,10 @@
 	case MsgSnapshotResult:
 		r.onSnapshotResult(p, m)
 	case MsgAppendResult:
+		if m.Index > r.log.last() {
+			// The leader has sent no such entry, so that nobody can have stored it.
+			break
+		}
 		if m.Reject {
 			// A rejection at or below match is outdated.
 			if m.Index > p.match && p.pendingSnapshot == nil {
--- a/pkg/serving/ledger/snapshot.go
+++ b/pkg/serving/ledger/snapshot.go
@@ -60,6 +60,9 @@
 		return
 	}
 	r.incoming = nil
+	if r.cfg.CheckSnapshot != nil && r.cfg.CheckSnapshot(in.data) != nil {
+		return
+	}
 	s := Snapshot{Index: c.Index, Term: c.Term, Membership: c.Membership, Data: in.data}
 	r.log.install(s)
 	r.newSnapshot, r.install = &s, true
--- a/pkg/serving/log.go
+++ b/pkg/serving/log.go
@@ -14,6 +14,13 @@
 	Restore(snapshot []byte) error
 }
 
+// SnapshotChecker is implemented by a state machine that can check a snapshot without
+// restoring it.
+type SnapshotChecker interface {
+	// CheckSnapshot returns the error that Restore would return.
+	CheckSnapshot(snapshot []byte) error
+}
+
 // ReplicatedLog accepts commands for a replicated state machine.
 type ReplicatedLog interface {
 	// Propose returns the result of a command once the command is durable on a quorum
