Serve from checkpoints of the hubs right after all hosts have restarted

Cause: entries keep nothing, hubs kept only the replicated log. What of it is committed is known only once a leader is elected, which takes 0.5 to 1 s because voters withhold their votes after a start; hubs confirmed no state in their first second; engines come back with their heartbeats, up to 1.2 s later.

Each hub now stores once a second what it knows (pkg/serving/checkpoint: the committed state with the time since a leader confirmed it, and the engines) in two files of its data folder, written in turn with one sync. After a restart it passes them on with their age. Orders and reads of operators still need a leader. Entries without a view connect to all hubs at once instead of one after the other. A hub confirms its state as soon as it knows an entry of the current term to be committed, which its first second only stood for.

Ruled out: shorter elections. The withheld votes protect leases that a restarted voter has forgotten.

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/checkpoint"
 	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
@@ -30,9 +33,10 @@
 	hubBackoff = 2 * time.Second
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 50 * time.Millisecond
-	// unconfirmedAfter is how long an entry without a view waits for a confirmed one
-	// before it accepts the state of a hub that has no contact with a leader.
-	unconfirmedAfter = 3 * time.Second
+	// probeTimeout bounds the attempt to connect to all hubs at once before the first view.
+	// After the start of all hosts, some hubs don't answer yet. It covers two round trips
+	// between regions, and doubles with each failed attempt up to pollTimeout.
+	probeTimeout = 120 * time.Millisecond
 )
 
 // watcher polls a hub and updates the blackboard with the answers.
@@ -47,6 +51,9 @@
 
 	// current is the hub of the last successful poll.
 	current *hubState
+	// failedProbes counts the attempts in a row, before the first view, in which no hub
+	// could be connected to.
+	failedProbes int
 
 	mu sync.Mutex
 	// newHubs are base URLs passed to AddHubs that are not in hubs yet.
@@ -101,6 +108,12 @@
 		if h == nil {
 			return
 		}
+		if w.g.board.view.Load() == nil {
+			if h = w.firstReachable(ctx); h == nil {
+				sleep(ctx, pollRetryDelay)
+				continue
+			}
+		}
 		if err := recovered("poll the hub", func() error { return w.poll(ctx, h) }); err != nil {
 			if ctx.Err() != nil {
 				return
@@ -214,6 +227,51 @@
 	return nil
 }
 
+// firstReachable returns the hub that accepts a connection first, among those that have not
+// failed within hubBackoff if there are any. It returns nil if none does in time.
+func (w *watcher) firstReachable(ctx context.Context) *hubState {
+	now := w.g.Clock.Now()
+	candidates := slices.DeleteFunc(slices.Clone(w.hubs), func(h *hubState) bool { return h.failed && now-h.failedAt < hubBackoff })
+	if len(candidates) == 0 {
+		candidates = w.hubs
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(pollTimeout, probeTimeout<<min(w.failedProbes, 8)))
+	defer cancel()
+	reached := make(chan *hubState, len(candidates))
+	for _, h := range candidates {
+		go func() {
+			if !accepts(ctx, h.address) {
+				h = nil
+			}
+			reached <- h
+		}()
+	}
+	for range candidates {
+		if h := <-reached; h != nil {
+			w.failedProbes = 0
+			return h
+		}
+	}
+	if w.failedProbes++; w.failedProbes == 1 {
+		klog.InfoS("No hub accepts connections", "hubs", len(candidates))
+	}
+	return nil
+}
+
+// accepts reports whether the server of a base URL accepts a connection.
+func accepts(ctx context.Context, address string) bool {
+	u, err := url.Parse(address)
+	if err != nil {
+		return false
+	}
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 func (w *watcher) ownUse() []usage.Use {
 	w.g.board.mu.Lock()
 	defer w.g.board.mu.Unlock()
@@ -238,7 +296,9 @@
 	if state == nil || state.GetConfig() == nil || old != nil && state.GetRevision() <= old.revision {
 		return
 	}
-	if old == nil && !res.GetConfirmed() && w.g.Clock.Now()-w.started < unconfirmedAfter {
+	known := checkpoint.Known{Confirmed: res.GetConfirmed(), HasAge: res.StateAgeMs != nil, Age: time.Duration(res.GetStateAgeMs()) * time.Millisecond,
+		Waited: w.g.Clock.Now() - w.started}
+	if old == nil && !checkpoint.MayServe(known) {
 		return
 	}
 	table, err := w.table(state, old)
@@ -247,7 +307,8 @@
 		return
 	}
 	w.g.board.setView(w.g.Clock.Now(), state, table)
-	klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", table.Config.Version, "out", state.GetOut(), "blocks", len(state.GetBlocks()))
+	klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", table.Config.Version, "out", state.GetOut(), "blocks", len(state.GetBlocks()),
+		"confirmed", known.Confirmed, "age", known.Age, "after", known.Waited)
 }
 
 // setView replaces the view.
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -99,6 +99,10 @@
 	blocks *quarantine.Blocklist
 	// state is the latest deployment state that was published. It is never modified.
 	state *schema.DeploymentState
+	// confirmedAt is when a leader last confirmed the state, also before the start of this
+	// process; it is valid if everConfirmed is set.
+	confirmedAt   time.Duration
+	everConfirmed bool
 	// changed is closed, and replaced by a new channel, on a change that is sent to
 	// entries and other hubs without delay.
 	changed chan struct{}
@@ -126,6 +130,7 @@
 	g.Go(func() error { h.managePeers(ctx); return nil })
 	g.Go(func() error { h.manageMembers(ctx); return nil })
 	g.Go(func() error { h.manageBlocks(ctx); return nil })
+	g.Go(func() error { h.keepCheckpoints(ctx); return nil })
 	if h.Metrics != nil && h.MetricsListen != "" {
 		l, err := net.Listen("tcp", h.MetricsListen)
 		if err != nil {
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -25,13 +25,17 @@
 	folder string
 	cancel context.CancelFunc
 	done   chan error
+	once   sync.Once
 }
 
+// stop stops the hub. Further calls have no effect.
 func (h *testHub) stop() {
-	h.cancel()
-	if err := <-h.done; err != nil {
-		panic(err)
-	}
+	h.once.Do(func() {
+		h.cancel()
+		if err := <-h.done; err != nil {
+			panic(err)
+		}
+	})
 }
 
 // usedPorts holds the ports that freePort has returned.
@@ -80,7 +84,7 @@
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.once.Do(h.setup)
+	h.Hub.once.Do(h.setup)
 	go func() { h.done <- h.Run(ctx) }()
 	return h
 }
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -17,6 +17,9 @@
 	membershipChanges = expvar.NewMap("control_membership_changes")
 	blockedPrompts    = expvar.NewInt("prompts_blocked")
 	suspectParts      = expvar.NewInt("prompt_parts_suspected")
+	// checkpointsWritten and checkpointsFailed count what is stored for the next start.
+	checkpointsWritten = expvar.NewInt("control_checkpoints_written")
+	checkpointsFailed  = expvar.NewInt("control_checkpoints_failed")
 )
 
 // recordMembership updates the metrics of the membership.
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -73,6 +73,10 @@
 func (h *Hub) watchResult(in *schema.WatchRequest) *schema.WatchResult {
 	now := h.Clock.Now()
 	out := &schema.WatchResult{HubIncarnation: h.incarnation, Confirmed: h.confirmed(now), Complete: h.complete(now)}
+	if h.everConfirmed {
+		age := max(0, now-h.confirmedAt).Milliseconds()
+		out.StateAgeMs = &age
+	}
 	if in.GetRevision() < h.state.GetRevision() {
 		out.State = h.state
 	}
@@ -98,11 +102,24 @@
 	return out
 }
 
-// confirmed reports whether a leader has confirmed within confirmPeriod that the state
-// of this replica is current. The caller holds mu.
+// confirmed reports whether a leader has confirmed to this process within confirmPeriod
+// that the state of this replica is current. The caller holds mu.
 func (h *Hub) confirmed(now time.Duration) bool {
+	h.observeConfirmation(now)
+	return h.everConfirmed && h.confirmedAt >= h.started && now-h.confirmedAt < confirmPeriod
+}
+
+// observeConfirmation sets confirmedAt to the last contact with a leader if the replica has
+// applied an entry of the leader's term, and so all that was committed before. The caller
+// holds mu.
+func (h *Hub) observeConfirmation(now time.Duration) {
 	s := h.replica.current().State()
-	return now-h.started > confirmPeriod && (s.Leading || s.IsMember && s.SinceLeaderContact < confirmPeriod)
+	if s.CaughtUp && (s.Leading || s.IsMember) {
+		at := now - s.SinceLeaderContact
+		if !h.everConfirmed || at > h.confirmedAt {
+			h.everConfirmed, h.confirmedAt = true, at
+		}
+	}
 }
 
 // complete reports whether this process has run long enough to have received a
--- a/internal/replica/malformed_test.go
+++ b/internal/replica/malformed_test.go
@@ -150,3 +150,21 @@
 		assert.Assert(rt, sent, "the entry was not sent to the member")
 	})
 }
+
+// Guards against a replica that vouches for its state after a restart although it has not
+// heard from a leader yet, or does not know yet what was committed before the leader's
+// election.
+func TestCaughtUpAfterRestart(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := newDriven(rt)
+		assert.Assert(rt, !d.Status().CaughtUp)
+		append1 := func(commit uint64) {
+			d.step(&schema.LogMessage{Type: ledger.MsgAppend.String(), From: "b/1", To: "a/1", Term: 2, Index: 1, LogTerm: 1, Commit: commit,
+				Entries: []*schema.LogEntry{{Index: 2, Term: 1, Type: "command"}, {Index: 3, Term: 2, Type: "empty"}}})
+		}
+		append1(2)
+		assert.Assert(rt, !d.Status().CaughtUp, "only an entry of an earlier term is known to be committed")
+		append1(3)
+		assert.Assert(rt, d.Status().CaughtUp)
+	})
+}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -24,6 +24,10 @@
 	// SinceLeaderContact is the time since the last message from a leader, or since
 	// the start if there was none. It is 0 on the leader.
 	SinceLeaderContact time.Duration
+	// CaughtUp is true if the replica has had contact with a leader since its start and
+	// has applied an entry of the current term, and so all entries that were committed
+	// before the leader's election.
+	CaughtUp bool
 	// Members lists all members.
 	Members []membership.Member
 	// Settled is true if no membership change is in progress.
@@ -40,7 +44,7 @@
 		now = n.Clock.Now()
 	}
 	out := State{Self: s.Self, Leading: s.Role == ledger.Leader, Term: uint64(s.Term), Leader: s.LeaderAddress,
-		Settled: s.MembershipCommitted && !s.Membership.Joint()}
+		Settled: s.MembershipCommitted && !s.Membership.Joint(), CaughtUp: s.CaughtUp && s.applied >= s.Commit}
 	if out.Leading {
 		out.SinceElection = now - s.ElectedAt
 	} else {
--- a/pkg/serving/journal/journal.go
+++ b/pkg/serving/journal/journal.go
@@ -15,6 +15,10 @@
 // with data.
 const IdentityName = "identity"
 
+// AuxiliaryPrefix begins the names of files that other parts of the process keep in the
+// folder. The journal ignores them, except that Recover removes them.
+const AuxiliaryPrefix = "aux-"
+
 const (
 	temporarySuffix = ".tmp"
 	segmentPrefix   = "log-"
@@ -160,7 +164,9 @@
 			return serving.WrapError(err, serving.KindStorage, "remove temporary file")
 		}
 	}
-	names = slices.DeleteFunc(names, func(n string) bool { return strings.HasSuffix(n, temporarySuffix) })
+	names = slices.DeleteFunc(names, func(n string) bool {
+		return strings.HasSuffix(n, temporarySuffix) || strings.HasPrefix(n, AuxiliaryPrefix)
+	})
 	if slices.Contains(names, IdentityName) {
 		if j.self, err = readIdentity(j.disk); err != nil {
 			return err
--- a/pkg/serving/journal/journal_test.go
+++ b/pkg/serving/journal/journal_test.go
@@ -187,3 +187,26 @@
 	assert.Assert(t, after.Self != self && after.Term > before.Term && after.LastIndex == 10)
 	assert.Assert(t, after.Membership.IsVoter(after.Self) && !after.Membership.IsVoter(self))
 }
+
+// Guards against a data folder that is refused because of a file that another part of the
+// process keeps in it, and against such a file that outlives a recovery, whose state it
+// contradicts.
+func TestAuxiliaryFiles(t *testing.T) {
+	d, err := journal.OpenFolder(t.TempDir() + "/data")
+	assert.NilError(t, err)
+	write := func() {
+		f, err := d.Create(journal.AuxiliaryPrefix + "notes")
+		assert.NilError(t, err)
+		assert.NilError(t, f.Close())
+	}
+	write()
+	j, _ := open(t, d)
+	save(t, j, ledger.Ready{Hard: &ledger.HardState{Term: 3}, Entries: entries(3, 1, 2)})
+	assert.NilError(t, j.Close())
+	_, err = d.Read(journal.AuxiliaryPrefix + "notes")
+	assert.NilError(t, err)
+	_, err = journal.Recover(d, "http://10.0.0.1:80")
+	assert.NilError(t, err)
+	_, err = d.Read(journal.AuxiliaryPrefix + "notes")
+	assert.Assert(t, err != nil)
+}
--- a/pkg/serving/journal/manage.go
+++ b/pkg/serving/journal/manage.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/ledger"
@@ -135,6 +136,9 @@
 	if err != nil {
 		return Report{}, err
 	}
+	if err := removeAuxiliary(disk); err != nil {
+		return before, err
+	}
 	j, _, err := Open(disk, Options{Host: before.Self.Host})
 	if err != nil {
 		return before, err
@@ -156,3 +160,21 @@
 	}
 	return before, err
 }
+
+// removeAuxiliary removes the files of other parts of the process, which describe the state
+// before a recovery.
+func removeAuxiliary(disk Disk) error {
+	names, err := disk.Names()
+	if err != nil {
+		return serving.WrapError(err, serving.KindStorage, "list data folder")
+	}
+	for _, name := range names {
+		if !strings.HasPrefix(name, AuxiliaryPrefix) {
+			continue
+		}
+		if err := disk.Remove(name); err != nil {
+			return serving.WrapError(err, serving.KindStorage, "remove "+name)
+		}
+	}
+	return nil
+}
--- a/pkg/serving/ledger/election.go
+++ b/pkg/serving/ledger/election.go
@@ -112,6 +112,7 @@
 
 func (r *Replica) becomeLeader(now time.Duration) {
 	r.role, r.leader, r.votes = Leader, r.cfg.Self, nil
+	r.hadLeader = true
 	r.progress = map[serving.ReplicaID]*progress{}
 	r.promotionBarriers = map[serving.ReplicaID]Index{}
 	r.rounds = map[uint64]time.Duration{}
--- a/pkg/serving/ledger/replica.go
+++ b/pkg/serving/ledger/replica.go
@@ -96,7 +96,9 @@
 	// stable is the last index that is durable on this replica.
 	stable Index
 	// lastContact is the time of the last message from a leader, or the start time.
-	lastContact      time.Duration
+	lastContact time.Duration
+	// hadLeader is set once this replica has been the leader or heard from one.
+	hadLeader        bool
 	electionDeadline time.Duration
 	votes            map[serving.ReplicaID]bool
 	incoming         *incomingSnapshot
@@ -219,7 +221,7 @@
 		r.becomeFollower(m.Term, m.From)
 	}
 	r.leader = m.From
-	r.lastContact = now
+	r.lastContact, r.hadLeader = now, true
 	r.resetElectionDeadline(now)
 	switch m.Type {
 	case MsgAppend:
@@ -317,7 +319,8 @@
 func (r *Replica) Status() Status {
 	s := Status{Self: r.cfg.Self, Role: r.role, Term: r.hard.Term, Leader: r.leader, LeaderAddress: r.leaderAddress(),
 		Commit: r.commit, Last: r.log.last(), Snapshot: r.log.snapshot.Index, Membership: r.Membership(),
-		MembershipCommitted: r.log.membershipIndex() <= r.commit, LastContact: r.lastContact}
+		MembershipCommitted: r.log.membershipIndex() <= r.commit, LastContact: r.lastContact,
+		CaughtUp: r.hadLeader && r.log.term(r.commit) == r.hard.Term}
 	for id, granted := range r.votes {
 		if granted {
 			s.Granted = append(s.Granted, id)
--- a/pkg/serving/ledger/types.go
+++ b/pkg/serving/ledger/types.go
@@ -122,6 +122,10 @@
 	// LastContact is the time of the last message from a leader, or the start time of
 	// the replica if there was none.
 	LastContact time.Duration
+	// CaughtUp reports whether this replica has led or heard from a leader since its start,
+	// and knows that an entry of the current term is committed. All entries that were
+	// committed before the leader's election are then known to be committed.
+	CaughtUp bool
 	// LeaseUntil is the end of the leader lease, 0 if this replica has none.
 	LeaseUntil time.Duration
 	// Granted holds, on a candidate or pre-candidate, the voters that have granted their
