Place long answers at fast engines and short ones rather at slow ones

What callers saw: long answers took a third longer at every third engine, and are lost more often the longer they run: when all hosts lose power, all running ones are.

Cause: the choice of an engine knew memory, waiting prompts and failures, but not how fast an engine generates.

Entries measure the time per token of the streams they forward, with a half-life of 6 s, and report it with their use of each engine; hubs add it up. An engine that is slower than the median costs more for an answer the longer it takes to generate, up to a third of an engine's memory for the usual difference, and a little less for a short one (pkg/serving/placement/pace.go). Entries get no paces back, which saves the bytes between data centres.

Evidence: TestPlacementByPace names the load pattern; three of its cases fail without the cost.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	in := &schema.PlaceRequest{Service: string(need.Service.ID), PromptTokens: int64(need.Prompt), GrowthTokens: int64(need.Output),
-		Restricted: regions != nil}
+		Restricted: regions != nil, OutputTokens: int64(need.Length)}
 	for _, r := range regions {
 		in.Regions = append(in.Regions, string(r))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,6 +53,10 @@
 	move         *move
 	ended        bool
 	moveCount    int
+	// pacedEvents and pacedAt are the number of events and the time up to which the pace of
+	// the engine was recorded; 0 before the first event at this engine.
+	pacedEvents int64
+	pacedAt     time.Duration
 	// unfinished is the number of bytes after the last event when the engine's answer
 	// ended.
 	unfinished int
@@ -135,7 +139,7 @@
 func (r *relay) need() *placement.Need {
 	r.g.board.mu.Lock()
 	defer r.g.board.mu.Unlock()
-	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens, Output: r.growth(0),
+	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens, Output: r.growth(0), Length: r.expectedOutput(0),
 		Parts: r.Parts, Exclude: r.tried}
 }
 
@@ -351,10 +355,27 @@
 	if r.events == quarantine.SoundEvents {
 		r.recordSound()
 	}
+	r.recordPace(now, perEvent)
 	r.ticket.Progress(perEvent, r.PromptTokens+generated+r.growth(generated))
 	return true
 }
 
+// pacedEvery is the number of events after which the pace of an engine is recorded.
+const pacedEvery = 8
+
+// recordPace records how long the engine took for the last events. The caller holds mu of
+// the blackboard.
+func (r *relay) recordPace(now time.Duration, perEvent serving.Tokens) {
+	if r.pacedAt == 0 {
+		r.pacedEvents, r.pacedAt = r.events, now
+		return
+	}
+	if n := r.events - r.pacedEvents; n >= pacedEvery {
+		r.g.board.pool.RecordPace(now, r.ticket.Engine, serving.Tokens(n)*perEvent, now-r.pacedAt)
+		r.pacedEvents, r.pacedAt = r.events, now
+	}
+}
+
 func (r *relay) tokensPerEvent() serving.Tokens {
 	if m := r.Service.Model; m != nil && m.TokensPerEvent > 0 {
 		return m.TokensPerEvent
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -47,7 +47,8 @@
 		return nil, serving.NewError(serving.KindNotFound, "the hub knows no service "+in.GetService())
 	}
 	h.refreshPool(now)
-	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()), Compare: placement.CompareAll}
+	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
+		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll}
 	if in.GetRestricted() {
 		need.Allows = func(r serving.RegionID) bool { return slices.Contains(in.GetRegions(), string(r)) }
 	}
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -94,6 +94,8 @@
 	}
 	totalUse, n := h.totalUse(now)
 	for _, u := range totalUse {
+		// Entries place few generations themselves, and leave the pace to the hubs.
+		u.Pace = usage.Pace{}
 		out.Uses = append(out.Uses, u.ToWire())
 	}
 	out.Entries = int32(n)
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -103,6 +103,9 @@
 	// far, and Output counts only the further ones.
 	Prompt, Output serving.Tokens
 	Parts          []serving.PromptPart
+	// Length is the expected length of the whole output, or of the rest of it for a copy;
+	// 0 if unknown.
+	Length serving.Tokens
 	// Exclude lists engines that must not be chosen, such as those already tried.
 	Exclude []serving.EngineID
 	// CopyFrom is the data centre of the engine from which the memory of a running
@@ -253,6 +256,7 @@
 // cheapest returns the engine with the lowest cost.
 func (p *Pool) cheapest(now time.Duration, engines []*engine, n *Need) *engine {
 	peers := p.peerMedians(now, n)
+	peers.pace = p.typicalPace(now, n.Service)
 	best, bestCost := engines[0], p.cost(now, engines[0], n, peers)
 	for _, e := range engines[1:] {
 		if cost := p.cost(now, e, n, peers); cost < bestCost {
@@ -307,6 +311,8 @@
 // medians holds the median failure rate and latency of the engines of a service.
 type medians struct {
 	failures, latency float64
+	// pace is the typical time per token of the engines in seconds, 0 if unknown.
+	pace float64
 }
 
 // peerMedians returns the medians over the eligible engines. Both are lower
@@ -344,6 +350,7 @@
 		memory := float64(max(m.MemoryTokens, 1))
 		cost += float64(sum.Expected+n.Prompt+n.Output) / memory
 		cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
+		cost += e.paceCost(now, n.Length, peers.pace)
 		if n.Prompt > 0 {
 			cost -= cachedWeight * float64(e.parts.cachedTokens(now, n.Parts)) / float64(n.Prompt)
 		}
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -20,6 +20,7 @@
 	outOfService map[serving.DataCentreID]bool
 	entries      int
 	demand       map[serving.ServiceID]*pacing.Demand
+	pace         map[serving.ServiceID]typicalPace
 }
 
 // engine is the state of one engine as seen by the pool.
@@ -43,6 +44,8 @@
 	// newest answer to this entry; nil if it never named a limit.
 	pacer pacing.Pacer
 	heard *pacing.Limit
+	// pace is how fast the engine generates tokens for this entry.
+	pace paceMeter
 	// saidLeaving is set once the engine has said in an answer that it leaves. It goes
 	// before the state in the directory, which may be older.
 	saidLeaving bool
@@ -145,7 +148,8 @@
 		if e.heard != nil {
 			u.Limit = &usage.Limit{PerSecond: e.heard.PerSecond, Limited: e.heard.Limited, Age: now - e.heard.HeardAt}
 		}
-		if u.Demand > 0 || u.Limit != nil || u.Running != 0 || u.Expected != 0 || u.Broken != 0 {
+		u.Pace = e.pace.report(now)
+		if u.Demand > 0 || u.Limit != nil || u.Running != 0 || u.Expected != 0 || u.Broken != 0 || u.Pace.Tokens > 0 {
 			out = append(out, u)
 		}
 	}
--- a/pkg/serving/usage/usage.go
+++ b/pkg/serving/usage/usage.go
@@ -39,6 +39,15 @@
 	Demand float64
 	// Limit is the newest answer of the engine about its limit; nil if none is known.
 	Limit *Limit
+	// Pace is how fast the engine has recently generated tokens.
+	Pace Pace
+}
+
+// Pace is a number of tokens and the time that an engine took to generate them, summed over
+// the generations that ran at the same time.
+type Pace struct {
+	Tokens serving.Tokens
+	Time   time.Duration
 }
 
 // Limit is what an engine named in an answer.
@@ -59,6 +68,8 @@
 	u.Prefill += o.Prefill
 	u.Broken += o.Broken
 	u.Demand += o.Demand
+	u.Pace.Tokens += o.Pace.Tokens
+	u.Pace.Time += o.Pace.Time
 	if o.Limit != nil && (u.Limit == nil || o.Limit.Age < u.Limit.Age) {
 		u.Limit = o.Limit
 	}
@@ -124,7 +135,8 @@
 // ToWire converts the load to its protobuf message.
 func (u *Use) ToWire() *schema.EngineUse {
 	out := &schema.EngineUse{Engine: string(u.Engine), Running: int32(u.Running), HeldTokens: int64(u.Held),
-		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill), Broken: int32(u.Broken), Demand: u.Demand}
+		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill), Broken: int32(u.Broken), Demand: u.Demand,
+		PaceTokens: int64(u.Pace.Tokens), PaceUs: u.Pace.Time.Microseconds()}
 	if u.Limit != nil {
 		out.Limit = &schema.EngineLimit{AgeMs: u.Limit.Age.Milliseconds()}
 		if u.Limit.Limited {
@@ -140,7 +152,8 @@
 	for i, m := range in {
 		out[i] = Use{Engine: serving.EngineID(m.GetEngine()), Running: serving.Slots(m.GetRunning()),
 			Held: serving.Tokens(m.GetHeldTokens()), Expected: serving.Tokens(m.GetExpectedTokens()), Prefill: serving.Tokens(m.GetPrefillTokens()),
-			Broken: int(m.GetBroken()), Demand: m.GetDemand()}
+			Broken: int(m.GetBroken()), Demand: m.GetDemand(),
+			Pace: Pace{Tokens: serving.Tokens(m.GetPaceTokens()), Time: time.Duration(m.GetPaceUs()) * time.Microsecond}}
 		if l := m.GetLimit(); l != nil {
 			out[i].Limit = &Limit{PerSecond: l.GetCallsPerSecond(), Limited: l.CallsPerSecond != nil, Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
 		}
