Answer no question for a replica's identity before it is known

Cause: a control process answered Deliver and Status for some milliseconds before its replica had opened the data folder, with an empty identity.

Both now say that the data folder isn't open yet, with a Retry-After. Nobody needs the answer earlier: a replica that bootstraps takes an error as "not seen", as it took the empty list.

Evidence: TestIdentityIsAskedForBeforeItIsKnown, without the change an empty id.

--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"turmericdrum.org/turmericdrum/internal/replica"
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -87,6 +88,9 @@
 		return nil, serving.NewError(serving.KindInternal, "this process has no replica of its own")
 	}
 	st := proto.CloneOf(s.Replica.Status())
+	if _, err := serving.ParseReplicaID(st.GetReplica()); err != nil {
+		return nil, replica.ErrNotOpen()
+	}
 	st.Revision = uint64(s.Machine.Revision())
 	return st, nil
 }
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -47,6 +47,12 @@
 	reply  chan response
 }
 
+// ErrNotOpen returns the error of a replica that is asked for its identity before it has read
+// it from its data folder.
+func ErrNotOpen() error {
+	return serving.NewError(serving.KindOverloaded, "the replica has not opened its data folder yet").WithRetryAfter(100 * time.Millisecond)
+}
+
 func errLeadershipLost() error {
 	return serving.NewError(serving.KindNoQuorum, "the leadership was lost while the command was pending").WithRan(serving.RanUnknown)
 }
@@ -176,7 +182,11 @@
 		default:
 		}
 	}
-	out := &schema.DeliverResult{Replica: n.status.Load().Self.String()}
+	self := n.status.Load().Self
+	if self == (serving.ReplicaID{}) && len(in.GetMessages()) == 0 {
+		return nil, ErrNotOpen()
+	}
+	out := &schema.DeliverResult{Replica: self.String()}
 	if len(in.GetMessages()) == 0 {
 		// A call without messages asks which identities have sent messages; see seenBy.
 		n.addresses.Range(func(id, _ any) bool {
--- a/internal/replica/malformed_test.go
+++ b/internal/replica/messages_test.go
@@ -168,3 +168,12 @@
 		assert.Assert(rt, d.Status().CaughtUp)
 	})
 }
+
+// Guards against a control process that answers for a replica without an identity while it
+// opens the data folder. An operator who repairs a host at that moment would add a member
+// without an id.
+func TestIdentityIsAskedForBeforeItIsKnown(t *testing.T) {
+	n := &Node{Host: "a"}
+	_, err := n.Deliver(t.Context(), &schema.LogMessages{})
+	assert.Equal(t, serving.KindOf(err), serving.KindOverloaded)
+}
