Pass on plain answers of more than 512 KiB whole

What callers saw: an answer of more than 512 KiB on an idempotent route that allows a second engine was cut after 524,288 bytes, and its connection closed.

Cause: such a call has a timeout for its first engine. Its context ended with the attempt, and with it the connection on which the rest of a long answer was still to be read. Found by a test for callers that stop reading, whose endless answer ended too early.

The timeout now ends with the attempt without ending the connection; the deadline of the call bounds the rest.

Evidence: TestLongPlainAnswer, without the change "unexpected EOF: after 524288 bytes", with it all 3 MiB.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -96,9 +96,12 @@
 	if j.Route.Kind == serving.KindIdempotentRoute {
 		maxIdleTime = idempotentMaxIdleTime
 		if j.possibleRuns+1 < maxAttempts {
-			var cancel context.CancelFunc
-			ctx, cancel = context.WithTimeout(ctx, max(minAttemptTimeout, time.Duration(attemptTimeoutFactor*float64(j.Route.Objective))))
-			defer cancel()
+			// The timeout ends with the attempt. The rest of a long answer is read later, until
+			// the deadline of the call.
+			var abort context.CancelCauseFunc
+			ctx, abort = context.WithCancelCause(ctx)
+			t := time.AfterFunc(max(minAttemptTimeout, time.Duration(attemptTimeoutFactor*float64(j.Route.Objective))), func() { abort(context.DeadlineExceeded) })
+			defer t.Stop()
 		}
 	}
 	start := j.g.Clock.Now()
