End calls of callers that stall while they send or read

Report of other operators: stalled streams that sent a byte now and then never ended. From engines that can't happen here, as every call ends at its deadline. From callers it could: a body was read without any time limit before the deadline was known, and a write to a caller that reads nothing any more blocked for good, whatever the deadline. Each kept a connection and the memory of its call.

A body must come within 70 s (BodyTimeout), enough for the largest one at a megabit a second; the refusal is true, as nothing was sent on. Writes end 2 s after the call's deadline.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,12 @@
 	idleTimeout = 60 * time.Second
 	// maxHeader bounds the header of a request in bytes, before its route is known.
 	maxHeader = 64 << 10
+	// defaultBodyTimeout is enough for the largest body at a megabit per second.
+	defaultBodyTimeout = 70 * time.Second
+	// writeGrace is how long after the deadline of a call its caller may take to read the
+	// rest of the answer. A caller that reads nothing any more would otherwise keep its
+	// connection and the memory of the call for good.
+	writeGrace = 2 * time.Second
 	// drainNotice is how long an entry still accepts requests after it has started to
 	// shut down. In this time the load balancer gets two failed readiness checks.
 	drainNotice = 2500 * time.Millisecond
@@ -59,6 +65,9 @@
 	Dialect serving.Dialect
 	// DecodeConfig decodes a routing configuration document.
 	DecodeConfig func(document []byte) (*routing.Config, error)
+	// BodyTimeout bounds the time that a caller takes to send a body; 0 means
+	// defaultBodyTimeout.
+	BodyTimeout time.Duration
 	// Grace is the time from the stop signal until the process is killed.
 	Grace time.Duration
 	// Retries limits the retries of calls; Window, Ratio and Allowance must be set.
@@ -125,6 +134,9 @@
 }
 
 func (g *Gateway) setup() {
+	if g.BodyTimeout <= 0 {
+		g.BodyTimeout = defaultBodyTimeout
+	}
 	if g.Clock == nil {
 		g.Clock = serving.NewMonotonicClock()
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 	eventPauses         = newHistogram("event_pause_ms")
 	movePauses          = newHistogram("move_pause_ms")
 	callersDisconnected = expvar.NewInt("callers_left")
+	callersStalled      = expvar.NewInt("callers_stalled")
 	eventsDropped       = expvar.NewInt("events_dropped")
 	limitsChanged       = expvar.NewInt("engine_limits_changed")
 	pausesAsked         = expvar.NewInt("engine_pauses_asked")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -56,8 +57,15 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body, err := readBody(w, r)
+	control := http.NewResponseController(w)
+	// The deadline of an earlier call on the connection is over.
+	_ = control.SetWriteDeadline(time.Now().Add(g.BodyTimeout + defaultCallerTimeout))
+	body, err := g.readBody(w, r)
 	if err != nil {
+		if serving.KindOf(err) == serving.KindDeadline {
+			callersStalled.Add(1)
+			klog.InfoS("Caller did not send its body in time", "caller", r.RemoteAddr, "method", r.Method, "took", g.Clock.Now()-arrivedAt)
+		}
 		g.Dialect.Refuse(w, nil, serving.AsError(err))
 		return
 	}
@@ -86,6 +94,7 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, j.deadline-arrivedAt)
 	defer cancel()
+	_ = control.SetWriteDeadline(time.Now().Add(j.timeLeft() + writeGrace))
 	j.ctx = ctx
 	if j.Route.Kind == serving.KindStreamRoute {
 		j.serveStream()
@@ -117,18 +126,26 @@
 	viewRetryAfter = 500 * time.Millisecond
 )
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads a body within BodyTimeout, however slowly its bytes come.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(g.BodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, serving.NewError(serving.KindTooLarge, "the body is larger than the limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The deadline stays, so that the server doesn't wait for the rest of the body.
+		return nil, serving.NewError(serving.KindDeadline, "the body was not received within "+g.BodyTimeout.String())
 	case err != nil:
 		return nil, serving.WrapError(err, serving.KindInvalid, "read the body")
 	}
+	// A read deadline that is left would end the call when it expires.
+	_ = control.SetReadDeadline(time.Time{})
 	return b, nil
 }
 
