--- a/pkg/serving/placement/pace.go
+++ b/pkg/serving/placement/pace.go
@@ -32,7 +32,7 @@
 	// by a third of their memory.
 	longPaceWeight = 1.0
 	// shortPaceWeight is the reduction of that cost for a call without an output.
-	shortPaceWeight = 0.3
+	shortPaceWeight = 0.1
 	// maxPaceExcess bounds the relative excess of the time per token.
 	maxPaceExcess = 0.6
 )
