Let callers that were refused at one moment return spread

What callers would see: an entry that has just started refuses all that wait for its view at one moment, with the same Retry-After for each, so that they come back as one wave. The same holds for calls that wait for an engine with room.

The wait is prolonged by up to a quarter at random (pacing.Spread). Times that an engine has named, and waits that concern one call, stay as they are. The project's own interface states whole seconds, for which this is too fine.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/pacing"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
@@ -178,6 +179,9 @@
 		j.log("Caller disconnected", "kind", e.Kind)
 		return
 	}
+	if spreadsRetries(e) {
+		e.RetryAfter = pacing.Spread(e.RetryAfter, rand.Float64())
+	}
 	refused.Add(string(e.Kind), 1)
 	j.log("Call refused", "kind", e.Kind, "ran", e.Ran, "retry_after", e.RetryAfter, "err", e.Message)
 	if j.headerWritten {
@@ -186,6 +190,12 @@
 	j.g.Dialect.Refuse(j.w, j.Call, e)
 }
 
+// spreadsRetries reports whether many callers may be refused at the same moment for the same
+// reason. The time that an engine has named is passed on as it is.
+func spreadsRetries(e *serving.Error) bool {
+	return e.Detail == "" && (e.Kind == serving.KindOverloaded || e.Kind == serving.KindNoEngine || e.Kind == serving.KindViewExpired)
+}
+
 // log logs a message about this call, with the attributes that identify it.
 func (j *job) log(message string, keysAndValues ...any) {
 	route := ""
