Keep the rate of cold engines over any number of entries

What callers would see: engines that come back cold crash under more calls than they take, when entries choose for themselves because they reach no hub.

A cold engine's rate is now kept by the pacer that keeps the limits engines name, with equal shares and sliding time. In the pool of a hub the shares count hubs, not entries, as hubs choose for all: a cold engine gets up to 0.75 of its rate from them, where five hubs gave it one call a second each before.

Evidence: TestColdEngineRate holds every second of 10 s against the rule, for 20 to 1,300 entries and 5 to 18 hubs, with and without bursts; it now counts calls as the entries do and names the load. With the former limit its cases of 195 and 1,300 entries fail.

--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -47,6 +47,7 @@
 		return nil, serving.NewError(serving.KindNotFound, "the hub knows no service "+in.GetService())
 	}
 	h.refreshPool(now)
+	h.placer.pool.CountCall(now, service.ID)
 	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
 		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll}
 	if in.GetRestricted() {
@@ -77,6 +78,7 @@
 	}
 	p.pool.SetOutOfService(h.state.GetOut())
 	p.reserved = slices.DeleteFunc(p.reserved, func(r reservation) bool { return now >= r.until })
+	p.pool.Choosers = len(h.reachableHubs(now))
 	totalUse, n := h.totalUse(now)
 	for i := range p.reserved {
 		u := &p.reserved[i].use
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/pacing"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -73,9 +74,9 @@
 	// weight of an engine in another region is multiplied by otherRegionSampleFactor.
 	minSampleWeight         = 0.02
 	otherRegionSampleFactor = 0.15
-	// coldShare is the share of a cold engine's maximum call rate that the entries
-	// together use.
-	coldShare = 0.8
+	// coldShare is the share of a cold engine's maximum call rate that the hubs together
+	// use, and the same again the entries, which choose only while they reach no hub.
+	coldShare = 0.75
 	// fullLoadMaxAge is how long an engine counts as full after it has reported that
 	// all its slots are in use and calls wait in its queue.
 	fullLoadMaxAge = 300 * time.Millisecond
@@ -395,24 +396,30 @@
 	return cost
 }
 
-// withinColdRate reports whether a cold engine may get one more call in the current
-// second. The maximum rate of the engine is divided among the entries.
+// withinColdRate reports whether a cold engine may get one more call now. The pools that
+// choose engines have equal shares of its maximum rate: a cold start is too short for shares
+// that follow the demand.
 func (p *Pool) withinColdRate(now time.Duration, e *engine, n *Need) bool {
 	if now >= e.ColdUntil || n.Service.ColdPerSecond <= 0 {
 		return true
 	}
-	share := max(1, coldShare*n.Service.ColdPerSecond/float64(p.Entries()))
-	if now-e.windowStart >= time.Second {
-		return true
+	e.cold.SetOthers(0, 0, p.choosers())
+	e.cold.Hear(now, pacing.Limit{PerSecond: coldShare * n.Service.ColdPerSecond, Limited: true, HeardAt: now})
+	return e.cold.Allows(now, p.demandRate(now, n.Service.ID))
+}
+
+// choosers returns the number of pools that may choose the engine of a call.
+func (p *Pool) choosers() int {
+	if p.Choosers > 0 {
+		return p.Choosers
 	}
-	return e.admitted+1 <= share
+	return p.Entries()
 }
 
 // countAdmitted counts a call towards the rates that withinColdRate and takesCalls limit.
 func (p *Pool) countAdmitted(now time.Duration, e *engine) {
 	e.pacer.Take(now)
-	if now-e.windowStart >= time.Second {
-		e.admitted, e.windowStart = 0, now
+	if now < e.ColdUntil {
+		e.cold.Take(now)
 	}
-	e.admitted++
 }
--- a/pkg/serving/placement/placement_test.go
+++ b/pkg/serving/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -149,37 +150,64 @@
 	assert.Assert(t, probes >= 3 && probes <= 8, "%d probes", probes)
 }
 
-// Guards against a cold engine that is overloaded because each entry keeps to its
-// own limit but their sum exceeds the engine's rate in some second. This occurs
-// when a whole data centre comes back cold.
+// Load pattern: a whole data centre comes back cold, and for a moment its engines are the
+// only ones. Guards against a cold engine that is overloaded because each entry, or each hub,
+// keeps to its own limit but their sum exceeds the engine's rate in some second.
 func TestColdEngineRate(t *testing.T) {
-	const entries = 20
-	bound := modelService.ColdPerSecond
-	var sent []time.Duration
-	for entry := range entries {
-		p := newPool(uint64(entry), "a-1")
-		e := engine("cold", "model", "a-1")
-		e.ColdUntil = 10 * time.Second
-		p.SetEngine(e)
-		p.SetOtherUse(0, nil, entries)
-		for now := time.Duration(entry) * time.Millisecond; now < 5*time.Second; now += 20 * time.Millisecond {
-			if ticket, err := p.Place(now, &placement.Need{Service: modelService, Prompt: 1}); err == nil {
-				ticket.End(now, placement.OK, 0)
-				sent = append(sent, now)
-			}
-		}
+	tests := []struct {
+		name string
+		// pools choose engines, each for perSecond calls a second.
+		pools     int
+		hubs      bool
+		perSecond float64
+		// bursts makes all pools idle for four seconds of five.
+		bursts bool
+		// served is the number of calls that the engine must get at least in ten seconds: a
+		// tenth of what it takes while there are calls, from hubs a quarter or more.
+		served int
+	}{
+		{name: "20 entries", pools: 20, perSecond: 50, served: 40},
+		{name: "195 entries with few calls each", pools: 195, perSecond: 0.3, served: 40},
+		{name: "195 entries with many calls each", pools: 195, perSecond: 20, served: 40},
+		{name: "1300 entries", pools: 1300, perSecond: 5, served: 40},
+		{name: "195 entries, bursts", pools: 195, perSecond: 20, bursts: true, served: 8},
+		{name: "five hubs", pools: 5, hubs: true, perSecond: 50, served: 200},
+		{name: "18 hubs, bursts", pools: 18, hubs: true, perSecond: 200, bursts: true, served: 20},
 	}
-	for start := time.Duration(0); start < 4*time.Second; start += 10 * time.Millisecond {
-		n := 0
-		for _, at := range sent {
-			if at >= start && at < start+time.Second {
-				n++
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const length = 10 * time.Second
+			var sent []time.Duration
+			for i := range tt.pools {
+				p := newPool(uint64(i), "a-1")
+				if tt.hubs {
+					p.Choosers = tt.pools
+				}
+				e := engine("cold", "model", "a-1")
+				e.ColdUntil = length
+				p.SetEngine(e)
+				p.SetOtherUse(0, nil, tt.pools)
+				interval := time.Duration(float64(time.Second) / tt.perSecond)
+				for now := time.Duration(i) * time.Millisecond % interval; now < length; now += interval {
+					if tt.bursts && now%(5*time.Second) < 4*time.Second {
+						continue
+					}
+					p.CountCall(now, "model")
+					if ticket, err := p.Place(now, &placement.Need{Service: modelService, Prompt: 1}); err == nil {
+						ticket.End(now, placement.OK, 0)
+						sent = append(sent, now)
+					}
+				}
 			}
-		}
-		// A window may overlap two of an entry's one-second periods.
-		assert.Assert(t, float64(n) <= 1.5*bound+5, "%d calls in the second from %v", n, start)
+			slices.Sort(sent)
+			bound := 1.5*modelService.ColdPerSecond + 5
+			for i, first := range sent {
+				n, _ := slices.BinarySearch(sent, first+time.Second)
+				assert.Assert(t, float64(n-i) <= bound, "%d calls in the second from %v", n-i, first)
+			}
+			assert.Assert(t, len(sent) >= tt.served, "%d calls", len(sent))
+		})
 	}
-	assert.Assert(t, len(sent) > entries)
 }
 
 // Guards against an engine that crashes repeatedly and interrupts one generation of
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -15,6 +15,9 @@
 	Random     serving.Random
 	DataCentre serving.DataCentreID
 	RegionOf   map[serving.DataCentreID]serving.RegionID
+	// Choosers is the number of pools that choose engines at the same time, in the pool of a
+	// hub: the number of hubs. It may be changed at any time; 0 means the number of entries.
+	Choosers int
 
 	engines      map[serving.EngineID]*engine
 	outOfService map[serving.DataCentreID]bool
@@ -36,10 +39,8 @@
 	loadAt time.Duration
 	// parts are the prompt parts that this entry sent to the engine.
 	parts sentParts
-	// admitted counts this entry's calls in the second that begins at windowStart, for
-	// the rate limit of a cold engine.
-	admitted    float64
-	windowStart time.Duration
+	// cold keeps the maximum rate of calls while the engine is cold.
+	cold pacing.Pacer
 	// pacer keeps the limit that the engine has named, and heard is what it named in its
 	// newest answer to this entry; nil if it never named a limit.
 	pacer pacing.Pacer
@@ -93,7 +94,7 @@
 			fresh.own = e.own
 		}
 		fresh.others.Engine, fresh.own.Engine = status.Engine, status.Engine
-		fresh.pacer.Phase = p.Random.Float64()
+		fresh.pacer.Phase, fresh.cold.Phase = p.Random.Float64(), p.Random.Float64()
 		e = fresh
 		e.State = presence.Ready
 		p.engines[status.Engine] = e
