Keep connections to engines that are cut off for some seconds

Report of other operators: slow but sound streams were cut, and the running work of a machine that was only silent was given up.

A connection now fails after 10 s of silence in both directions; a caller that doesn't wait so long ends the call earlier.

Ruled out: going on elsewhere. The engine may still be at work on the answer.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -43,11 +43,19 @@
 	connectionsReused = expvar.NewInt("engine_connections_reused")
 )
 
-// dialer opens connections that fail within about two seconds after the engine's host
-// stops responding.
-var dialer = &net.Dialer{
-	Timeout:         dialTimeout,
-	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
+// silenceTimeout is how long a connection may be silent in both directions, also for
+// keep-alive probes, before it fails. An engine that is cut off for a while goes on with its
+// answer, and callers bear pauses of several seconds; whoever waits no longer ends the call
+// earlier. New calls find out by dialTimeout that an engine can't be reached.
+const silenceTimeout = 10 * time.Second
+
+var dialer = &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(silenceTimeout)}
+
+// keepAlive returns the settings with which a connection fails after a silence.
+func keepAlive(silence time.Duration) net.KeepAliveConfig {
+	const probes = 8
+	interval := max(time.Second, silence/(probes+2))
+	return net.KeepAliveConfig{Enable: true, Idle: silence - probes*interval, Interval: interval, Count: probes}
 }
 
 // Decoder decodes the header of an engine's answer. Every serving.Dialect implements
