Judge engines by the outcomes of the calls of all entries

Cause: each entry judged engines by its own calls. 107 to 195 entries that send a hundred calls a second to six engines have one call to each in six to twelve seconds; after ten calls the failure would show. Generations had a joint count of broken connections, plain calls had none.

Rates are compared with those of the peers, so that engines which all fail the same share of calls are judged alike.

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -402,6 +402,8 @@
 			all[i].Prefill = max(0, all[i].Prefill-o.Prefill)
 			all[i].Broken = max(0, all[i].Broken-o.Broken)
 			all[i].Demand = max(0, all[i].Demand-o.Demand)
+			all[i].Calls = max(0, all[i].Calls-o.Calls)
+			all[i].Failures = max(0, all[i].Failures-o.Failures)
 		}
 	}
 	return all
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -16,6 +16,9 @@
 	// batchPause is the delay of an answer after a change, which combines changes that
 	// follow each other closely.
 	batchPause = 5 * time.Millisecond
+	// minSharedFailures is the number of recent failures of an engine from which entries are
+	// told the outcomes of its calls.
+	minSharedFailures = 1.0
 	// peerTimeout is how long after its last report a hub counts as reachable.
 	peerTimeout = 2 * time.Second
 )
@@ -96,6 +99,9 @@
 	for _, u := range totalUse {
 		// Entries place few generations themselves, and leave the pace to the hubs.
 		u.Pace = usage.Pace{}
+		if u.Failures < minSharedFailures {
+			u.Calls, u.Failures = 0, 0
+		}
 		out.Uses = append(out.Uses, u.ToWire())
 	}
 	out.Entries = int32(n)
--- a/pkg/serving/placement/health.go
+++ b/pkg/serving/placement/health.go
@@ -59,6 +59,9 @@
 	// calls counts all outcomes except Abandoned.
 	calls     int
 	updatedAt time.Duration
+	// recent counts the outcomes of the last seconds, for the joint failure rate of all
+	// entries.
+	recent recentOutcomes
 	// consecutiveBroken counts the Broken and Unreachable outcomes since the last
 	// response.
 	consecutiveBroken int
@@ -82,6 +85,9 @@
 	}
 	h.decay(now)
 	h.calls++
+	if o != Refused {
+		h.recent.record(now, o != OK)
+	}
 	switch o {
 	case OK, Failed, Refused:
 		h.consecutiveBroken = 0
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -322,10 +322,10 @@
 func (p *Pool) peerMedians(now time.Duration, n *Need) medians {
 	var rates, latencies []float64
 	for _, e := range p.engines {
-		if !p.eligible(e, n) || e.health.calls == 0 {
+		if !p.eligible(e, n) || e.health.calls == 0 && e.others.Calls == 0 {
 			continue
 		}
-		rates = append(rates, e.health.failureRate(now))
+		rates = append(rates, e.failureRate(now))
 		if e.health.latency > 0 {
 			latencies = append(latencies, e.health.latency)
 		}
@@ -368,7 +368,7 @@
 // healthCost returns the cost of an engine that fails more often or is slower than
 // its peers.
 func (p *Pool) healthCost(now time.Duration, e *engine, peers medians) float64 {
-	cost := failureWeight * max(0, e.health.failureRate(now)-peers.failures-failureSlack)
+	cost := failureWeight * max(0, e.failureRate(now)-peers.failures-failureSlack)
 	if peers.latency > 0 {
 		cost += slowWeight * min(maxSlowdown, max(0, e.health.latency/peers.latency-1-slowSlack))
 	}
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -150,7 +150,8 @@
 			u.Limit = &usage.Limit{PerSecond: e.heard.PerSecond, Limited: e.heard.Limited, Age: now - e.heard.HeardAt}
 		}
 		u.Pace = e.pace.report(now)
-		if u.Demand > 0 || u.Limit != nil || u.Running != 0 || u.Expected != 0 || u.Broken != 0 || u.Pace.Tokens > 0 {
+		u.Calls, u.Failures = e.health.recent.report(now)
+		if u.Demand > 0 || u.Limit != nil || u.Running != 0 || u.Expected != 0 || u.Broken != 0 || u.Pace.Tokens > 0 || u.Calls > 0 {
 			out = append(out, u)
 		}
 	}
--- a/pkg/serving/usage/usage.go
+++ b/pkg/serving/usage/usage.go
@@ -13,6 +13,7 @@
 package usage
 
 import (
+	"math"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
@@ -41,6 +42,9 @@
 	Limit *Limit
 	// Pace is how fast the engine has recently generated tokens.
 	Pace Pace
+	// Calls and Failures count the calls that have recently ended and those that the engine
+	// failed, with weights that fall with time.
+	Calls, Failures float64
 }
 
 // Pace is a number of tokens and the time that an engine took to generate them, summed over
@@ -70,6 +74,8 @@
 	u.Demand += o.Demand
 	u.Pace.Tokens += o.Pace.Tokens
 	u.Pace.Time += o.Pace.Time
+	u.Calls += o.Calls
+	u.Failures += o.Failures
 	if o.Limit != nil && (u.Limit == nil || o.Limit.Age < u.Limit.Age) {
 		u.Limit = o.Limit
 	}
@@ -136,7 +142,8 @@
 func (u *Use) ToWire() *schema.EngineUse {
 	out := &schema.EngineUse{Engine: string(u.Engine), Running: int32(u.Running), HeldTokens: int64(u.Held),
 		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill), Broken: int32(u.Broken), Demand: u.Demand,
-		PaceTokens: int64(u.Pace.Tokens), PaceUs: u.Pace.Time.Microseconds()}
+		PaceTokens: int64(u.Pace.Tokens), PaceUs: u.Pace.Time.Microseconds(),
+		RecentCalls: float32(u.Calls), RecentFailures: float32(u.Failures)}
 	if u.Limit != nil {
 		out.Limit = &schema.EngineLimit{AgeMs: u.Limit.Age.Milliseconds()}
 		if u.Limit.Limited {
@@ -153,10 +160,19 @@
 		out[i] = Use{Engine: serving.EngineID(m.GetEngine()), Running: serving.Slots(m.GetRunning()),
 			Held: serving.Tokens(m.GetHeldTokens()), Expected: serving.Tokens(m.GetExpectedTokens()), Prefill: serving.Tokens(m.GetPrefillTokens()),
 			Broken: int(m.GetBroken()), Demand: m.GetDemand(),
-			Pace: Pace{Tokens: serving.Tokens(m.GetPaceTokens()), Time: time.Duration(m.GetPaceUs()) * time.Microsecond}}
+			Pace:  Pace{Tokens: serving.Tokens(m.GetPaceTokens()), Time: time.Duration(m.GetPaceUs()) * time.Microsecond},
+			Calls: count(m.GetRecentCalls()), Failures: count(m.GetRecentFailures())}
 		if l := m.GetLimit(); l != nil {
 			out[i].Limit = &Limit{PerSecond: l.GetCallsPerSecond(), Limited: l.CallsPerSecond != nil, Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
 		}
 	}
 	return out
 }
+
+// count returns a number of calls from a message, 0 if it can't be one.
+func count(n float32) float64 {
+	if !(n >= 0 && n <= math.MaxInt32) {
+		return 0
+	}
+	return float64(n)
+}
