--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,6 +31,9 @@
 	}{
 		{"first", 1},
 		{"prompts that crash engines", 2},
+		// A sound lookup that two engines lose together with the call that crashes them,
+		// before it was ever answered, is blocked like that call.
+		{"sound lookup lost with a crashing one", 1406},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var out strings.Builder
