Send copies of running answers where there is room, not where it is fast

Cause: the cost of a copy's destination counted the engine's pace as that of a new call does. Long answers gather at fast engines, and when several of these are reclaimed at once their copies were sent to the other fast ones, which refused them (20 of 94 first copies had "no_room") while slow engines had room.

Copies ignore the pace.

Evidence: TestCopiesGoWhereThereIsRoom.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -350,7 +350,7 @@
 	r.g.board.mu.Lock()
 	defer r.g.board.mu.Unlock()
 	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + generated, Output: r.growth(generated),
-		Length: max(0, r.expectedOutput(generated)-generated), Parts: r.Parts, Exclude: exclude, CopyFrom: from}
+		Parts: r.Parts, Exclude: exclude, CopyFrom: from}
 }
 
 // sendEngineRequest sends a request to an engine and decodes its answer. Canceling
--- a/pkg/serving/placement/pace_test.go
+++ b/pkg/serving/placement/pace_test.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// Load pattern: several fast engines are reclaimed at once, and the other fast ones hold the
+// long answers. Guards against copies of running answers that are sent to fast engines, where
+// there is little room, instead of slow ones with much, and come too late for it.
+func TestCopiesGoWhereThereIsRoom(t *testing.T) {
+	for seed := range uint64(50) {
+		p := newMixedPool(seed, 400, 16_000)
+		ticket, err := p.Place(0, &placement.Need{Service: modelService, Prompt: 4000, Output: 250, Length: 900, CopyFrom: "a-1"})
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(string(ticket.Engine), "slow"), "seed %d: %s", seed, ticket.Engine)
+	}
+}
+
 // Load pattern: as above. Guards against short answers that displace long ones from fast
 // engines, and against short answers whose prompts wait for each other at slow engines while
 // fast ones have nothing to do.
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -104,8 +104,8 @@
 	// far, and Output counts only the further ones.
 	Prompt, Output serving.Tokens
 	Parts          []serving.PromptPart
-	// Length is the expected length of the whole output, or of the rest of it for a copy;
-	// 0 if unknown.
+	// Length is the expected length of the whole output; 0 if unknown. It is not set for a
+	// copy: where there is room goes before where it is fast.
 	Length serving.Tokens
 	// Exclude lists engines that must not be chosen, such as those already tried.
 	Exclude []serving.EngineID
@@ -351,7 +351,9 @@
 		memory := float64(max(m.MemoryTokens, 1))
 		cost += float64(sum.Expected+n.Prompt+n.Output) / memory
 		cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
-		cost += e.paceCost(now, n.Length, peers.pace)
+		if n.CopyFrom == "" {
+			cost += e.paceCost(now, n.Length, peers.pace)
+		}
 		if n.Prompt > 0 {
 			cost -= cachedWeight * float64(e.parts.cachedTokens(now, n.Parts)) / float64(n.Prompt)
 		}
