Make the test of copies fail without its change

With 16,000 tokens at the fast engines the case passed without the change as well; with 7,000 it fails without it (copies go to fast engines) and passes with it.

--- a/pkg/serving/placement/pace_test.go
+++ b/pkg/serving/placement/pace_test.go
@@ -83,7 +83,7 @@
 // there is little room, instead of slow ones with much, and come too late for it.
 func TestCopiesGoWhereThereIsRoom(t *testing.T) {
 	for seed := range uint64(50) {
-		p := newMixedPool(seed, 400, 16_000)
+		p := newMixedPool(seed, 400, 7000)
 		ticket, err := p.Place(0, &placement.Need{Service: modelService, Prompt: 4000, Output: 250, Length: 900, CopyFrom: "a-1"})
 		assert.NilError(t, err)
 		assert.Assert(t, strings.HasPrefix(string(ticket.Engine), "slow"), "seed %d: %s", seed, ticket.Engine)
