--- /dev/null
+++ b/review/standin/engine.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// engineConfig describes a stand-in engine.
+type engineConfig struct {
+	ID, Service, Zone string
+	// Address is where the engine listens, and Advertised what its check-ins name; empty
+	// means Address.
+	Address, Advertised string
+	Slots               int
+	Hubs                []string
+	Trouble             bool
+	// EventMS is the time to make an event and WorkMS that of a plain answer, in milliseconds.
+	EventMS, WorkMS int
+	// Muted keeps check-ins back until the command "unmute".
+	Muted bool
+	// Unframed makes streams end with their connection.
+	Unframed bool
+	// Spoiled makes a share of the plain answers, by turns, lack their seal or say that they
+	// are encoded, if there is trouble.
+	Spoiled float64
+}
+
+// report is a line that an engine writes for the driver.
+type report struct {
+	Event  string `json:"event"`
+	Engine string `json:"engine"`
+	ID     string `json:"id,omitempty"`
+	Made   int    `json:"made,omitempty"`
+	Detail string `json:"detail,omitempty"`
+	// AtMS is the time in Unix milliseconds.
+	AtMS int64 `json:"at_ms"`
+}
+
+// engine is a stand-in engine. It keeps to PROTOCOL.md, except for the faults in its
+// configuration.
+type engine struct {
+	engineConfig
+	bornMS int64
+
+	mu       sync.Mutex
+	sequence int
+	// answers and spoiled count the answers and those that were spoiled.
+	answers, spoiled int
+}
+
+func runEngineProcess(config string) {
+	e := &engine{bornMS: time.Now().UnixMilli()}
+	if err := json.Unmarshal([]byte(config), &e.engineConfig); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	l, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	e.report(report{Event: "listens", Detail: e.Address})
+	go e.sendCheckIns()
+	go e.accept(l)
+	for s := bufio.NewScanner(os.Stdin); s.Scan(); {
+		e.mu.Lock()
+		switch s.Text() {
+		case "mute":
+			e.Muted = true
+		case "unmute":
+			e.Muted = false
+		}
+		e.mu.Unlock()
+		e.checkIn()
+	}
+	// The driver has ended.
+	os.Exit(0)
+}
+
+// stdoutMu makes the lines of an engine whole.
+var stdoutMu sync.Mutex
+
+func (e *engine) report(r report) {
+	r.Engine, r.AtMS = e.ID, time.Now().UnixMilli()
+	b, err := json.Marshal(r)
+	if err != nil {
+		return
+	}
+	stdoutMu.Lock()
+	defer stdoutMu.Unlock()
+	_, _ = os.Stdout.Write(append(b, '\n'))
+}
+
+func (e *engine) advertised() string {
+	if e.Advertised != "" {
+		return e.Advertised
+	}
+	return e.Address
+}
+
+func (e *engine) sendCheckIns() {
+	for {
+		e.checkIn()
+		time.Sleep(heartbeatInterval)
+	}
+}
+
+// checkIn sends a check-in to one hub after the other until one acknowledges it.
+func (e *engine) checkIn() {
+	e.mu.Lock()
+	if e.Muted {
+		e.mu.Unlock()
+		return
+	}
+	e.sequence++
+	body, err := json.Marshal(map[string]any{"service": e.Service, "address": e.advertised(), "zone": e.Zone, "version": "v1", "slots": e.Slots,
+		"state": "ready", "cold_remaining_ms": 0, "phase": "combined", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
+		"sequence": e.sequence, "born": e.bornMS})
+	e.mu.Unlock()
+	if err != nil {
+		return
+	}
+	client := &http.Client{Timeout: time.Second}
+	for i := range e.Hubs {
+		r, err := http.NewRequest(http.MethodPut, "http://"+e.Hubs[(int(e.bornMS)+i)%len(e.Hubs)]+"/-/instances/"+e.ID, bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		res, err := client.Do(r)
+		if err != nil {
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode/100 == 2 {
+			return
+		}
+	}
+}
+
+func (e *engine) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go e.serveConn(&engineConn{Conn: c, reader: bufio.NewReader(c)})
+	}
+}
+
+// engineConn is a connection to an engine.
+type engineConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// serveConn answers one request after the other until the connection ends.
+func (e *engine) serveConn(c *engineConn) {
+	defer c.Close()
+	for {
+		r, err := http.ReadRequest(c.reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if !e.serve(c, r, body) {
+			return
+		}
+	}
+}
+
+// serve answers one request. It returns false if the connection ends with the answer.
+func (e *engine) serve(c *engineConn, r *http.Request, body []byte) bool {
+	e.mu.Lock()
+	e.answers++
+	e.mu.Unlock()
+	id := r.Header.Get("X-Turmericdrum-Attempt-Id")
+	switch {
+	case r.URL.Path == "/healthz":
+		return e.answer(c, http.StatusOK, "", map[string]string{"X-Turmericdrum-Instance-Id": e.ID}, nil)
+	case strings.HasPrefix(r.URL.Path, "/-/"):
+		return e.answer(c, http.StatusNotFound, "", nil, nil)
+	case r.Header.Get("X-Turmericdrum-Expect-Instance") != e.ID && r.Header.Get("X-Turmericdrum-Expect-Instance") != "":
+		return e.answer(c, http.StatusMisdirectedRequest, id, map[string]string{"X-Turmericdrum-Not-Executed": "1"}, nil)
+	case r.Header.Get("X-Turmericdrum-Token-Usage") != "":
+		return e.serveStream(c, r, id, body)
+	}
+	return e.servePlain(c, r, id)
+}
+
+// seal returns the engine's seal of its answer to a request.
+func seal(id string) string { return "3e1b.07.5a2.600.0." + id }
+
+// answerBody returns the body of a plain answer of a size.
+func answerBody(id string, size int) []byte {
+	return bytes.Repeat([]byte(id+"."), size/(len(id)+1)+1)[:size]
+}
+
+func (e *engine) answer(c *engineConn, status int, id string, header map[string]string, body []byte) bool {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if id != "" {
+		fmt.Fprintf(&b, "X-Turmericdrum-Attempt-Id: %s\r\n", id)
+	}
+	for name, value := range header {
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(body))
+	b.Write(body)
+	_, err := c.Write(b.Bytes())
+	return err == nil
+}
+
+// servePlain answers a plain request. The query names the size of the answer.
+func (e *engine) servePlain(c *engineConn, r *http.Request, id string) bool {
+	e.report(report{Event: "runs", ID: id})
+	time.Sleep(time.Duration(e.WorkMS) * time.Millisecond)
+	size, err := strconv.Atoi(r.URL.Query().Get("size"))
+	if err != nil {
+		size = 800
+	}
+	header := map[string]string{"X-Turmericdrum-Response-Seal": seal(id)}
+	e.mu.Lock()
+	if e.Trouble && float64(e.spoiled+1) <= e.Spoiled*float64(e.answers) && rand.IntN(4) == 0 {
+		e.spoiled++
+		what := "no seal"
+		if e.spoiled%2 == 0 {
+			what = "encoded"
+			header["Content-Encoding"] = "gzip"
+		} else {
+			delete(header, "X-Turmericdrum-Response-Seal")
+		}
+		e.report(report{Event: "spoiled", ID: id, Detail: fmt.Sprintf("%s, %d bytes; %d of %d answers so far", what, size, e.spoiled, e.answers)})
+	}
+	e.mu.Unlock()
+	return e.answer(c, http.StatusOK, id, header, answerBody(id, size))
+}
+
+// event returns the n-th event of a stream.
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
+
+// serveStream answers with events. The body names their number.
+func (e *engine) serveStream(c *engineConn, r *http.Request, id string, body []byte) bool {
+	var in struct {
+		Events int `json:"events"`
+	}
+	if json.Unmarshal(body, &in) != nil {
+		return e.answer(c, http.StatusBadRequest, id, map[string]string{"X-Turmericdrum-Not-Executed": "1"}, nil)
+	}
+	e.report(report{Event: "runs", ID: id})
+	framing := "Transfer-Encoding: chunked\r\n"
+	if e.Unframed {
+		framing = "Connection: close\r\n"
+	}
+	head := "HTTP/1.1 200 OK\r\nX-Turmericdrum-Attempt-Id: " + id + "\r\nX-Turmericdrum-Response-Seal: " + seal(id) + "\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n"
+	if _, err := c.Write([]byte(head)); err != nil {
+		return false
+	}
+	for n := 1; n <= in.Events; n++ {
+		time.Sleep(time.Duration(e.EventMS) * time.Millisecond)
+		piece := event(id, n)
+		if !e.Unframed {
+			piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		}
+		if _, err := c.Write([]byte(piece)); err != nil {
+			e.report(report{Event: "caller left", ID: id, Made: n - 1})
+			return false
+		}
+	}
+	e.report(report{Event: "ends", ID: id, Made: in.Events})
+	if e.Unframed {
+		return false
+	}
+	_, err := c.Write([]byte("0\r\n\r\n"))
+	return err == nil
+}
