--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -19,10 +19,11 @@
 type caller struct {
 	d       *deployment
 	address string
+	key     string
 }
 
 func (d *deployment) caller(entry int) *caller {
-	return &caller{d: d, address: net.JoinHostPort(d.entries[entry].ip, frontendPort)}
+	return &caller{d: d, address: net.JoinHostPort(d.entries[entry].ip, frontendPort), key: apiKey}
 }
 
 // answer is what a client has seen of the answer to one request.
@@ -33,6 +34,8 @@
 	body   []byte
 	// events are the events of a stream.
 	events []string
+	// bytes is the number of bytes that arrived, with those of the header.
+	bytes int
 	// complete reports whether the answer ended as HTTP says it ends.
 	complete bool
 	err      error
@@ -98,14 +101,16 @@
 	}
 	r.Header.Set("X-Turmericdrum-Attempt-Id", id)
 	r.Header.Set("X-Turmericdrum-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
-	r.Header.Set("Authorization", "Bearer "+apiKey)
+	r.Header.Set("Authorization", "Bearer "+c.key)
 	_ = conn.SetDeadline(time.Now().Add(timeout + time.Second))
 	begin := time.Now()
 	if err := r.Write(conn); err != nil {
 		a.err = err
 		return a
 	}
-	res, err := http.ReadResponse(bufio.NewReader(conn), r)
+	counted := &countingReader{Reader: conn}
+	defer func() { a.bytes = counted.n }()
+	res, err := http.ReadResponse(bufio.NewReader(counted), r)
 	if err != nil {
 		a.err = err
 		c.d.logf("client %s %s %s: no answer after %v: %v", id, method, path, time.Since(begin).Round(time.Millisecond), err)
@@ -124,19 +129,34 @@
 	return a
 }
 
+// countingReader counts the bytes that it reads.
+type countingReader struct {
+	io.Reader
+	n int
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.n += n
+	return n, err
+}
+
 var errNotServed = errors.New("the requests before the disruption were not served")
 
 // routeHost is the host of all routes.
 const routeHost = "ficu95.example"
 
-// Services and the API key of the manifests.
+// Services and API keys of the manifests.
 const (
 	modelService = "huvo11a"
 	plainService = "wuno96b"
 	apiKey       = "xd9dnn2ctnfzs989anu6"
+	homeKey      = "wsjnbanfqasnmgkcuyj8"
 )
 
-// newManifest returns a manifest like that of klubba-order.
+// newManifest returns a manifest like that of klubba-order. The tenant with homeKey may be
+// served in the region mitt only.
 func newManifest() map[string]any {
 	route := func(name, prefix, kind, service string, timeout, target int) map[string]any {
 		attempts := 1
@@ -156,7 +176,9 @@
 				"engine": map[string]any{"slots": 24, "kv_capacity_tokens": 34393, "kv_bytes": 327680, "link_mbps": 47000.0, "moves": true, "backups": true,
 					"stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0, "models": []any{map[string]any{"name": "m"}}}},
 			map[string]any{"name": plainService, "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "huka270", "api_keys": []string{apiKey}, "priority": 1, "allowed_regions": []string{}}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{
+			map[string]any{"name": "huka270", "api_keys": []string{apiKey}, "priority": 1, "allowed_regions": []string{}},
+			map[string]any{"name": "vilo113", "api_keys": []string{homeKey}, "priority": 1, "allowed_regions": []string{"mitt"}}},
 	}
 }
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -62,22 +63,25 @@
 	if err := d.waitStreams(c, 20, 2000, 1600, 1); err != nil {
 		return err
 	}
+	var wg sync.WaitGroup
+	// Short streams, as beside the long ones on the sheet, until the engine has answered enough
+	// for its share of broken ones.
+	for n := 0; n < 600 && d.runsAt(engines[0].ID) < 60; n++ {
+		wg.Go(func() {
+			c.stream(nil, streamRequest{id: newID(), path: "/query/x", events: 3, prompt: 100, most: 48, hint: 12, timeout: 6 * time.Second})
+		})
+		time.Sleep(8 * time.Millisecond)
+	}
+	wg.Wait()
 	const streams, events = 12, 400
 	answers := make([]*answer, streams)
-	var wg sync.WaitGroup
 	for i := range streams {
 		wg.Go(func() {
 			answers[i] = c.stream(nil, streamRequest{id: newID(), path: "/draft/x", events: events, prompt: 2200, most: 2000, hint: 1600, timeout: 39 * time.Second})
 		})
 		time.Sleep(20 * time.Millisecond)
 	}
-	// Short streams, as beside the long ones on the sheet.
-	for range 400 {
-		wg.Go(func() {
-			c.stream(nil, streamRequest{id: newID(), path: "/query/x", events: 3, prompt: 100, most: 48, hint: 12, timeout: 6 * time.Second})
-		})
-		time.Sleep(8 * time.Millisecond)
-	}
+	time.Sleep(time.Second)
 	leaving := d.engines[engines[0].ID]
 	d.logf("planned work: %s leaves", leaving.ID)
 	leaving.command("drain")
@@ -111,6 +115,16 @@
 	return nil
 }
 
+// runsAt returns the number of requests on which an engine has begun to work.
+func (d *deployment) runsAt(engine string) (n int) {
+	for _, r := range d.reports("runs") {
+		if r.Engine == engine {
+			n++
+		}
+	}
+	return n
+}
+
 // stillAtWork is the time in the rule TWICE.
 const stillAtWork = 400 * time.Millisecond
 
@@ -269,10 +283,7 @@
 	d.logf("client sends %s %v after the signal, on its open connection", late.id, time.Since(begin).Round(time.Millisecond))
 	a := c.stream(kept, late)
 	took := time.Since(begin).Round(time.Millisecond)
-	ran := false
-	for _, r := range d.reports("runs") {
-		ran = ran || r.ID == late.id
-	}
+	ran := d.ran(late.id)
 	d.logf("the late stream: ran=%t, status %d, %d of %d events, complete=%t, ended %v after the signal", ran, a.status, len(a.events), late.events, a.complete, took)
 	if ran && !a.complete {
 		return fmt.Errorf("a request that was passed on to an engine got no complete answer: %w", errBroken)
@@ -283,6 +294,221 @@
 	return nil
 }
 
+// unanswered: one of seven engines is slow, so that the timeout of a route is reached before
+// the first event of its streams.
+func unanswered(d *deployment) error {
+	manifest := newManifest()
+	for _, r := range manifest["routes"].([]any) {
+		if route := r.(map[string]any); route["name"] == "r-query" {
+			route["timeout_ms"] = 4000
+		}
+	}
+	if err := d.startSystem(zoneNames, zoneNames[:1], manifest); err != nil {
+		return err
+	}
+	// A busy engine makes its first event after 1.2 s.
+	engines := modelEngines(d, 7, engineConfig{EventMS: 20, FirstMS: 1200})
+	for _, cfg := range engines {
+		if _, err := d.startEngine(cfg); err != nil {
+			return err
+		}
+	}
+	c := d.caller(0)
+	if err := d.waitStreams(c, 2, 2000, 1600, 1); err != nil {
+		return err
+	}
+	if d.trouble {
+		d.logf("%s works four times as long", engines[0].ID)
+		d.engines[engines[0].ID].command("slow")
+	}
+	const requests = 40
+	var mu sync.Mutex
+	closed, whole := 0, 0
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			conn, err := c.dial()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			// A first request makes this a kept connection.
+			first := c.send(conn, newID(), http.MethodGet, "/none/x", time.Second, nil, nil)
+			a := c.stream(conn, streamRequest{id: newID(), path: "/query/x", events: 3, most: 48, hint: 12, timeout: 6 * time.Second})
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.complete:
+				whole++
+			case first.complete && a.status == 0 && a.bytes == 0 && d.ran(a.id):
+				closed++
+				d.logf("LOST: %s ran at a sound engine, and its kept connection was closed without a byte of an answer", a.id)
+			}
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	wg.Wait()
+	d.engines[engines[0].ID].command("end slow")
+	d.logf("%d of %d requests answered, %d kept connections closed without an answer", whole, requests, closed)
+	if closed > 3 {
+		return fmt.Errorf("%d kept connections were closed without an answer: %w", closed, errBroken)
+	}
+	if !d.trouble && whole < requests {
+		return fmt.Errorf("only %d requests were answered", whole)
+	}
+	return nil
+}
+
+// ran reports whether an engine has begun to work on a request.
+func (d *deployment) ran(id string) bool {
+	for _, r := range d.reports("runs") {
+		if r.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// lostEngine: one of ten engines is cut off from all machines for five seconds. It is the only
+// one of its service in the region in which one of two tenants may be served.
+func lostEngine(d *deployment) error {
+	if err := d.startWith(modelEngines(d, 7, engineConfig{EventMS: 20})...); err != nil {
+		return err
+	}
+	var cut *link
+	var home *engineProcess
+	for i, zone := range zoneNames {
+		cfg := engineConfig{ID: "i-" + zone, Service: plainService, Zone: zone, Address: net.JoinHostPort(d.engineIP(i+51), enginePort), Slots: 6, WorkMS: 40}
+		if zone == "mitt-a" {
+			cfg.Advertised = net.JoinHostPort(d.engineIP(i+101), enginePort)
+			var err error
+			if cut, err = d.newLink(cfg.Advertised, cfg.Address); err != nil {
+				return err
+			}
+		}
+		e, err := d.startEngine(cfg)
+		if err != nil {
+			return err
+		}
+		if zone == "mitt-a" {
+			home = e
+		}
+	}
+	bound, common := d.caller(0), d.caller(0)
+	bound.key = homeKey
+	for _, c := range []*caller{bound, common} {
+		if err := d.waitServed(c, "/status/x", 5); err != nil {
+			return err
+		}
+	}
+	const (
+		interval = 100 * time.Millisecond
+		before   = 4 * time.Second
+		cutFor   = 5 * time.Second
+		recovery = 12 * time.Second
+		after    = 40 * time.Second
+	)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	asked, served := map[string]int{}, map[string]int{}
+	lateAsked, lateServed := map[string]int{}, map[string]int{}
+	begin := time.Now()
+	send := func(name string, c *caller) {
+		for n := 0; time.Since(begin) < before+cutFor+recovery+after; n++ {
+			sentAt := time.Since(begin)
+			wg.Go(func() {
+				a := c.plain(http.MethodGet, "/status/x", 2*time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				asked[name]++
+				isLate := sentAt > before+cutFor+recovery
+				if isLate {
+					lateAsked[name]++
+				}
+				if a.status == http.StatusOK && a.complete {
+					served[name]++
+					if isLate {
+						lateServed[name]++
+					}
+				}
+			})
+			time.Sleep(interval)
+		}
+	}
+	wg.Go(func() { send("vilo113", bound) })
+	wg.Go(func() { send("huka270", common) })
+	time.Sleep(before)
+	if d.trouble {
+		d.logf("%s is cut off from all machines", home.ID)
+		home.command("mute")
+		heal, err := cut.cut()
+		if err != nil {
+			return err
+		}
+		time.Sleep(cutFor)
+		heal()
+		home.command("unmute")
+		d.logf("the cut has ended")
+	}
+	wg.Wait()
+	d.logf("whole run: asked %v, served %v; later than %v after the cut: asked %v, served %v", asked, served, recovery, lateAsked, lateServed)
+	all := float64(served["vilo113"]+served["huka270"]) / float64(asked["vilo113"]+asked["huka270"])
+	if share := float64(served["vilo113"]) / float64(asked["vilo113"]); share < all/4 {
+		return fmt.Errorf("a tenant was served %.3f of its requests, all %.3f: %w", share, all, errBroken)
+	}
+	return nil
+}
+
+// otherWriter: another writer sends check-ins without their version, with the addresses of sound
+// engines. They name no engine to use, and the others hold.
+func otherWriter(d *deployment) error {
+	var engines []engineConfig
+	for i, zone := range zoneNames {
+		engines = append(engines, engineConfig{ID: "i-" + zone, Service: plainService, Zone: zone, Address: net.JoinHostPort(d.engineIP(i+1), enginePort), Slots: 6, WorkMS: 20})
+	}
+	if err := d.startWith(engines...); err != nil {
+		return err
+	}
+	c := d.caller(0)
+	if err := d.waitServed(c, "/status/x", 5); err != nil {
+		return err
+	}
+	for _, e := range engines {
+		if !d.trouble {
+			break
+		}
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":6,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":%d}`,
+			plainService, e.Address, e.Zone, time.Now().UnixMilli())
+		r, err := http.NewRequest(http.MethodPut, "http://"+d.controlAddresses()[0]+"/-/instances/x-"+e.ID, strings.NewReader(body))
+		if err != nil {
+			return err
+		}
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return err
+		}
+		_ = res.Body.Close()
+		d.logf("check-in of another writer %s: status %d", body, res.StatusCode)
+	}
+	const requests = 100
+	served := 0
+	for i := range requests {
+		if i == requests/2 {
+			// The check-ins are not repeated, and their engines are silent by then.
+			time.Sleep(45 * time.Second)
+		}
+		if a := c.plain(http.MethodGet, "/status/x", 2*time.Second); a.status == http.StatusOK && a.complete {
+			served++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	d.logf("%d of %d requests served", served, requests)
+	if served < requests/4 {
+		return fmt.Errorf("%d of %d requests were served: %w", served, requests, errBroken)
+	}
+	return nil
+}
+
 // diskLosses: a core machine is replaced as planned: its successor starts first, and the old
 // machine gets SIGTERM after the successor has had its time to catch up. Then a manifest is
 // acknowledged, and the tolerated number of other machines lose their disks.
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -29,6 +29,9 @@
 	EventMS, WorkMS int
 	// Muted keeps check-ins back until the command "unmute".
 	Muted bool
+	// FirstMS is the time to the first event of a stream in milliseconds, in addition to
+	// EventMS. The header of the answer is sent at once.
+	FirstMS int
 	// Unframed makes streams end with their connection.
 	Unframed bool
 	// KeepsRunning makes the engine go on with a run whose connection has ended.
@@ -61,7 +64,9 @@
 	mu       sync.Mutex
 	sequence int
 	draining bool
-	runs     map[string]*run
+	// slow is the factor by which runs that begin now take longer, 0 if they don't.
+	slow int
+	runs map[string]*run
 	// copies holds the memory that this engine keeps for others, and for runs that it has
 	// stopped, by ADDRESS/HANDLE.
 	copies map[string]*memory
@@ -118,6 +123,10 @@
 		switch s.Text() {
 		case "drain":
 			e.draining = true
+		case "slow":
+			e.slow = 4
+		case "end slow":
+			e.slow = 0
 		case "mute":
 			e.Muted = true
 		case "unmute":
@@ -359,6 +368,10 @@
 	if _, err := c.Write([]byte(head)); err != nil {
 		return false
 	}
+	e.mu.Lock()
+	slow := max(1, e.slow)
+	e.mu.Unlock()
+	time.Sleep(time.Duration(slow*e.FirstMS) * time.Millisecond)
 	connected, reportedAt := true, time.Time{}
 	for n := s.made + 1; n <= in.Events; n++ {
 		select {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,6 +41,9 @@
 	"truncated-stream": truncatedStream,
 	"spoiled-answer":   spoiledAnswer,
 	"late-stream":      lateStream,
+	"unanswered":       unanswered,
+	"lost-engine":      lostEngine,
+	"other-writer":     otherWriter,
 	"disk-losses":      diskLosses,
 }
 
