Hand over the vote of a control host that is stopped

Cause: a learner got a vote only in place of a voter that had been silent for 3 s. A host that is stopped as planned kept its vote although its successor was ready, and counted like one more lost disk.

A hub that gets the signal to stop now asks the leader to replace it by a learner (Hub.Leave) and ends once the leader has confirmed that it has no vote, at the latest one second before its grace period is over. It serves meanwhile. The leader replaces itself, too. A hub without a successor ends at once and keeps its vote, as it may only restart.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -68,6 +68,8 @@
 	Bootstrap bool
 	// ToleratedDisks is the number of disks that may be lost at the same time.
 	ToleratedDisks int
+	// Grace is the time from the end of the context of Run to the forced end of the process.
+	Grace time.Duration
 	// RegionOf maps each data centre to its region.
 	RegionOf map[serving.DataCentreID]serving.RegionID
 	// DecodeConfig decodes a routing configuration document.
@@ -106,9 +108,13 @@
 	// changed is closed, and replaced by a new channel, on a change that is sent to
 	// entries and other hubs without delay.
 	changed chan struct{}
+	// leaving is set once this hub has begun to shut down, and leavingUntil holds the voters
+	// that have asked this hub, as the leader, to give their votes to learners.
+	leaving      bool
+	leavingUntil map[serving.ReplicaID]time.Duration
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and this hub has handed over its vote, if there is a successor.
 func (h *Hub) Run(ctx context.Context) error {
 	h.once.Do(h.setup)
 	internal, err := net.Listen("tcp", h.Listen)
@@ -120,7 +126,13 @@
 		return serving.WrapError(err, serving.KindInvalid, "listen on "+h.ControlAddress)
 	}
 	klog.InfoS("Hub started", "host", h.Host, "data_centre", h.DataCentre, "address", h.Address, "control", h.ControlAddress, "bootstrap", h.Bootstrap)
-	g, ctx := errgroup.WithContext(ctx)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer context.AfterFunc(ctx, func() {
+		h.leave(running)
+		stop()
+	})()
+	g, ctx := errgroup.WithContext(running)
 	g.Go(func() error { return h.replica.run(ctx, h) })
 	g.Go(func() error { return serve(ctx, internal, h.handler()) })
 	g.Go(func() error { return serve(ctx, control, h.Control) })
@@ -163,6 +175,7 @@
 	// As for presence.DefaultSilentAfter, a little over three heartbeat intervals.
 	h.directory.SilentAfter = max(h.directory.SilentAfter, 3*h.HeartbeatInterval+h.HeartbeatInterval/3)
 	h.lastDirect = map[serving.EngineID]time.Duration{}
+	h.leavingUntil = map[serving.ReplicaID]time.Duration{}
 	h.local, h.remote = usage.NewTable(useTTL), usage.NewTable(useTTL)
 	h.peers = map[string]*peer{}
 	h.placer.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: h.DataCentre, RegionOf: h.RegionOf}
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -20,6 +20,9 @@
 // testTimeout bounds waits that take about a second on an idle machine.
 const testTimeout = 30 * time.Second
 
+// testGrace is the time that a hub has to shut down.
+const testGrace = 8 * time.Second
+
 type testHub struct {
 	*Hub
 	folder string
@@ -64,8 +67,8 @@
 	initial []string
 	hubs    []*testHub
 	// disks are the simulated faults of the hubs' disks.
-	disks  [5]diskFaults
-	clocks [5]jumpingClock
+	disks  [6]diskFaults
+	clocks [6]jumpingClock
 }
 
 // host returns the address of hub i. Test processes that run at the same time have
@@ -79,7 +82,7 @@
 	h := &testHub{folder: folder, done: make(chan error, 1), Hub: &Hub{
 		Host: serving.HostID(c.host(i)), DataCentre: "a", Region: "a", Address: c.address(i), Listen: c.address(i)[len("http://"):],
 		ControlAddress: fmt.Sprintf("%s:%d", c.host(i), c.control), Control: http.NotFoundHandler(), InitialHubs: c.initial, DataFolder: folder,
-		Bootstrap: bootstrap, ToleratedDisks: 2, HeartbeatInterval: 300 * time.Millisecond,
+		Bootstrap: bootstrap, ToleratedDisks: 2, Grace: testGrace, HeartbeatInterval: 300 * time.Millisecond,
 		OpenDisk: c.disks[i].open, Clock: &c.clocks[i],
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/hub/members.go
+++ b/internal/hub/members.go
@@ -25,11 +25,14 @@
 )
 
 // join requests membership while this hub is not a member or has no contact with a
-// leader.
+// leader. A hub that shuts down doesn't ask to come back.
 func (h *Hub) join(ctx context.Context) {
 	every(ctx, joinInterval, func() {
 		s := h.replica.current().State()
-		if s.Self == (serving.ReplicaID{}) || s.Leading || s.IsMember && s.SinceLeaderContact < rejoinAfter {
+		h.mu.Lock()
+		leaving := h.leaving
+		h.mu.Unlock()
+		if leaving || s.Self == (serving.ReplicaID{}) || s.Leading || s.IsMember && s.SinceLeaderContact < rejoinAfter {
 			return
 		}
 		h.requestJoin(ctx, s.Self)
@@ -37,9 +40,21 @@
 }
 
 // requestJoin sends a join request to the known hubs, one after another, until one
-// confirms the membership. A hub that isn't the leader names the leader, which is then
-// asked next.
+// confirms the membership.
 func (h *Hub) requestJoin(ctx context.Context, self serving.ReplicaID) {
+	_, err := h.askLeader(ctx, func(ctx context.Context, hub schema.Hub) (bool, string, error) {
+		res, err := hub.Join(ctx, &schema.JoinRequest{Replica: self.String(), Address: h.Address})
+		return res.GetMember(), res.GetLeader(), err
+	})
+	if err != nil {
+		klog.V(1).InfoS("Join request failed", "replica", self, "err", err)
+	}
+}
+
+// askLeader calls ask with the known hubs, one after another, until one grants the request.
+// A hub that isn't the leader names the leader, which is then asked next. The error is that
+// of the last hub that did not answer.
+func (h *Hub) askLeader(ctx context.Context, ask func(context.Context, schema.Hub) (granted bool, leader string, err error)) (granted bool, last error) {
 	h.mu.Lock()
 	var addresses []string
 	for address := range h.peers {
@@ -53,19 +68,18 @@
 		}
 		tried[addresses[i]] = true
 		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		res, err := schema.NewHubProtobufClient(addresses[i], h.client).Join(callCtx, &schema.JoinRequest{Replica: self.String(), Address: h.Address})
+		granted, leader, err := ask(callCtx, schema.NewHubProtobufClient(addresses[i], h.client))
 		cancel()
-		if err != nil {
-			klog.V(1).InfoS("Join request failed", "hub", addresses[i], "err", err)
-			continue
-		}
-		if res.GetMember() {
-			return
-		}
-		if leader := res.GetLeader(); leader != "" && !tried[leader] {
+		switch {
+		case err != nil:
+			last = serving.WrapError(err, serving.KindNoQuorum, "ask the hub at "+addresses[i])
+		case granted:
+			return true, nil
+		case leader != "" && !tried[leader]:
 			addresses = append(addresses[:i+1], append([]string{leader}, addresses[i+1:]...)...)
 		}
 	}
+	return false, last
 }
 
 // Join implements schema.Hub. The leader makes the sender's replica a learner; other
@@ -103,7 +117,7 @@
 		if !s.Leading || !s.Settled {
 			return
 		}
-		next := h.policy().Next(s.Self, s.Members)
+		next := h.policy().Next(s.Self, h.markLeaving(s.Members))
 		if next == nil {
 			return
 		}
--- a/pkg/serving/membership/membership.go
+++ b/pkg/serving/membership/membership.go
@@ -50,6 +50,9 @@
 	// EntriesBehind is the number of committed entries that are not known to be
 	// durable on the member. It is 0 on replicas that do not lead.
 	EntriesBehind uint64
+	// Leaving is true if the process of the member has announced its end. Members doesn't
+	// set it.
+	Leaving bool
 }
 
 // Members returns the members in the status of a replica at time now.
@@ -80,10 +83,11 @@
 // come first, so that one that falls silent does not delay the others. A learner that is
 // up to date replaces a voter of the same host, whose data is lost. Otherwise it is
 // promoted if there are fewer voters than required, or else replaces the voter that has
-// been silent for longest, if that is longer than ReplaceAfter. Learners that have been
-// silent for longer than DropLearnerAfter are removed last.
+// been silent for longest, if that is longer than ReplaceAfter, or else one that is leaving.
+// Learners that have been silent for longer than DropLearnerAfter are removed last.
 func (p *Policy) Next(self serving.ReplicaID, members []Member) *ledger.MemberChange {
-	voters, silent := 0, (*Member)(nil)
+	voters := 0
+	var silent, leaving *Member
 	hosts := map[serving.HostID]*Member{}
 	var learners []*Member
 	for i := range members {
@@ -97,6 +101,13 @@
 		if m.ID != self && m.SinceContact > ReplaceAfter && (silent == nil || m.SinceContact > silent.SinceContact) {
 			silent = m
 		}
+		if m.Leaving && leaving == nil {
+			leaving = m
+		}
+	}
+	replaceable := silent
+	if replaceable == nil {
+		replaceable = leaving
 	}
 	slices.SortStableFunc(learners, func(a, b *Member) int { return cmp.Compare(a.SinceContact, b.SinceContact) })
 	for _, m := range learners {
@@ -109,8 +120,8 @@
 			return &ledger.MemberChange{Action: ledger.Replace, Replica: m.ID, Old: old.ID}
 		case voters < p.RequiredVoters:
 			return &ledger.MemberChange{Action: ledger.Promote, Replica: m.ID}
-		case silent != nil:
-			return &ledger.MemberChange{Action: ledger.Replace, Replica: m.ID, Old: silent.ID}
+		case replaceable != nil:
+			return &ledger.MemberChange{Action: ledger.Replace, Replica: m.ID, Old: replaceable.ID}
 		}
 	}
 	for _, m := range learners {
@@ -120,3 +131,9 @@
 	}
 	return nil
 }
+
+// HasSuccessor reports whether a learner is in contact that can get the vote of a leaving
+// member, now or once it has the entries that it lacks.
+func HasSuccessor(members []Member) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return !m.Voter && m.SinceContact <= PromoteWithin })
+}
--- a/pkg/serving/membership/membership_test.go
+++ b/pkg/serving/membership/membership_test.go
@@ -28,6 +28,8 @@
 	behind.EntriesBehind = maxBehind + 1
 	unacked, older := member("d", "1", false, 0), member("d", "1", false, time.Second)
 	unacked.Acked = false
+	leaving := member("b", "1", true, 0)
+	leaving.Leaving = true
 	for _, tc := range []struct {
 		name     string
 		members  []membership.Member
@@ -47,6 +49,13 @@
 		{"a spare learner waits while all voters respond", with(member("d", "1", false, 0)), 3, "", "", ""},
 		{"a spare learner replaces the voter that is silent longest",
 			[]membership.Member{member("a", "1", true, 0), member("b", "1", true, silentFor), member("c", "1", true, silentFor+time.Second), member("d", "1", false, 0)}, 3, "replace", "d/1", "c/1"},
+		{"planned replacement: the successor replaces a leaving voter",
+			[]membership.Member{member("a", "1", true, 0), leaving, member("c", "1", true, 0), member("d", "1", false, 0)}, 3, "replace", "d/1", "b/1"},
+		{"planned replacement: the leader itself leaves",
+			[]membership.Member{leaving, member("a", "1", true, 0), member("c", "1", true, 0), member("d", "1", false, 0)}, 3, "replace", "d/1", "b/1"},
+		{"planned replacement beside a loss: the lost voter is replaced first",
+			[]membership.Member{member("a", "1", true, 0), leaving, member("c", "1", true, silentFor), member("d", "1", false, 0)}, 3, "replace", "d/1", "c/1"},
+		{"a leaving voter without a successor keeps its vote", []membership.Member{member("a", "1", true, 0), leaving, member("c", "1", true, 0)}, 3, "", "", ""},
 		{"a silent learner is not promoted", with(member("d", "1", false, membership.PromoteWithin+time.Second)), 5, "", "", ""},
 		{"a learner that is silent for long is removed", with(member("d", "1", false, membership.DropLearnerAfter+time.Second)), 5, "remove", "d/1", ""},
 	} {
