Stop an interrupted generation before it goes on elsewhere

Cause: resumeAfterMove took the end of the stream for the end of the run and resumed it from the newest copy. Only the last phase of a move asks the source to stop the run.

The entry now requests the source to stop the generation before it is resumed elsewhere. The answer either has a newer copy or says that there is no such generation. If the source refuses, the stream ends as lost. A source that can't be reached or doesn't answer is treated as before.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -171,8 +171,25 @@
 	}
 }
 
+// stopInterrupted makes sure that the source doesn't go on with a generation whose stream
+// was interrupted before the source was requested to stop it. Most engines drop a generation
+// with its connection, but not all. It returns false if the source may go on, so that the
+// generation must not be resumed elsewhere. An engine that can't be reached, or doesn't answer,
+// can't be stopped; it is as good as lost.
+func (g *Gateway) stopInterrupted(ctx context.Context, r *relay, m *move) bool {
+	for begin := g.Clock.Now(); ; {
+		if m.stopping || g.stopSource(ctx, r, m) {
+			return true
+		}
+		if g.Clock.Now()-begin >= moveWaitTimeout || !sleep(ctx, moveRetryDelay) {
+			return false
+		}
+	}
+}
+
 // stopSource requests the source to stop the generation and to copy the rest. It
-// returns false if the generation continues because the destination has no room.
+// returns false if the generation continues because the destination has no room, or another
+// request to copy it is in progress.
 func (g *Gateway) stopSource(ctx context.Context, r *relay, m *move) bool {
 	r.mu.Lock()
 	m.stopping = true
@@ -191,7 +208,7 @@
 		// The source may have stopped the generation. If it has, the stream ends.
 	case res.Handle != "":
 		m.latestCopy, m.stopped = serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}, true
-	case res.Outcome == serving.MoveNoRoom:
+	case res.Outcome == serving.MoveNoRoom, res.Outcome == serving.MoveBusy:
 		m.stopping = false
 		return false
 	default:
@@ -409,6 +426,10 @@
 		return false
 	}
 	dest := m.dest.Engine
+	if !r.g.stopInterrupted(r.ctx, r, m) {
+		r.log("Stream not resumed, its engine could not be stopped", "source", m.source.Engine, "destination", dest, "cause", cause)
+		return false
+	}
 	x, err := r.resumeAtDestination(m, m.dest)
 	if err != nil && m.stopping {
 		// The source still has the memory of a generation that it stopped.
