Bound a generation by its maximum while an entry shuts down

Cause: a stream was taken if twice its expected length fitted. The expectation comes from earlier outputs of the route and from the caller's hint, and bounds nothing: with outputs and a hint of 48 tokens, a stream of 1,040 tokens was taken 4.3 s before the end.

Shutdowns now count with the maximum that the caller states, and with half as much again as the latency objective for the first event. A stream without a maximum is taken only if its deadline fits.

TestFits drops the expected length from its inputs, as it has no effect any more; all its results are the same, and two rows are new.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -78,10 +78,9 @@
 	}
 	endsAt := time.Duration(j.g.endsAt.Load())
 	left := endsAt - j.g.Clock.Now()
-	c := shutdown.Call{TimeLeft: j.timeLeft(), Objective: j.Route.Objective}
-	if j.Route.Kind == serving.KindStreamRoute {
+	c := shutdown.Call{TimeLeft: j.timeLeft(), Objective: j.Route.Objective, Stream: j.Route.Kind == serving.KindStreamRoute, MaxTokens: j.MaxTokens}
+	if c.Stream {
 		j.g.board.mu.Lock()
-		c.Tokens, c.MaxTokens = j.g.board.lengths.Estimate(j.Route.Name, j.LengthHint, j.MaxTokens, 0), j.MaxTokens
 		c.TokenTime = j.g.board.tokenTime
 		j.g.board.mu.Unlock()
 	}
--- a/pkg/serving/shutdown/shutdown.go
+++ b/pkg/serving/shutdown/shutdown.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	c := shutdown.Call{TimeLeft: left, Objective: objective, Tokens: expected, MaxTokens: most, TokenTime: perToken}
+//	c := shutdown.Call{TimeLeft: left, Objective: objective, Stream: true, MaxTokens: most, TokenTime: perToken}
 //	if !c.Fits(graceLeft) {
 //		// Refuse the call and close the connection.
 //	}
@@ -28,9 +28,9 @@
 	// plainFactor times the latency objective is the time within which almost all plain
 	// calls are answered.
 	plainFactor = 3
-	// lengthFactor times the expected output length is a length that nine of ten outputs
-	// don't exceed; lengths have a log-normal distribution with a standard deviation of 0.7.
-	lengthFactor = 2
+	// firstEventFactor times the latency objective is the time within which almost all
+	// streams begin.
+	firstEventFactor = 1.5
 	// defaultTokenTime is the time per token at a busy engine, used until it was measured.
 	defaultTokenTime = 10 * time.Millisecond
 )
@@ -42,9 +42,11 @@
 	// Objective is the latency objective of the route, of a stream that to its first event;
 	// 0 means that there is none.
 	Objective time.Duration
-	// Tokens is the expected and MaxTokens the maximum output length of a generation, which
-	// is 0 if there is no maximum. Both are 0 for a plain call.
-	Tokens, MaxTokens serving.Tokens
+	// Stream is true if the answer is a stream of events.
+	Stream bool
+	// MaxTokens is the maximum output length of a generation, 0 if there is none. Expected
+	// lengths and callers' hints don't bound an output.
+	MaxTokens serving.Tokens
 	// TokenTime is the usual time per token, 0 if it is not known.
 	TokenTime time.Duration
 }
@@ -53,17 +55,13 @@
 func (c *Call) Required() time.Duration {
 	var required time.Duration
 	switch {
-	case c.Tokens > 0:
-		tokens := lengthFactor * c.Tokens
-		if c.MaxTokens > 0 {
-			tokens = min(tokens, c.MaxTokens)
-		}
+	case c.Stream && c.MaxTokens > 0:
 		perToken := c.TokenTime
 		if perToken <= 0 {
 			perToken = defaultTokenTime
 		}
-		required = c.Objective + time.Duration(tokens)*perToken
-	case c.Objective > 0:
+		required = time.Duration(firstEventFactor*float64(c.Objective)) + time.Duration(c.MaxTokens)*perToken
+	case !c.Stream && c.Objective > 0:
 		required = plainFactor * c.Objective
 	default:
 		required = c.TimeLeft
--- a/pkg/serving/shutdown/shutdown_test.go
+++ b/pkg/serving/shutdown/shutdown_test.go
@@ -14,8 +14,8 @@
 // taken although they can't be answered in time, and against refusing those that can.
 func TestFits(t *testing.T) {
 	const ms = time.Millisecond
-	long := shutdown.Call{TimeLeft: 39 * time.Second, Objective: 1800 * ms, Tokens: 944, MaxTokens: 4000, TokenTime: 9 * ms}
-	short := shutdown.Call{TimeLeft: 6 * time.Second, Objective: 1500 * ms, Tokens: 16, MaxTokens: 48}
+	long := shutdown.Call{TimeLeft: 39 * time.Second, Objective: 1800 * ms, Stream: true, MaxTokens: 4000, TokenTime: 9 * ms}
+	short := shutdown.Call{TimeLeft: 6 * time.Second, Objective: 1500 * ms, Stream: true, MaxTokens: 48}
 	plain := shutdown.Call{TimeLeft: 5 * time.Second, Objective: 300 * ms}
 	for _, tc := range []struct {
 		name      string
@@ -24,7 +24,9 @@
 		want      bool
 	}{
 		{"long generation at the signal", long, 7700 * ms, false},
-		{"long generation with a short maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Tokens: 944, MaxTokens: 500, TokenTime: long.TokenTime}, 7700 * ms, true},
+		{"long generation with a short maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, MaxTokens: 500, TokenTime: long.TokenTime}, 7700 * ms, true},
+		{"generation without a maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, TokenTime: long.TokenTime}, 7700 * ms, false},
+		{"generation that is far longer than its route's usual ones", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, MaxTokens: 2000, TokenTime: 6 * ms}, 4300 * ms, false},
 		{"long generation, grace for its deadline", long, 39 * time.Second, true},
 		{"short generation at the signal", short, 7700 * ms, true},
 		{"short generation at the end", short, 1500 * ms, false},
