Take only certain calls once the load balancer has noticed a shutdown

Two of the entries' logs show short streams that were cut at the end of the shutdown after 1.9 s and four events, and calls answered 504 after 0.95 to 2.0 s.

Cause: a call on an open connection was taken if what it usually needs fitted the rest of the grace period. A crowded or stalled engine needs longer, and then the stream is cut and the order gets no promise. That this is the cause of the users' cases is suspected; their record has no time of the signal.

After the notice to the load balancer only calls are taken whose deadline is within the grace period. They get an answer in any case. The others are refused at once with Retry-After; their callers' next connection reaches another entry. Within the notice nothing changes.

TestFits has a column for the notice; the results of all rows are the same, and three rows are new.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,8 @@
 	watcher   watcher
 	callers   connTracker
 	draining  atomic.Bool
+	// noticed is set once the load balancer has noticed that this entry shuts down.
+	noticed atomic.Bool
 	// endsAt is the time in nanoseconds by which calls must be answered; it is set before
 	// draining.
 	endsAt atomic.Int64
@@ -187,6 +189,7 @@
 	g.draining.Store(true)
 	klog.InfoS("Entry shutting down", "host", g.Host, "in_progress", inProgress.Value(), "grace", g.Grace)
 	time.Sleep(min(drainNotice, g.Grace/2))
+	g.noticed.Store(true)
 	_ = front.Close()
 	for g.callers.inUse() && g.Clock.Now()-start < g.Grace-graceReserve {
 		time.Sleep(shutdownPollInterval)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -84,8 +84,8 @@
 		c.TokenTime = j.g.board.tokenTime
 		j.g.board.mu.Unlock()
 	}
-	if !c.Fits(left) {
-		return serving.NewError(serving.KindDraining, "this entry shuts down in "+left.String()+", before the call could be answered").WithRetryAfter(drainingRetryAfter)
+	if !c.Fits(shutdown.Period{Left: left, Noticed: j.g.noticed.Load()}) {
+		return serving.NewError(serving.KindDraining, "this entry shuts down in "+left.String()+", before the call is certain to be answered").WithRetryAfter(drainingRetryAfter)
 	}
 	j.deadline = min(j.deadline, endsAt)
 	return nil
--- a/pkg/serving/shutdown/shutdown.go
+++ b/pkg/serving/shutdown/shutdown.go
@@ -6,10 +6,15 @@
 // can't be answered before the grace period is over is lost; if it is refused at once, its
 // caller sends it to another process.
 //
+// Until the load balancer has noticed, a caller that is refused may be sent to the same process
+// again, and calls are taken that are very likely answered in time. After that a refusal costs
+// the caller one more connection at most. Only calls are taken whose deadline is within the
+// grace period, because an engine that is crowded or has stalled needs longer than usual.
+//
 // # Usage
 //
 //	c := shutdown.Call{TimeLeft: left, Objective: objective, Stream: true, MaxTokens: most, TokenTime: perToken}
-//	if !c.Fits(graceLeft) {
+//	if !c.Fits(shutdown.Period{Left: graceLeft, Noticed: noticed}) {
 //		// Refuse the call and close the connection.
 //	}
 //
@@ -69,6 +74,15 @@
 	return min(required, c.TimeLeft)
 }
 
-// Fits reports whether the call is very likely answered within the rest of the grace
-// period.
-func (c *Call) Fits(graceLeft time.Duration) bool { return c.Required() <= graceLeft }
+// Period is what is left of a shutdown.
+type Period struct {
+	// Left is the rest of the grace period.
+	Left time.Duration
+	// Noticed is true once the load balancer sends no new connections.
+	Noticed bool
+}
+
+// Fits reports whether the call is to be taken.
+func (c *Call) Fits(p Period) bool {
+	return c.TimeLeft <= p.Left || !p.Noticed && c.Required() <= p.Left
+}
--- a/pkg/serving/shutdown/shutdown_test.go
+++ b/pkg/serving/shutdown/shutdown_test.go
@@ -11,7 +11,8 @@
 
 // Load pattern: rolling restarts of all entries with a grace period of 8 s, beside long
 // generations of about 10 s, short ones and plain calls. Guards against calls that are
-// taken although they can't be answered in time, and against refusing those that can.
+// taken although they can't be answered in time, or only if no engine stalls, and against
+// refusing those that can.
 func TestFits(t *testing.T) {
 	const ms = time.Millisecond
 	long := shutdown.Call{TimeLeft: 39 * time.Second, Objective: 1800 * ms, Stream: true, MaxTokens: 4000, TokenTime: 9 * ms}
@@ -21,22 +22,26 @@
 		name      string
 		call      shutdown.Call
 		graceLeft time.Duration
+		noticed   bool
 		want      bool
 	}{
-		{"long generation at the signal", long, 7700 * ms, false},
-		{"long generation with a short maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, MaxTokens: 500, TokenTime: long.TokenTime}, 7700 * ms, true},
-		{"generation without a maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, TokenTime: long.TokenTime}, 7700 * ms, false},
-		{"generation that is far longer than its route's usual ones", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, MaxTokens: 2000, TokenTime: 6 * ms}, 4300 * ms, false},
-		{"long generation, grace for its deadline", long, 39 * time.Second, true},
-		{"short generation at the signal", short, 7700 * ms, true},
-		{"short generation at the end", short, 1500 * ms, false},
-		{"plain call after the load balancer's notice", plain, 5200 * ms, true},
-		{"plain call at the end", plain, 500 * ms, false},
-		{"plain call at the end with little time left", shutdown.Call{TimeLeft: 400 * ms, Objective: 300 * ms}, 500 * ms, true},
-		{"plain call without an objective", shutdown.Call{TimeLeft: 5 * time.Second}, 4900 * ms, false},
+		{"long generation at the signal", long, 7700 * ms, false, false},
+		{"long generation with a short maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, MaxTokens: 500, TokenTime: long.TokenTime}, 7700 * ms, false, true},
+		{"generation without a maximum", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, TokenTime: long.TokenTime}, 7700 * ms, false, false},
+		{"generation that is far longer than its route's usual ones", shutdown.Call{TimeLeft: long.TimeLeft, Objective: long.Objective, Stream: true, MaxTokens: 2000, TokenTime: 6 * ms}, 4300 * ms, true, false},
+		{"long generation, grace for its deadline", long, 39 * time.Second, false, true},
+		{"short generation at the signal", short, 7700 * ms, false, true},
+		{"short generation at the end", short, 1500 * ms, true, false},
+		{"plain call after the load balancer's notice", plain, 5200 * ms, true, true},
+		{"plain call at the end", plain, 500 * ms, true, false},
+		{"plain call at the end with little time left", shutdown.Call{TimeLeft: 400 * ms, Objective: 300 * ms}, 500 * ms, true, true},
+		{"plain call without an objective", shutdown.Call{TimeLeft: 5 * time.Second}, 4900 * ms, false, false},
+		{"short generation after the load balancer's notice", short, 4 * time.Second, true, false},
+		{"short generation whose deadline is near", shutdown.Call{TimeLeft: 3 * time.Second, Objective: short.Objective, Stream: true, MaxTokens: 48}, 4 * time.Second, true, true},
+		{"plain call of 2 s before its end", shutdown.Call{TimeLeft: 2 * time.Second, Objective: 300 * ms}, 1900 * ms, true, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			assert.Equal(t, tc.call.Fits(tc.graceLeft), tc.want)
+			assert.Equal(t, tc.call.Fits(shutdown.Period{Left: tc.graceLeft, Noticed: tc.noticed}), tc.want)
 		})
 	}
 }
