Bound an engine's answer to a read-back

Operators of similar systems report that a faulty engine sent bytes without end, which its caller kept until it ran out of memory. A control replica of the project's own interface could do so.

Cause: readBackEngine decoded the answer as it came. The JSON decoder keeps a string without end until the timeout of one second.

The answer is limited to 1 MiB.

--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// maxReadBack bounds an engine's answer to a read-back in bytes.
+	maxReadBack = 1 << 20
 	// queryTimeout bounds a call that asks an entry for its engines or an engine
 	// for its state.
 	queryTimeout = time.Second
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -170,7 +171,7 @@
 	}
 	defer res.Body.Close()
 	var in ordersInForce
-	if err := json.NewDecoder(res.Body).Decode(&in); err != nil || res.StatusCode != http.StatusOK {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReadBack)).Decode(&in); err != nil || res.StatusCode != http.StatusOK {
 		return serving.NewError(serving.KindEngineFailed, fmt.Sprintf("the engine answered the read-back with status %d or an invalid body", res.StatusCode))
 	}
 	e.Models = nil
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +97,25 @@
 	assert.Assert(t, order.FencingNumber > 0)
 }
 
+// Guards against a control replica that runs out of memory because a faulty engine answers a
+// read-back with bytes without end.
+func TestReadBackWithoutEnd(t *testing.T) {
+	// maxTaken allows for the buffers of the kernel.
+	const maxTaken = 12 << 20
+	var taken atomic.Int64
+	faulty := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		more := strings.Repeat("x", 64<<10)
+		for n, err := io.WriteString(w, `{"models":[{"model":"`); err == nil; n, err = io.WriteString(w, more) {
+			taken.Add(int64(n))
+		}
+	}))
+	defer faulty.Close()
+	o := &engineOrders{clock: &manualClock{}, engineClient: faulty.Client()}
+	err := o.readBackEngine(t.Context(), &Blackboard{Addresses: map[string]string{"e1": strings.TrimPrefix(faulty.URL, "http://")}}, &fleet.Engine{ID: "e1"})
+	assert.Equal(t, serving.KindOf(err), serving.KindEngineFailed)
+	assert.Assert(t, taken.Load() < maxTaken, "the replica took %d bytes", taken.Load())
+}
+
 type manualClock struct{ now time.Duration }
 
 func (c *manualClock) Now() time.Duration { return c.now }
