Give up an answer that isn't the engine's at its header

Cause: readAnswer read the body, and looked at its length, before it looked at the header.

Heads, chunks, trailers and events without end were bounded before.

The header decides now: the connection is closed, and the caller gets 502 or, where the route allows it, the answer of a second engine. New are the metric answers_unsigned and a log line with what was missing.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	moves               = expvar.NewMap("streams_moved")
 	streamsLost         = expvar.NewInt("streams_lost")
 	answersTruncated    = expvar.NewMap("answers_truncated")
+	answersUnsigned     = expvar.NewInt("answers_unsigned")
 	processChecks       = expvar.NewMap("engine_process_checks")
 	lostBeforeAnswer    = expvar.NewInt("calls_lost_before_answer")
 	answerTimes         = newHistogram("answer_ms")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -155,9 +155,16 @@
 }
 
 // readAnswer reads an answer up to maxBufferedAnswer bytes. An unread remainder is
-// left in the result.
+// left in the result. The body of an answer that can't be forwarded isn't read.
 func (j *job) readAnswer(x *upstream.Exchange, t *placement.Ticket) attemptResult {
 	res := attemptResult{exchange: x, reached: true, notRun: x.NotRun}
+	if x.Status/100 == 2 && (!x.Signed || x.Encoded) {
+		answersUnsigned.Add(1)
+		j.log("Answer not forwarded", "engine", t.Engine, "status", x.Status, "signed", x.Signed, "encoded", x.Encoded, "framing", x.Framing)
+		res.err = serving.NewError(serving.KindEngineFailed, "the engine's answer is not signed").WithRan(serving.DidRun)
+		x.Close(false)
+		return res
+	}
 	var b bytes.Buffer
 	body := upstream.NewVerifiedBody(x, func(end completion.Ending) completion.Verdict { return j.assess(x, t, end) })
 	n, err := io.CopyN(&b, body, maxBufferedAnswer)
@@ -169,9 +176,6 @@
 		res.brokenOff = true
 		res.err = serving.WrapError(err, serving.KindEngineFailed, "the engine broke off its answer").WithRan(serving.DidRun)
 		x.Close(false)
-	case x.Status/100 == 2 && (!x.Signed || x.Encoded):
-		res.err = serving.NewError(serving.KindEngineFailed, "the engine's answer is not signed").WithRan(serving.DidRun)
-		x.Close(false)
 	default:
 		x.Close(!res.notRun)
 	}
