Bound what an entry holds of the answers of all calls

An entry can run out of memory and end with the calls of all its callers if engines send long answers for many calls at once (reported by operators of similar systems).

Cause: up to 512 KiB of an answer are held for a second attempt, and up to 256 KiB of an event, with no bound for all calls together.

Beyond that an answer is passed on as it comes, and an event that is too long ends its stream.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 	fairQueue placement.FairQueue
 	watcher   watcher
 	callers   connTracker
+	held      heldBytes
 	draining  atomic.Bool
 	// noticed is set once the load balancer has noticed that this entry shuts down.
 	noticed atomic.Bool
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -17,8 +16,8 @@
 
 const (
 	// maxBufferedAnswer is the size in bytes up to which an answer is read completely
-	// before any of it is forwarded. If the engine fails while sending a shorter
-	// answer, the call can still be retried at another engine.
+	// before any of it is forwarded, as long as heldBytes allows. If the engine fails while
+	// sending a shorter answer, the call can still be retried at another engine.
 	maxBufferedAnswer = 512 << 10
 	// idempotentMaxIdleTime is the maximum idle time of a connection for a call that
 	// may run again. If the connection turns out to be closed, the call is retried.
@@ -37,7 +36,7 @@
 type attemptResult struct {
 	exchange *upstream.Exchange
 	body     []byte
-	// remainder is the unread part of an answer longer than maxBufferedAnswer.
+	// remainder is the unread part of an answer that is too long to be held.
 	remainder io.Reader
 	err       error
 	// notRun means that the engine did not run the call, reached that the call may have
@@ -67,6 +66,7 @@
 			return
 		}
 		last.discard()
+		j.held.end()
 		last = j.attempt(ticket, maxAttempts)
 		j.tried = append(j.tried, ticket.Engine)
 		if last.err == nil && !last.notRun && last.exchange.Status < http.StatusInternalServerError {
@@ -165,12 +165,11 @@
 		x.Close(false)
 		return res
 	}
-	var b bytes.Buffer
 	body := upstream.NewVerifiedBody(x, func(end completion.Ending) completion.Verdict { return j.assess(x, t, end) })
-	n, err := io.CopyN(&b, body, maxBufferedAnswer)
-	res.body = b.Bytes()
+	var err error
+	res.body, err = j.held.read(body, maxBufferedAnswer)
 	switch {
-	case err == nil && n == maxBufferedAnswer:
+	case err == nil:
 		res.remainder = body
 	case !errors.Is(err, io.EOF):
 		res.brokenOff = true
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,6 +48,8 @@
 	revision      uint64
 	engine        serving.EngineID
 	headerWritten bool
+	// held counts the bytes of answers that are held for the call.
+	held hold
 }
 
 // serve answers one request of a caller.
@@ -75,7 +77,8 @@
 		g.Dialect.Refuse(w, nil, serving.AsError(err))
 		return
 	}
-	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context()}
+	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context(), held: hold{of: &g.held}}
+	defer j.held.end()
 	if err := j.decide(); err != nil {
 		j.refuse(err)
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -100,6 +100,7 @@
 		}
 		r.cancelMove()
 		r.detach()
+		r.held.end()
 		result := r.readFailedStart(ticket, x, err)
 		r.tried = append(r.tried, ticket.Engine)
 		if !result.notRun || !r.mayRetry(result.reached) {
@@ -245,6 +246,7 @@
 // regular end of the stream.
 func (r *relay) forwardEvents(control *http.ResponseController) error {
 	events := upstream.NewEventReader(r.exchange.Body)
+	events.MayHold = func(n int) bool { return r.held.extend(int64(n)) }
 	var batch []byte
 	for {
 		waitedFrom := r.g.Clock.Now()
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -19,6 +19,10 @@
 
 // EventReader splits the body of an answer into server-sent events.
 type EventReader struct {
+	// MayHold, if set, reports whether the reader may hold an event of n bytes. It is called
+	// for events longer than eventBuffer.
+	MayHold func(n int) bool
+
 	reader *bufio.Reader
 	event  []byte
 }
@@ -45,7 +49,7 @@
 		case len(bytes.TrimRight(r.event[lineStart(r.event, start):], "\r\n")) == 0 && start > 0:
 			return r.event, nil
 		}
-		if len(r.event) > maxEvent {
+		if len(r.event) > maxEvent || len(r.event) > eventBuffer && r.MayHold != nil && !r.MayHold(len(r.event)) {
 			return nil, serving.NewError(serving.KindEngineFailed, "the engine sent an event that is too long").WithRan(serving.DidRun)
 		}
 	}
