Ask the process who it is if an answer was held back before its end

Cause: an unframed answer counts as complete if a process accepts connections at the engine's address, unless the pause before the end left time for a restart. Bytes that the network held back come together with the end, so that the pause is short, and the process was not identified.

Silences are recorded now (completion.Arrivals). If an answer ends soon after one, the entry asks the process for its start and its id (Dialect.IdentityRequests). Another process, or no answer, means that the answer was truncated.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -373,19 +373,29 @@
 // sendEngineRequest sends a request to an engine and decodes its answer. Canceling
 // ctx doesn't abort the request, because the engine would still execute it.
 func (g *Gateway) sendEngineRequest(ctx context.Context, target placement.Target, req serving.EngineRequest) (serving.MoveResult, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engineRequestTimeout)
-	defer cancel()
 	g.countRequest(target.Engine)
-	x, err := g.upstream.Send(ctx, upstream.Request{Address: target.Address, Method: req.Method, Target: req.Target, Host: target.Address, Body: req.Body, AnswerWithoutID: true, MaxIdleTime: upstream.SafeIdleTime, MaxIdleConns: 1})
+	x, body, err := g.callEngine(context.WithoutCancel(ctx), target.Address, req, engineRequestTimeout)
 	if err != nil {
 		return serving.MoveResult{Outcome: serving.MoveFailed}, err
 	}
+	return g.Dialect.DecodeMove(x.Status, body), nil
+}
+
+// callEngine sends a request of this entry to an engine and reads the answer.
+func (g *Gateway) callEngine(ctx context.Context, address string, req serving.EngineRequest, timeout time.Duration) (*upstream.Exchange, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	x, err := g.upstream.Send(ctx, upstream.Request{Address: address, Method: req.Method, Target: req.Target, Host: address, Header: req.Header, Body: req.Body,
+		AnswerWithoutID: true, MaxIdleTime: upstream.SafeIdleTime, MaxIdleConns: 1})
+	if err != nil {
+		return nil, nil, err
+	}
 	body, err := io.ReadAll(io.LimitReader(x.Body, maxEngineAnswer))
 	x.Close(err == nil)
 	if err != nil {
-		return serving.MoveResult{Outcome: serving.MoveFailed}, serving.WrapError(err, serving.KindEngineFailed, "read the answer to an engine request").WithRan(serving.RanUnknown)
+		return nil, nil, serving.WrapError(err, serving.KindEngineFailed, "read the answer to an engine request").WithRan(serving.RanUnknown)
 	}
-	return g.Dialect.DecodeMove(x.Status, body), nil
+	return x, body, nil
 }
 
 // countRequest counts a request towards the limit that the engine has named. Requests that
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -187,11 +187,14 @@
 	if end.Assess() == completion.Undecided {
 		begin := j.g.Clock.Now()
 		end.Process = x.CheckProcess(j.ctx)
+		if end.Process == completion.Running && end.MayHaveRestarted() {
+			end.Process = j.identifyProcess(t)
+		}
 		if j.g.restarted(t, end.MayHaveRestarted()) {
 			end.Process = completion.Ended
 		}
 		processChecks.Add(string(end.Process), 1)
-		j.log("Answer ended with its connection", "process", end.Process, "pause", end.Pause, "busy", end.Busy, "check_took", j.g.Clock.Now()-begin)
+		j.log("Answer ended with its connection", "process", end.Process, "pause", end.Pause, "busy", end.Busy, "resumed", end.Resumed, "since_resumed", end.SinceResumed, "check_took", j.g.Clock.Now()-begin)
 	}
 	verdict := end.Assess()
 	if verdict != completion.Complete {
@@ -200,6 +203,34 @@
 	return verdict
 }
 
+// identifyProcess asks the process at the address of a ticket's engine who it is.
+func (j *job) identifyProcess(t *placement.Ticket) completion.Process {
+	process := completion.Unreachable
+	for _, req := range j.g.Dialect.IdentityRequests(t.Engine, j.Service.HealthPath) {
+		begin := j.g.Clock.Now()
+		x, body, err := j.g.callEngine(j.ctx, t.Address, req, identityTimeout)
+		if err != nil {
+			j.log("Engine not identified", "engine", t.Engine, "target", req.Target, "took", j.g.Clock.Now()-begin, "err", err)
+			continue
+		}
+		id := j.g.Dialect.DecodeIdentity(x.Status, x.Header, body)
+		j.log("Engine identified", "engine", t.Engine, "target", req.Target, "status", x.Status, "is", id.Engine, "other", id.Other,
+			"started", id.Started, "expected_started", t.Started, "took", j.g.Clock.Now()-begin)
+		switch {
+		case id.Other, id.Engine != "" && id.Engine != t.Engine, id.Started != 0 && t.Started != 0 && id.Started != t.Started:
+			return completion.Ended
+		case id.Started != 0 && t.Started != 0:
+			return completion.Running
+		case id.Engine != "":
+			process = completion.Running
+		}
+	}
+	return process
+}
+
+// identityTimeout bounds one request for the identity of an engine.
+const identityTimeout = 500 * time.Millisecond
+
 // restarted reports whether the engine of a ticket is known to have been started again
 // since. If strict is set, the engine must also be known to run still.
 func (g *Gateway) restarted(t *placement.Ticket, strict bool) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -246,12 +246,15 @@
 // regular end of the stream.
 func (r *relay) forwardEvents(control *http.ResponseController) error {
 	events := upstream.NewEventReader(r.exchange.Body)
+	arrivals := completion.NewArrivals(r.exchange.SentAt)
+	arrivals.Observe(r.exchange.HeaderAt)
 	events.MayHold = func(n int) bool { return r.held.extend(int64(n)) }
 	var batch []byte
 	for {
 		waitedFrom := r.g.Clock.Now()
 		event, err := events.Next()
 		if err == nil {
+			arrivals.Observe(r.g.Clock.Now())
 			if r.recordEvent(event) {
 				batch = append(batch, event...)
 			}
@@ -260,7 +263,7 @@
 			}
 		} else {
 			r.unfinished = len(event)
-			if err = r.classifyEnd(err, event, waitedFrom); errors.Is(err, io.EOF) {
+			if err = r.classifyEnd(err, event, waitedFrom, &arrivals); errors.Is(err, io.EOF) {
 				batch = append(batch, event...)
 			}
 		}
@@ -283,14 +286,15 @@
 }
 
 // classifyEnd distinguishes the end of a complete answer from its truncation, which is
-// io.ErrUnexpectedEOF. rest holds the bytes after the last event, and waitedFrom is when the
-// relay began to wait for the next one.
-func (r *relay) classifyEnd(err error, rest []byte, waitedFrom time.Duration) error {
+// io.ErrUnexpectedEOF. rest holds the bytes after the last event, waitedFrom is when the
+// relay began to wait for the next one, and arrivals has the events before.
+func (r *relay) classifyEnd(err error, rest []byte, waitedFrom time.Duration, arrivals *completion.Arrivals) error {
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
 	end := completion.Ending{Framed: r.exchange.Framing != upstream.EndsWithConnection, Empty: r.events == 0 && len(rest) == 0,
 		Partial: isEventStream(r.exchange.Header) && completion.InsideEvent(rest), Pause: r.g.Clock.Now() - waitedFrom, Busy: waitedFrom - r.lastEventAt}
+	end.Resumed, end.SinceResumed = arrivals.End(r.g.Clock.Now())
 	if end.Assess() == completion.Undecided {
 		end.Stopped = r.stoppedForMove()
 	}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -15,8 +15,9 @@
 	assess   func(completion.Ending) completion.Verdict
 	// read is the number of bytes read. readAt is the time at which the last of them
 	// arrived; the header, if there are none.
-	read   int64
-	readAt time.Duration
+	read     int64
+	readAt   time.Duration
+	arrivals completion.Arrivals
 	// end is the error at the end of the body, nil before.
 	end error
 }
@@ -24,7 +25,9 @@
 // NewVerifiedBody returns the body of an exchange. assess decides whether the answer is
 // complete.
 func NewVerifiedBody(x *Exchange, assess func(completion.Ending) completion.Verdict) *VerifiedBody {
-	return &VerifiedBody{exchange: x, assess: assess, readAt: x.pool.Clock.Now()}
+	b := &VerifiedBody{exchange: x, assess: assess, readAt: x.pool.Clock.Now(), arrivals: completion.NewArrivals(x.SentAt)}
+	b.arrivals.Observe(x.HeaderAt)
+	return b
 }
 
 // Read implements io.Reader.
@@ -40,8 +43,10 @@
 		b.read += int64(n)
 		b.readAt = now
 		end.Pause, end.Busy = 0, 0
+		b.arrivals.Observe(now)
 	}
 	end.Empty = b.read == 0
+	end.Resumed, end.SinceResumed = b.arrivals.End(now)
 	// An engine that did not run the call says so in the header.
 	if errors.Is(err, io.EOF) && !b.exchange.NotRun && b.assess(end) != completion.Complete {
 		err = io.ErrUnexpectedEOF
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -83,6 +83,9 @@
 	Framing Framing
 	// Reused reports whether the connection was used for another call before.
 	Reused bool
+	// SentAt is when the call was sent, and HeaderAt when the header of the answer had
+	// arrived.
+	SentAt, HeaderAt time.Duration
 
 	pool         *Pool
 	key          poolKey
@@ -107,6 +110,7 @@
 	if r.Connected != nil {
 		r.Connected(c.reused)
 	}
+	x.SentAt = p.Clock.Now()
 	if _, err := c.Write(encode(&r)); err != nil {
 		x.Close(false)
 		return nil, sendError(ctx, err, "send to the engine")
@@ -115,6 +119,7 @@
 		x.Close(false)
 		return nil, sendError(ctx, err, "read the engine's answer")
 	}
+	x.HeaderAt = p.Clock.Now()
 	return x, nil
 }
 
--- a/pkg/serving/call.go
+++ b/pkg/serving/call.go
@@ -149,9 +149,19 @@
 // purposes and not for a caller.
 type EngineRequest struct {
 	Method, Target string
+	Header         http.Header
 	Body           []byte
 }
 
+// Identity is what an engine says of itself. Fields that it doesn't state are zero.
+type Identity struct {
+	Engine EngineID
+	// Started is the start of its process in Unix milliseconds.
+	Started int64
+	// Other is true if the engine says that it isn't the one that was asked.
+	Other bool
+}
+
 // Dialect translates between the types of this package and the messages that callers
 // and engines of a platform exchange with an entry.
 type Dialect interface {
@@ -174,6 +184,11 @@
 	DecodeMove(status int, body []byte) MoveResult
 	// DropCopyRequest returns the request to free a memory copy.
 	DropCopyRequest(handle string) EngineRequest
+	// IdentityRequests returns the requests that ask which engine answers at an address,
+	// the cheapest first. healthPath is that of the engine's service.
+	IdentityRequests(expected EngineID, healthPath string) []EngineRequest
+	// DecodeIdentity decodes the answer to an identity request.
+	DecodeIdentity(status int, h http.Header, body []byte) Identity
 	// EventID returns the id of a server-sent event, or empty if it has none.
 	EventID(event []byte) string
 }
--- a/pkg/serving/completion/completion.go
+++ b/pkg/serving/completion/completion.go
@@ -43,6 +43,10 @@
 // connection. A longer wait leaves time for the process to crash and to be started again.
 const MaxPause = time.Second
 
+// heldBackTime is the time within which the bytes arrive that the network has held back during
+// a silence.
+const heldBackTime = 2 * time.Second
+
 // Verdict is what the end of an answer shows.
 type Verdict string
 
@@ -83,14 +87,47 @@
 	// last byte of the body, in which the reader did something else, such as writing to a
 	// slow caller; the connection may have ended in that time.
 	Pause, Busy time.Duration
+	// Resumed is true if bytes of the answer came after a silence of more than MaxPause, and
+	// SinceResumed is the time from the last such silence to the end.
+	Resumed      bool
+	SinceResumed time.Duration
 	// Process is the state of the engine's process after the end.
 	Process Process
 }
 
-// MayHaveRestarted reports whether the connection may have ended so long ago that the
-// process can have been started again since. Then a process that runs is the same one only
-// if its heartbeats say so.
-func (e Ending) MayHaveRestarted() bool { return e.Busy > MaxPause }
+// Arrivals records when the bytes of an answer arrive. The first time is that of the
+// request.
+type Arrivals struct {
+	last, resumedAt time.Duration
+	resumed         bool
+}
+
+// NewArrivals returns the arrivals of an answer to a request that was sent at a time.
+func NewArrivals(sentAt time.Duration) Arrivals { return Arrivals{last: sentAt} }
+
+// Observe records that bytes have arrived.
+func (a *Arrivals) Observe(now time.Duration) {
+	if now-a.last > MaxPause {
+		a.resumed, a.resumedAt = true, now
+	}
+	a.last = now
+}
+
+// End returns Resumed and SinceResumed of an answer that has ended.
+func (a *Arrivals) End(now time.Duration) (resumed bool, since time.Duration) {
+	if !a.resumed {
+		return false, 0
+	}
+	return true, now - a.resumedAt
+}
+
+// MayHaveRestarted reports whether the process may have ended so long ago that it can have
+// been started again since: the reader may not have seen the end of the connection, or the
+// network may have held it back together with the last bytes. Then a process that runs is the
+// same one only if it says so.
+func (e Ending) MayHaveRestarted() bool {
+	return e.Busy > MaxPause || e.Resumed && e.SinceResumed <= heldBackTime
+}
 
 // Assess returns what the end of the answer shows.
 func (e Ending) Assess() Verdict {
--- a/pkg/serving/routing/config.go
+++ b/pkg/serving/routing/config.go
@@ -61,6 +61,8 @@
 	// MaxConnections bounds the connections to one engine from all entry processes
 	// together; 0 means no limit.
 	MaxConnections int
+	// HealthPath is the path at which an engine names itself; empty if there is none.
+	HealthPath string
 	// ColdFor is how long an engine is cold after a start. A cold engine is slower and
 	// gets calls at a limited rate.
 	ColdFor time.Duration
