Answer a stream that ends before its first event

Cause: the header of the caller's answer counted as written when that of the engine had come.

The header is now written with the first event. A stream that ends before it gets 504 at its deadline and 502 otherwise.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -192,21 +192,21 @@
 }
 
 // forwardStream forwards events to the caller until the stream ends. If the
-// generation moves, it continues with the stream of the next engine.
+// generation moves, it continues with the stream of the next engine. The header is written
+// with the first events, so that a stream without any can still be answered with an error.
 func (r *relay) forwardStream() {
-	r.setHeader(r.exchange.Header)
-	r.headerWritten = true
-	r.w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(r.w)
 	for {
 		err := r.forwardEvents(control)
 		if err == nil {
+			r.writeHeader()
 			r.outcome = placement.OK
 			return
 		}
 		if r.ctx.Err() != nil {
 			r.outcome = placement.Abandoned
 			r.abort(err)
+			return
 		}
 		r.outcome = placement.Broken
 		if !r.resumeAfterMove(err) {
@@ -214,11 +214,24 @@
 				r.recordLost(r.ticket)
 			}
 			r.abort(err)
+			return
 		}
 	}
 }
 
-// abort aborts the caller's connection, so the answer doesn't look complete.
+// writeHeader writes the header of the caller's response if that wasn't done yet.
+func (r *relay) writeHeader() {
+	if r.headerWritten {
+		return
+	}
+	r.setHeader(r.exchange.Header)
+	r.headerWritten = true
+	r.w.WriteHeader(http.StatusOK)
+}
+
+// abort ends a call whose stream ended early. Before the first event, it answers the call with
+// an error. After that it aborts the caller's connection by a panic, so that the answer doesn't
+// look complete.
 func (r *relay) abort(err error) {
 	if errors.Is(context.Cause(r.ctx), context.Canceled) {
 		callersDisconnected.Add(1)
@@ -231,7 +244,10 @@
 		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "unfinished_bytes", r.unfinished,
 			"since_last_event", r.sinceLastEvent(), "err", err)
 	}
-	panic(http.ErrAbortHandler)
+	if r.headerWritten {
+		panic(http.ErrAbortHandler)
+	}
+	r.refuse(r.asDeadlineError(serving.WrapError(err, serving.KindEngineFailed, "the stream ended before its first event").WithRan(serving.RanUnknown)))
 }
 
 // sinceLastEvent returns the time since the last event, 0 if there was none.
@@ -268,6 +284,7 @@
 			}
 		}
 		if len(batch) > 0 {
+			r.writeHeader()
 			if _, err := r.w.Write(batch); err != nil {
 				return err
 			}
