Use the engine that is claimed at the end of a wait

Cause: a call that had waited for an engine tried once more to learn the reason of the refusal, and dropped the ticket if that succeeded. After a backoff it can be the only probe of the engine, which then never ends.

The last attempt is used now. A call whose caller has left makes none.

--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -25,7 +25,7 @@
 }
 
 // place claims an engine for a call. If no engine has room, the call waits up to
-// maxWait, and the error is that of the last attempt.
+// maxWait, and the result is that of a last attempt.
 func (g *Gateway) place(ctx context.Context, need *placement.Need, rank int, maxWait time.Duration) (*placement.Ticket, error) {
 	b := &g.board
 	b.mu.Lock()
@@ -54,10 +54,11 @@
 		return ticket, nil
 	default:
 	}
-	if _, retryErr := b.pool.Place(g.Clock.Now(), need); retryErr != nil {
-		return nil, retryErr
+	if ctx.Err() != nil {
+		return nil, err
 	}
-	return nil, err
+	// The ticket must not be dropped: it may be the only probe of its engine.
+	return b.pool.Place(g.Clock.Now(), need)
 }
 
 // waitsTooLong reports whether a call can't be placed within maxWait because the limits of
