--- a/pkg/serving/membership/repair_test.go
+++ b/pkg/serving/membership/repair_test.go
@@ -38,12 +38,26 @@
 	checkPhase time.Duration
 	// silent holds replicas that receive nothing.
 	silent map[serving.ReplicaID]bool
+	// leaving holds replicas whose processes have announced their end, and timers what
+	// happens later.
+	leaving map[serving.ReplicaID]bool
+	timers  []timer
 	// change is the change that the leader repeats until changeUntil, nil if there is none.
 	change      *ledger.MemberChange
 	changeUntil time.Duration
 	log         []string
 }
 
+type timer struct {
+	at time.Duration
+	f  func()
+}
+
+// later calls f after a time.
+func (s *simulation) later(d time.Duration, f func()) {
+	s.timers = append(s.timers, timer{s.now + d, f})
+}
+
 type delivery struct {
 	at time.Duration
 	m  ledger.Message
@@ -54,7 +68,7 @@
 }
 
 func newSimulation(t *testing.T, hosts int, checkPhase time.Duration) *simulation {
-	s := &simulation{t: t, replicas: map[serving.ReplicaID]*ledger.Replica{}, random: rand.New(rand.NewPCG(7, 1)), checkPhase: checkPhase, silent: map[serving.ReplicaID]bool{}}
+	s := &simulation{t: t, replicas: map[serving.ReplicaID]*ledger.Replica{}, random: rand.New(rand.NewPCG(7, 1)), checkPhase: checkPhase, silent: map[serving.ReplicaID]bool{}, leaving: map[serving.ReplicaID]bool{}}
 	var m ledger.Membership
 	for i := range hosts {
 		m.Members = append(m.Members, ledger.Member{ID: replicaID(i, "initial"), Address: fmt.Sprint("h", i), Voter: true})
@@ -91,6 +105,11 @@
 // run advances the time by d in steps of a millisecond.
 func (s *simulation) run(d time.Duration) {
 	for end := s.now + d; s.now < end; s.now += time.Millisecond {
+		for _, t := range s.timers {
+			if t.at == s.now {
+				t.f()
+			}
+		}
 		var later []delivery
 		due := s.inFlight
 		s.inFlight = nil
@@ -135,6 +154,9 @@
 	status := leader.Status()
 	members := membership.Members(&status, s.now)
 	if s.change == nil && (s.now-status.ElectedAt)%checkInterval == s.checkPhase && status.MembershipCommitted && !status.Membership.Joint() {
+		for i := range members {
+			members[i].Leaving = s.leaving[members[i].ID]
+		}
 		p := membership.Policy{RequiredVoters: 5, MaxBehind: maxBehind}
 		s.change, s.changeUntil = p.Next(status.Self, members), s.now+changeTimeout
 	}
@@ -152,7 +174,7 @@
 		own := r.Status()
 		_, knows := own.Membership.Find(id)
 		_, known := status.Membership.Find(id)
-		if known || s.silent[id] || knows && s.now-own.LastContact < membership.PromoteWithin {
+		if known || s.silent[id] || s.leaving[id] || knows && s.now-own.LastContact < membership.PromoteWithin {
 			continue
 		}
 		_, _, _ = leader.ProposeMembers(s.now, ledger.MemberChange{Action: ledger.AddLearner, Replica: id, Address: string(id.Host)})
