--- /dev/null
+++ b/internal/upstream/fuzz_test.go
@@ -0,0 +1,104 @@
+package upstream_test
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"turmericdrum.org/turmericdrum/internal/upstream"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+// Guards against events of a faulty engine that are lost, changed or made up between the body of
+// an answer and its caller, and against a panic of the entry.
+func FuzzEvents(f *testing.F) {
+	for _, seed := range []string{"", "\n", "id: 1\ndata: x\n\n", "id: 1\r\ndata: x\r\n\r\nid: 2\n", "data: x\n\n\n\ndata", "\r\n\r\n:c\n\n"} {
+		f.Add([]byte(seed), 3)
+	}
+	f.Fuzz(func(t *testing.T, body []byte, chunk int) {
+		r := upstream.NewEventReader(&chunkReader{body: body, size: max(1, chunk%64)})
+		var got []byte
+		for {
+			event, err := r.Next()
+			got = append(got, event...)
+			if err != nil {
+				if errors.Is(err, io.EOF) && !bytes.Equal(got, body) {
+					t.Fatalf("got %q of %q", got, body)
+				}
+				return
+			}
+			if len(event) == 0 {
+				t.Fatal("an event without bytes")
+			}
+		}
+	})
+}
+
+// chunkReader returns its body in parts of at most size bytes.
+type chunkReader struct {
+	body []byte
+	size int
+}
+
+func (c *chunkReader) Read(p []byte) (int, error) {
+	if len(c.body) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(len(p), c.size)], c.body)
+	c.body = c.body[n:]
+	return n, nil
+}
+
+// Guards against bytes of a faulty engine that end the entry with a panic, keep a call past its
+// time, or count as the answer to another call.
+func FuzzAnswer(f *testing.F) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = l.Close() })
+	answers := make(chan []byte, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			answer := <-answers
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = c.Write(answer)
+			}
+			_ = c.Close()
+		}
+	}()
+	for _, seed := range []string{"", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: b\r\n\r\n", "HTTP/1.1 503 No\r\nNot-Run: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc", "garbage\r\n\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		const limit = 5 * time.Second
+		p := newPool()
+		defer p.CloseIdle()
+		answers <- answer
+		begin := time.Now()
+		x, err := p.Send(t.Context(), upstream.Request{Address: l.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Body: []byte("b"), ID: "a"})
+		if err == nil {
+			if x.RequestID != "a" && (x.RequestID != "" || !x.NotRun) {
+				t.Fatalf("the answer to %q was taken: %q", x.RequestID, answer)
+			}
+			_, err = io.Copy(io.Discard, io.LimitReader(x.Body, 1<<20))
+			x.Close(err == nil)
+		} else if serving.AsError(err).Ran == serving.NotRun {
+			t.Fatalf("a call that was sent counts as not run: %v", err)
+		}
+		if took := time.Since(begin); took > limit {
+			t.Fatalf("the call took %v", took)
+		}
+	})
+}
