Bound what an entry holds of the bodies of all callers

An entry runs out of memory, and ends with all its calls, if some dozens of callers send long bodies at once.

Cause: a body is bounded by 8 MiB, and all bodies together were not.

Bodies count against 24 MiB, except the first 32 KiB of each, so that ordinary calls are never refused for it. A body that doesn't fit is refused with 503 and Retry-After, by its stated length before it is read; one that states more than 8 MiB gets 413 at once. New metrics: body_bytes_held, body_holds_refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,8 +81,9 @@
 	fairQueue placement.FairQueue
 	watcher   watcher
 	callers   connTracker
-	held      heldBytes
-	draining  atomic.Bool
+	// heldAnswers and heldBodies bound the memory for the answers and bodies of all calls.
+	heldAnswers, heldBodies *heldBytes
+	draining                atomic.Bool
 	// noticed is set once the load balancer has noticed that this entry shuts down.
 	noticed atomic.Bool
 	// endsAt is the time in nanoseconds by which calls must be answered; it is set before
@@ -144,6 +145,7 @@
 		g.Clock = serving.NewMonotonicClock()
 	}
 	g.board.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
+	g.heldAnswers, g.heldBodies = newHeldAnswers(), newHeldBodies()
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, Clock: g.Clock}
 	g.watcher.setup(g)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -8,50 +8,73 @@
 )
 
 const (
-	// maxHeldBytes bounds the bytes of answers that an entry holds for all calls together. It
+	// maxHeldAnswers bounds the bytes of answers that an entry holds for all calls together. It
 	// is an eighth of the memory of the smallest hosts, and room for the ordinary answers of
 	// thousands of calls.
-	maxHeldBytes = 16 << 20
-	// minHeldStep is the size in bytes of the first part of an answer that is held. Each
+	maxHeldAnswers = 16 << 20
+	// maxHeldBodies bounds the bytes of the bodies of all calls. It is room for six of the
+	// largest size that configurations allow.
+	maxHeldBodies = 24 << 20
+	// freeBody is the part of a body that doesn't count.
+	freeBody = 32 << 10
+	// minHeldStep is the size in bytes of the first part of a body that is held. Each
 	// further part is as long as all before it.
-	minHeldStep = 4 << 10
+	minHeldStep = int64(4 << 10)
 )
 
 var (
 	answerBytesHeld    = expvar.NewInt("answer_bytes_held")
 	answerHoldsRefused = expvar.NewInt("answer_holds_refused")
+	bodyBytesHeld      = expvar.NewInt("body_bytes_held")
+	bodyHoldsRefused   = expvar.NewInt("body_holds_refused")
 )
 
-// heldBytes counts the bytes of answers that are held until they can be forwarded, for all
-// calls of an entry. Faulty engines may send long answers for many calls at once, and a
-// process that holds them all runs out of memory.
-type heldBytes struct{ total atomic.Int64 }
+// heldBytes counts the bytes of answers, or of callers' bodies, that are held for all calls of
+// an entry. Many of them may be long at once, and a process that holds them all runs out of
+// memory.
+type heldBytes struct {
+	max   int64
+	total atomic.Int64
+	// held and refused are the metrics.
+	held, refused *expvar.Int
+}
+
+func newHeldAnswers() *heldBytes {
+	return &heldBytes{max: maxHeldAnswers, held: answerBytesHeld, refused: answerHoldsRefused}
+}
+
+func newHeldBodies() *heldBytes {
+	return &heldBytes{max: maxHeldBodies, held: bodyBytesHeld, refused: bodyHoldsRefused}
+}
 
 // reserve reports whether n more bytes may be held.
 func (h *heldBytes) reserve(n int64) bool {
-	if h.total.Add(n) > maxHeldBytes {
+	if h.total.Add(n) > h.max {
 		h.total.Add(-n)
-		answerHoldsRefused.Add(1)
+		h.refused.Add(1)
 		return false
 	}
-	answerBytesHeld.Add(n)
+	h.held.Add(n)
 	return true
 }
 
 func (h *heldBytes) release(n int64) {
 	h.total.Add(-n)
-	answerBytesHeld.Add(-n)
+	h.held.Add(-n)
 }
 
 // hold is the part of heldBytes of one call.
 type hold struct {
-	of    *heldBytes
+	of *heldBytes
+	// free is the number of bytes that don't count, so that calls with short bodies are never
+	// refused because of those with long ones.
+	free  int64
 	bytes int64
 }
 
 // extend reports whether the call may hold n bytes in all.
 func (h *hold) extend(n int64) bool {
-	if n <= h.bytes {
+	if n -= h.free; n <= h.bytes {
 		return true
 	}
 	if !h.of.reserve(n - h.bytes) {
@@ -69,11 +92,18 @@
 	}
 }
 
-// read reads up to limit bytes of a body, or fewer if no more may be held. The error is that of
-// the body, nil if there may be more of it.
-func (h *hold) read(body io.Reader, limit int64) ([]byte, error) {
+// read reads up to limit bytes of a body, or fewer if no more may be held. length is the stated
+// length of the body, negative if it has none; a body that is too long to be held as a whole is
+// not begun. The error is that of the body, nil if there may be more of it.
+func (h *hold) read(body io.Reader, length, limit int64) ([]byte, error) {
+	size := minHeldStep
+	if length >= 0 && length < limit {
+		// One more byte finds the end.
+		limit = length + 1
+		size = limit
+	}
 	var b bytes.Buffer
-	for size := int64(minHeldStep); h.extend(size); size = min(2*size, limit) {
+	for ; h.extend(size); size = min(2*size, limit) {
 		b.Grow(int(size) - b.Len() + bytes.MinRead)
 		if _, err := io.CopyN(&b, body, size-int64(b.Len())); err != nil || size == limit {
 			return b.Bytes(), err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxBufferedAnswer is the size in bytes up to which an answer is read completely
-	// before any of it is forwarded, as long as heldBytes allows. If the engine fails while
+	// before any of it is forwarded, as long as the held answers of all calls allow it. If the engine fails while
 	// sending a shorter answer, the call can still be retried at another engine.
 	maxBufferedAnswer = 512 << 10
 	// idempotentMaxIdleTime is the maximum idle time of a connection for a call that
@@ -167,7 +167,7 @@
 	}
 	body := upstream.NewVerifiedBody(x, func(end completion.Ending) completion.Verdict { return j.assess(x, t, end) })
 	var err error
-	res.body, err = j.held.read(body, maxBufferedAnswer)
+	res.body, err = j.held.read(body, -1, maxBufferedAnswer)
 	switch {
 	case err == nil:
 		res.remainder = body
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,6 +22,12 @@
 	// maxBody bounds a request body in bytes before its route is known. It is above the
 	// limits in current configurations.
 	maxBody = 8 << 20
+	// dropBodyTimeout bounds the time in which the rest of a body is dropped that can't be
+	// held.
+	dropBodyTimeout = time.Second
+	// bodyRetryAfter is the Retry-After of a call whose body can't be held. Callers connect to
+	// another entry.
+	bodyRetryAfter = 100 * time.Millisecond
 	// defaultCallerTimeout is assumed for a caller that doesn't state its timeout.
 	defaultCallerTimeout = 30 * time.Second
 )
@@ -63,7 +69,9 @@
 	control := http.NewResponseController(w)
 	// The deadline of an earlier call on the connection is over.
 	_ = control.SetWriteDeadline(time.Now().Add(g.BodyTimeout + defaultCallerTimeout))
-	body, err := g.readBody(w, r)
+	held := hold{of: g.heldBodies, free: freeBody}
+	defer held.end()
+	body, err := g.readBody(w, r, &held)
 	if err != nil {
 		if serving.KindOf(err) == serving.KindDeadline {
 			callersStalled.Add(1)
@@ -77,7 +85,7 @@
 		g.Dialect.Refuse(w, nil, serving.AsError(err))
 		return
 	}
-	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context(), held: hold{of: &g.held}}
+	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context(), held: hold{of: g.heldAnswers}}
 	defer j.held.end()
 	if err := j.decide(); err != nil {
 		j.refuse(err)
@@ -131,13 +139,18 @@
 )
 
 // readBody reads a body within BodyTimeout, however slowly its bytes come.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, held *hold) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
+	if r.ContentLength > maxBody {
+		return nil, serving.NewError(serving.KindTooLarge, "the body is larger than the limit")
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(g.BodyTimeout))
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	limited := http.MaxBytesReader(w, r.Body, maxBody)
+	// The limit is above that of the body, so that its end is always found.
+	b, err := held.read(limited, r.ContentLength, 2*maxBody)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -145,7 +158,17 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The deadline stays, so that the server doesn't wait for the rest of the body.
 		return nil, serving.NewError(serving.KindDeadline, "the body was not received within "+g.BodyTimeout.String())
-	case err != nil:
+	case err == nil:
+		// The rest is dropped, as callers read no answer before they have sent it.
+		read := len(b)
+		held.end()
+		_ = control.SetReadDeadline(time.Now().Add(dropBodyTimeout))
+		if _, err := io.Copy(io.Discard, limited); err == nil {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+		klog.InfoS("Body refused, the bodies of other calls take the memory", "caller", r.RemoteAddr, "length", r.ContentLength, "read", read, "limit", maxHeldBodies)
+		return nil, serving.NewError(serving.KindOverloaded, "the bodies of other calls take the memory for bodies").WithRetryAfter(bodyRetryAfter)
+	case !errors.Is(err, io.EOF):
 		return nil, serving.WrapError(err, serving.KindInvalid, "read the body")
 	}
 	// A read deadline that is left would end the call when it expires.
