Count a caller that leaves before the first event once

Found at the last read: a caller that disconnected before the first event of its stream was counted and logged twice since a stream without events is answered. The answer is skipped for it now, as before.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -16,8 +16,9 @@
 
 const (
 	// maxBufferedAnswer is the size in bytes up to which an answer is read completely
-	// before any of it is forwarded, as long as the held answers of all calls allow it. If the engine fails while
-	// sending a shorter answer, the call can still be retried at another engine.
+	// before any of it is forwarded, as long as the held answers of all calls allow it. If
+	// the engine fails while sending a shorter answer, the call can still be retried at
+	// another engine.
 	maxBufferedAnswer = 512 << 10
 	// idempotentMaxIdleTime is the maximum idle time of a connection for a call that
 	// may run again. If the connection turns out to be closed, the call is retried.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -236,14 +236,14 @@
 	if errors.Is(context.Cause(r.ctx), context.Canceled) {
 		callersDisconnected.Add(1)
 		r.log("Caller disconnected", "events", r.events, "moved", r.moveCount)
-	} else {
-		if r.ctx.Err() != nil {
-			err = context.Cause(r.ctx)
-		}
-		streamsLost.Add(1)
-		r.log("Stream lost", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "unfinished_bytes", r.unfinished,
-			"since_last_event", r.sinceLastEvent(), "err", err)
+		panic(http.ErrAbortHandler)
+	}
+	if r.ctx.Err() != nil {
+		err = context.Cause(r.ctx)
 	}
+	streamsLost.Add(1)
+	r.log("Stream lost", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "unfinished_bytes", r.unfinished,
+		"since_last_event", r.sinceLastEvent(), "err", err)
 	if r.headerWritten {
 		panic(http.ErrAbortHandler)
 	}
