--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -30,7 +30,7 @@
 	plannedCallers = 3
 	// plannedAnswerTimeout is the deadline of their streams, and plannedOrderTimeout that of
 	// their orders.
-	plannedAnswerTimeout = 30 * time.Second
+	plannedAnswerTimeout = standin.RouteTimeout
 	plannedOrderTimeout  = 2 * time.Second
 )
 
