Decide by recent calls what a stopping entry still takes

Callers on open connections were refused with five of eight seconds left of the grace period, though their streams take well under a second: after the notice to the load balancer an entry took only calls whose deadline fits. A refusal uses up one of the caller's retries.

Calls whose deadline fits are taken as before.

Each decision is logged with its inputs ("Call during shutdown"), which the users' record of lost calls lacks, and counted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,9 +229,7 @@
 	mu      sync.Mutex
 	pool    placement.Pool
 	lengths placement.Lengths
-	// tokenTime is the moving average of the time per token of the streams, 0 before the
-	// first one.
-	tokenTime time.Duration
+	recent  recentCalls
 	// outcomes records with which calls and prompt parts answers began or engines were lost,
 	// and suspects are those of which the hub wants to know.
 	outcomes quarantine.Observer
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -48,6 +48,7 @@
 // servePlain serves a call whose answer is one message and not a stream.
 func (j *job) servePlain() {
 	j.recordCall()
+	defer j.observeAnswer()
 	maxAttempts := 1
 	if j.Route.Kind == serving.KindIdempotentRoute {
 		maxAttempts = max(1, j.Route.MaxAttempts)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -20,8 +20,6 @@
 	shutdownPollInterval = 20 * time.Millisecond
 	// firstRequestTimeout is how long a connection without a request counts as in use.
 	firstRequestTimeout = 5 * time.Second
-	// tokenTimeWeight is the weight of a new stream in the average time per token.
-	tokenTimeWeight = 0.1
 )
 
 // errShutdown is the cause of the cancellation of calls at the end of a shutdown.
@@ -69,36 +67,62 @@
 	return false
 }
 
-// checkShutdown returns an error if this entry shuts down and can't be expected to answer
-// the call before its end. It limits the deadline of any other call, so that the call gets
-// an answer before the connection is closed.
+// recentCalls holds what recent calls needed: the time per token, and the times to the first
+// event of streams and to the answers of plain calls, in latency objectives of their routes.
+type recentCalls struct {
+	tokenTimes, firstEvents, answers shutdown.Recent
+}
+
+// observeAnswer records a plain call that was answered or given up.
+func (j *job) observeAnswer() {
+	if j.Route.Objective <= 0 {
+		return
+	}
+	j.g.board.mu.Lock()
+	defer j.g.board.mu.Unlock()
+	j.g.board.recent.answers.Observe(float64(j.g.Clock.Now()-j.arrivedAt) / float64(j.Route.Objective))
+}
+
+// observeStream records a stream that has ended. One without an event counts with its whole
+// time. The caller holds mu of the blackboard.
+func (r *relay) observeStream() {
+	if d := r.tokenTime(); d > 0 {
+		r.g.board.recent.tokenTimes.Observe(float64(d))
+	}
+	if r.Route.Objective <= 0 {
+		return
+	}
+	first := r.firstEventAt
+	if r.events == 0 {
+		first = r.g.Clock.Now()
+	}
+	r.g.board.recent.firstEvents.Observe(float64(first-r.arrivedAt) / float64(r.Route.Objective))
+}
+
+// checkShutdown returns an error if this entry shuts down and may not answer the call before
+// its end. It limits the deadline of any other call, so that the call gets an answer before the
+// connection is closed.
 func (j *job) checkShutdown() error {
 	if !j.g.draining.Load() {
 		return nil
 	}
 	endsAt := time.Duration(j.g.endsAt.Load())
-	left := endsAt - j.g.Clock.Now()
 	c := shutdown.Call{TimeLeft: j.timeLeft(), Objective: j.Route.Objective, Stream: j.Route.Kind == serving.KindStreamRoute, MaxTokens: j.MaxTokens}
+	j.g.board.mu.Lock()
 	if c.Stream {
-		j.g.board.mu.Lock()
-		c.TokenTime = j.g.board.tokenTime
-		j.g.board.mu.Unlock()
+		c.TokenTime, c.Slowness = time.Duration(j.g.board.recent.tokenTimes.High()), j.g.board.recent.firstEvents.High()
+	} else {
+		c.Slowness = j.g.board.recent.answers.High()
 	}
-	if !c.Fits(shutdown.Period{Left: left, Noticed: j.g.noticed.Load()}) {
-		return serving.NewError(serving.KindDraining, "this entry shuts down in "+left.String()+", before the call is certain to be answered").WithRetryAfter(drainingRetryAfter)
+	j.g.board.mu.Unlock()
+	p := shutdown.Period{Left: endsAt - j.g.Clock.Now(), Noticed: j.g.noticed.Load()}
+	fits := c.Fits(p)
+	j.log("Call during shutdown", "taken", fits, "left", p.Left, "noticed", p.Noticed, "required", c.Required(), "time_left", c.TimeLeft,
+		"most", c.MaxTokens, "token_time", c.TokenTime, "slowness", c.Slowness)
+	if !fits {
+		return serving.NewError(serving.KindDraining, "this entry shuts down in "+p.Left.String()+", before the call is certain to be answered").WithRetryAfter(drainingRetryAfter)
 	}
+	takenInShutdown.Add(1)
 	j.deadline = min(j.deadline, endsAt)
 	return nil
 }
-
-// observeTokenTime adds the time per token of a stream that has ended to the average. The
-// caller holds mu of the blackboard.
-func (b *blackboard) observeTokenTime(d time.Duration) {
-	switch {
-	case d <= 0:
-	case b.tokenTime == 0:
-		b.tokenTime = d
-	default:
-		b.tokenTime += time.Duration(tokenTimeWeight * float64(d-b.tokenTime))
-	}
-}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -426,10 +426,10 @@
 	r.detach()
 	r.exchange.Close(r.outcome == placement.OK)
 	r.g.endTicket(r.ticket, r.outcome, r.tokenTime())
+	r.g.board.mu.Lock()
+	r.observeStream()
+	r.g.board.mu.Unlock()
 	if r.outcome == placement.OK {
-		r.g.board.mu.Lock()
-		r.g.board.observeTokenTime(r.tokenTime())
-		r.g.board.mu.Unlock()
 		if r.events > 0 && !hasBegun(r.events) {
 			r.g.board.mu.Lock()
 			r.recordSound()
