Spread the callers that a stopping entry refuses; test two replacements

The callers whose bodies can't be held, and those that a stopping entry refuses, were told the same Retry-After; it is prolonged at random now, as that of others. The leader keeps only voters among the replicas that have asked to leave.

TestPlannedReplacementThenLossOfTwoDisks also replaces two hosts at once, with and without the leader.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -167,7 +167,7 @@
 			_ = control.SetReadDeadline(time.Time{})
 		}
 		klog.InfoS("Body refused, the bodies of other calls take the memory", "caller", r.RemoteAddr, "length", r.ContentLength, "read", read, "limit", maxHeldBodies)
-		return nil, serving.NewError(serving.KindOverloaded, "the bodies of other calls take the memory for bodies").WithRetryAfter(bodyRetryAfter)
+		return nil, serving.NewError(serving.KindOverloaded, "the bodies of other calls take the memory for bodies").WithRetryAfter(pacing.Spread(bodyRetryAfter, rand.Float64()))
 	case !errors.Is(err, io.EOF):
 		return nil, serving.WrapError(err, serving.KindInvalid, "read the body")
 	}
@@ -219,7 +219,7 @@
 // spreadsRetries reports whether many callers may be refused at the same moment for the same
 // reason. The time that an engine has named is passed on as it is.
 func spreadsRetries(e *serving.Error) bool {
-	return e.Detail == "" && (e.Kind == serving.KindOverloaded || e.Kind == serving.KindNoEngine || e.Kind == serving.KindViewExpired)
+	return e.Detail == "" && (e.Kind == serving.KindOverloaded || e.Kind == serving.KindNoEngine || e.Kind == serving.KindViewExpired || e.Kind == serving.KindDraining)
 }
 
 // log logs a message about this call, with the attributes that identify it.
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -67,8 +67,8 @@
 	initial []string
 	hubs    []*testHub
 	// disks are the simulated faults of the hubs' disks.
-	disks  [6]diskFaults
-	clocks [6]jumpingClock
+	disks  [7]diskFaults
+	clocks [7]jumpingClock
 }
 
 // host returns the address of hub i. Test processes that run at the same time have
--- a/internal/hub/leave.go
+++ b/internal/hub/leave.go
@@ -84,9 +84,11 @@
 	if s.Settled && (!s.Member(id).Voter || !membership.HasSuccessor(s.Members)) {
 		return true
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.leavingUntil[id] = h.Clock.Now() + leaveTTL
+	if s.Member(id).Voter {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.leavingUntil[id] = h.Clock.Now() + leaveTTL
+	}
 	return false
 }
 
--- a/internal/hub/leave_test.go
+++ b/internal/hub/leave_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,26 +35,40 @@
 func TestPlannedReplacementThenLossOfTwoDisks(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		// leads is set if the host that is replaced has the leader.
+		// hosts is the number of hosts that are replaced at the same time, and leads is set if
+		// one of them has the leader.
+		hosts int
 		leads bool
 	}{
-		{"a follower is replaced", false},
-		{"the leader is replaced", true},
+		{"a follower is replaced", 1, false},
+		{"the leader is replaced", 1, true},
+		{"two followers are replaced at once", 2, false},
+		{"the leader and a follower are replaced at once", 2, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := startHubs(t)
 			c.put(1)
-			successor := c.start(5, t.TempDir(), false)
-			c.waitForLearner(5)
-			replaced := c.leader()
+			var successors []*testHub
+			for i := range tc.hosts {
+				successors = append(successors, c.start(5+i, t.TempDir(), false))
+				c.waitForLearner(5 + i)
+			}
+			first := c.leader()
 			if !tc.leads {
-				replaced = (replaced + 1) % len(c.hubs)
+				first++
+			}
+			replaced := map[*testHub]bool{}
+			for i := range tc.hosts {
+				replaced[c.hubs[(first+i)%len(c.hubs)]] = true
 			}
-			old := c.hubs[replaced]
 			begin := time.Now()
-			old.stop()
+			var g sync.WaitGroup
+			for old := range replaced {
+				g.Go(old.stop)
+			}
+			g.Wait()
 			assert.Assert(t, time.Since(begin) < testGrace)
-			c.hubs = append(append(c.hubs[:replaced:replaced], c.hubs[replaced+1:]...), successor)
+			c.hubs = append(slices.DeleteFunc(c.hubs, func(h *testHub) bool { return replaced[h] }), successors...)
 			c.put(2)
 			for i, h := range c.hubs[:2] {
 				h.stop()
