Log which peers log messages don't reach

Three control replicas of a test elected no leader for 60 s beside heavy load, and logged nothing that tells whether their messages arrived: failed calls were logged at verbosity 2 only. They are logged at an interval of 2 s for each peer now, with the counts since the last line, and counted in log_deliveries_failed.

--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
 	"time"
@@ -102,6 +103,34 @@
 
 	mu    sync.Mutex
 	queue []*schema.LogMessage
+	// delivered and failed count the calls since failureLogged, the time of the last log
+	// line about failed calls.
+	delivered, failed int
+	failureLogged     time.Time
+}
+
+// failureLogInterval is the interval of the log lines about failed calls to one peer.
+const failureLogInterval = 2 * time.Second
+
+// deliveriesFailed counts the calls to other replicas that failed.
+var deliveriesFailed = expvar.NewInt("log_deliveries_failed")
+
+// recordCall counts a call and logs failed ones at an interval. Without a leader, these lines
+// tell whether the messages to a peer arrive.
+func (p *peer) recordCall(messages int, took time.Duration, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		p.delivered++
+		return
+	}
+	deliveriesFailed.Add(1)
+	p.failed++
+	if time.Since(p.failureLogged) < failureLogInterval {
+		return
+	}
+	klog.InfoS("Log messages not delivered", "peer", p.address, "messages", messages, "took", took, "failed", p.failed, "delivered", p.delivered, "queued", len(p.queue), "err", err)
+	p.failureLogged, p.failed, p.delivered = time.Now(), 0, 0
 }
 
 // enqueue adds messages to the queue and drops the oldest ones over the limit.
@@ -149,10 +178,11 @@
 				break
 			}
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			begin := time.Now()
 			_, err := p.client.Deliver(callCtx, &schema.LogMessages{Messages: messages})
 			cancel()
-			if err != nil {
-				klog.V(2).InfoS("Failed to send log messages", "peer", p.address, "messages", len(messages), "err", err)
+			if ctx.Err() == nil {
+				p.recordCall(len(messages), time.Since(begin), err)
 			}
 		}
 	}
