Read the machine's factor from an engine's load

Engines of shared machines add a fourth figure to the load in their answers. The whole load was ignored then, so that an engine that had reported a full queue still counted as free.

--- a/pkg/serving/call.go
+++ b/pkg/serving/call.go
@@ -117,8 +117,17 @@
 // engine announces.
 type EngineLoad struct {
 	Running, Waiting, Slots Slots
+	// Factor is how long work currently takes on the engine's machine, where 100 is usual.
+	// It is between MinFactor and MaxFactor; 0 means unknown.
+	Factor Percent
 }
 
+// Bounds of EngineLoad.Factor. A value outside them isn't plausible and counts as unknown.
+const (
+	MinFactor Percent = 10
+	MaxFactor Percent = 10_000
+)
+
 // MoveResult is an engine's answer to a request to copy a generation's memory.
 type MoveResult struct {
 	Outcome MoveOutcome
--- a/pkg/serving/units.go
+++ b/pkg/serving/units.go
@@ -12,6 +12,8 @@
 	Slots int64
 	// Bytes counts bytes.
 	Bytes int64
+	// Percent is a ratio in percent.
+	Percent int64
 	// Priority orders requests; a higher one is served first.
 	Priority int
 )
