Measure the speed of engines apart from their machines' load

Entries measured the mean time per token of an engine, from long streams only. An engine that got no long stream for some seconds was taken for a typical one again and got the next long stream, whatever its speed. A prompt beside the stream, or a machine that was shared, changed the mean as much as the engine's own speed did.

Package machine keeps the speed of each process of an engine from a low quantile of the times between events, corrected by the factor that the engine has just stated, and estimates the time to the first event and the pauses in the usual and in the bad case. Short streams count as well, and the speed is kept until another process runs at the engine.

"Stream answered" logs longest_pause, pace and what was expected when the engine was chosen; streams_by_pace counts streams on time and late.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,7 +33,9 @@
 	limitsChanged       = expvar.NewInt("engine_limits_changed")
 	pausesAsked         = expvar.NewInt("engine_pauses_asked")
 	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
-	panics              = expvar.NewInt("panics_recovered")
+	// streamsByPace counts the answered streams of routes with a required pace.
+	streamsByPace = expvar.NewMap("streams_by_pace")
+	panics        = expvar.NewInt("panics_recovered")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -367,7 +367,7 @@
 	r.g.board.mu.Lock()
 	defer r.g.board.mu.Unlock()
 	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens + generated, Output: r.growth(generated),
-		Parts: r.Parts, Exclude: exclude, CopyFrom: from}
+		Parts: r.Parts, Exclude: exclude, CopyFrom: from, MaxPause: r.Route.MaxPause}
 }
 
 // sendEngineRequest sends a request to an engine and decodes its answer. Canceling
@@ -479,7 +479,7 @@
 	r.detach()
 	r.g.endTicket(old, placement.Abandoned, 0)
 	r.engine = target.Engine
-	r.pacedAt = 0
+	r.pacedAt, r.steppedAt = 0, 0
 	m.dest = nil
 	r.attach(target)
 	return x, nil
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -84,7 +84,11 @@
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	in := &schema.PlaceRequest{Service: string(need.Service.ID), PromptTokens: int64(need.Prompt), GrowthTokens: int64(need.Output),
-		Restricted: regions != nil, OutputTokens: int64(need.Length)}
+		Restricted: regions != nil, OutputTokens: int64(need.Length), MaxPauseMs: need.MaxPause.Milliseconds()}
+	if need.FirstEventBy > 0 {
+		left := max(1, (need.FirstEventBy - g.Clock.Now()).Milliseconds())
+		in.FirstEventMs = &left
+	}
 	for _, r := range regions {
 		in.Regions = append(in.Regions, string(r))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,6 +13,7 @@
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/completion"
+	"turmericdrum.org/turmericdrum/pkg/serving/machine"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
@@ -57,6 +58,13 @@
 	// the engine was recorded; 0 before the first event at this engine.
 	pacedEvents int64
 	pacedAt     time.Duration
+	// steppedEvents and steppedAt are the same for the steps of the engine.
+	steppedEvents int64
+	steppedAt     time.Duration
+	// longestPause is the longest pause between two events.
+	longestPause time.Duration
+	// estimate is what was expected of the engine when it was chosen.
+	estimate machine.Estimate
 	// unfinished is the number of bytes after the last event when the engine's answer
 	// ended.
 	unfinished int
@@ -90,7 +98,7 @@
 			return false
 		}
 		r.engine, r.sentAt, r.useBefore = ticket.Engine, r.g.Clock.Now(), ticket.Before()
-		r.fitting, r.full = ticket.Fitting, ticket.Full
+		r.fitting, r.full, r.estimate = ticket.Fitting, ticket.Full, ticket.Estimate
 		r.attach(ticket)
 		x, err := r.g.upstream.Send(r.ctx, r.engineRequest(ticket, nil, upstream.SafeIdleTime))
 		if err == nil && x.Status == http.StatusOK && x.Signed && !x.Encoded && !x.NotRun {
@@ -140,8 +148,12 @@
 func (r *relay) need() *placement.Need {
 	r.g.board.mu.Lock()
 	defer r.g.board.mu.Unlock()
-	return &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens, Output: r.growth(0), Length: r.expectedOutput(0),
-		Parts: r.Parts, Exclude: r.tried}
+	n := &placement.Need{Service: r.Service, Allows: r.Allows, Prompt: r.PromptTokens, Output: r.growth(0), Length: r.expectedOutput(0),
+		Parts: r.Parts, Exclude: r.tried, MaxPause: r.Route.MaxPause}
+	if r.Route.Objective > 0 {
+		n.FirstEventBy = r.arrivedAt + r.Route.Objective
+	}
+	return n
 }
 
 // streamWait returns how long the call waits for an engine with room.
@@ -365,7 +377,9 @@
 		firstEventTimes.observe(now - r.arrivedAt)
 	} else {
 		eventPauses.observe(now - r.lastEventAt)
+		r.longestPause = max(r.longestPause, now-r.lastEventAt)
 	}
+	late := r.isLate()
 	r.lastEventAt = now
 	r.mu.Unlock()
 	perEvent := r.tokensPerEvent()
@@ -379,6 +393,10 @@
 		r.recordSound()
 	}
 	r.recordPace(now, perEvent)
+	r.recordSteps(now, perEvent, stepsEvery)
+	if late {
+		r.ticket.Late()
+	}
 	r.ticket.Progress(perEvent, r.PromptTokens+generated+r.growth(generated))
 	return true
 }
@@ -399,6 +417,34 @@
 	}
 }
 
+const (
+	// stepsEvery is the number of events after which the steps of an engine are recorded. A
+	// single pause says little, because events may be held back on their way.
+	stepsEvery = 4
+	// minSteps is the same at the end of a stream. Without the short streams, the speed of
+	// engines that get no long ones would be unknown.
+	minSteps = 2
+)
+
+// recordSteps records how long the engine took for the last events if they are at least
+// least. The caller holds mu of the blackboard.
+func (r *relay) recordSteps(now time.Duration, perEvent serving.Tokens, least int64) {
+	if r.steppedAt == 0 {
+		r.steppedEvents, r.steppedAt = r.events, now
+		return
+	}
+	if n := r.events - r.steppedEvents; n >= least {
+		r.g.board.pool.RecordSteps(now, r.ticket.Engine, n, perEvent, now-r.steppedAt)
+		r.steppedEvents, r.steppedAt = r.events, now
+	}
+}
+
+// isLate reports whether the first event or a later one came too late for the caller. The
+// caller holds mu.
+func (r *relay) isLate() bool {
+	return r.Route.Objective > 0 && r.firstEventAt-r.arrivedAt > r.Route.Objective || r.Route.MaxPause > 0 && r.longestPause > r.Route.MaxPause
+}
+
 func (r *relay) tokensPerEvent() serving.Tokens {
 	if m := r.Service.Model; m != nil && m.TokensPerEvent > 0 {
 		return m.TokensPerEvent
@@ -424,6 +470,11 @@
 	r.mu.Unlock()
 	r.cancelMove()
 	r.detach()
+	if r.outcome == placement.OK && r.events > 0 {
+		r.g.board.mu.Lock()
+		r.recordSteps(r.lastEventAt, r.tokensPerEvent(), minSteps)
+		r.g.board.mu.Unlock()
+	}
 	r.exchange.Close(r.outcome == placement.OK)
 	r.g.endTicket(r.ticket, r.outcome, r.tokenTime())
 	r.g.board.mu.Lock()
@@ -437,9 +488,25 @@
 		}
 		answered.Add("stream", 1)
 		answerTimes.observe(r.g.Clock.Now() - r.arrivedAt)
+		if r.Route.MaxPause > 0 {
+			streamsByPace.Add(r.paceResult(), 1)
+		}
 		r.log("Stream answered", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "waited", r.sentAt-r.arrivedAt,
-			"first", r.firstEventAt-r.sentAt, "prompt", r.PromptTokens, "hint", r.LengthHint, "most", r.MaxTokens, "prefill_before", r.useBefore.Prefill, "running_before", r.useBefore.Running, "expected_before", r.useBefore.Expected, "fitting", r.fitting, "full", r.full)
+			"first", r.firstEventAt-r.sentAt, "prompt", r.PromptTokens, "hint", r.LengthHint, "most", r.MaxTokens, "prefill_before", r.useBefore.Prefill, "running_before", r.useBefore.Running, "expected_before", r.useBefore.Expected, "fitting", r.fitting, "full", r.full,
+			"engine_at_end", r.ticket.Engine, "longest_pause", r.longestPause, "pace", r.paceResult(), "expected_first", r.estimate.FirstEvent, "expected_first_bad", r.estimate.FirstEventBad,
+			"expected_pause", r.estimate.Pause, "expected_pause_bad", r.estimate.PauseBad, "paced_before", r.useBefore.Paced)
+	}
+}
+
+// paceResult returns whether the stream was on time, and if not, what was late first.
+func (r *relay) paceResult() string {
+	switch {
+	case !r.isLate():
+		return "on_time"
+	case r.Route.Objective > 0 && r.firstEventAt-r.arrivedAt > r.Route.Objective:
+		return "first_event_late"
 	}
+	return "pause_late"
 }
 
 // tokenTime returns the time per token after the first event, or 0 if the stream had
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -404,6 +404,7 @@
 			all[i].Demand = max(0, all[i].Demand-o.Demand)
 			all[i].Calls = max(0, all[i].Calls-o.Calls)
 			all[i].Failures = max(0, all[i].Failures-o.Failures)
+			all[i].Paced = max(0, all[i].Paced-o.Paced)
 		}
 	}
 	return all
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -29,6 +29,8 @@
 	// table is compiled from the configuration that has this version.
 	table   *routing.Table
 	version uint64
+	// speedsAt is when the engines' speeds were last computed for entries.
+	speedsAt time.Duration
 }
 
 // reservation is the load of a call that was placed recently.
@@ -49,7 +51,10 @@
 	h.refreshPool(now)
 	h.placer.pool.CountCall(now, service.ID)
 	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
-		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll}
+		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll, MaxPause: time.Duration(max(0, in.GetMaxPauseMs())) * time.Millisecond}
+	if in.FirstEventMs != nil {
+		need.FirstEventBy = now + time.Duration(max(1, in.GetFirstEventMs()))*time.Millisecond
+	}
 	if in.GetRestricted() {
 		need.Allows = func(r serving.RegionID) bool { return slices.Contains(in.GetRegions(), string(r)) }
 	}
@@ -67,6 +72,19 @@
 	return &schema.PlaceResult{Engine: string(ticket.Engine)}, nil
 }
 
+// speedsInterval is the longest time between two computations of the engines' speeds.
+const speedsInterval = 500 * time.Millisecond
+
+// refreshSpeeds updates the speeds of the engines that entries are told, also of services for
+// which this hub places no calls. The caller holds mu.
+func (h *Hub) refreshSpeeds(now time.Duration) {
+	if p := &h.placer; now-p.speedsAt >= speedsInterval {
+		p.speedsAt = now
+		h.refreshPool(now)
+		p.pool.UpdateSpeeds(now)
+	}
+}
+
 // refreshPool updates the pool from the directory, the deployment state and the load.
 // The caller holds mu.
 func (h *Hub) refreshPool(now time.Duration) {
@@ -105,6 +123,7 @@
 			continue
 		}
 		totalUse[id].Add(u)
+		totalUse[id].AddSteps(u.Steps)
 	}
 	return totalUse, n + h.remoteEntries(now)
 }
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -95,10 +95,12 @@
 	for _, e := range engines {
 		out.Engines = append(out.Engines, e.ToWire(now))
 	}
+	h.refreshSpeeds(now)
 	totalUse, n := h.totalUse(now)
 	for _, u := range totalUse {
 		// Entries place few generations themselves, and leave the pace to the hubs.
-		u.Pace = usage.Pace{}
+		u.Pace, u.Steps, u.Factor = usage.Pace{}, nil, 0
+		u.Slowness = h.placer.pool.Slowness(u.Engine)
 		if u.Failures < minSharedFailures {
 			u.Calls, u.Failures = 0, 0
 		}
--- /dev/null
+++ b/pkg/serving/machine/sharing.go
@@ -0,0 +1,89 @@
+package machine
+
+import (
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+)
+
+const (
+	// sharedFrom is the factor from which a machine counts as shared.
+	sharedFrom serving.Percent = 130
+	// sharingWeight is the number of factors after which an old one hardly counts.
+	sharingWeight = 400
+	// minFactors is the number of factors from which their distribution counts.
+	minFactors = 20
+	// minSharedFactors is the number of factors of shared machines from which their mean
+	// counts.
+	minSharedFactors = 4
+	// assumedShare and assumedRatio describe machines whose engines state no factor, until
+	// the times between events show more.
+	assumedShare = 0.1
+	assumedRatio = 1.5
+	// maxRatio bounds how much longer work is assumed to take on a shared machine, so that a
+	// few implausible factors don't exclude all engines.
+	maxRatio = 5.0
+)
+
+// Episode is the typical time for which a machine is shared, as its operators state it.
+const Episode = 600 * time.Millisecond
+
+// Sharing is the long-run distribution of the factors of the machines of a service. The zero
+// value has no measurements.
+type Sharing struct {
+	n, shared, sum float64
+	// ratio is what the times between events show, 0 if they show nothing.
+	ratio float64
+}
+
+// Observe adds a factor that an engine stated.
+func (s *Sharing) Observe(f serving.Percent) {
+	if f < serving.MinFactor || f > serving.MaxFactor {
+		return
+	}
+	if s.n++; s.n > sharingWeight {
+		s.n, s.shared, s.sum = s.n/2, s.shared/2, s.sum/2
+	}
+	if f >= sharedFrom {
+		s.shared++
+		s.sum += float64(f) / 100
+	}
+}
+
+// SetRatio sets how much longer steps take in the bad case than without prompts and on a
+// machine that isn't shared, as measured from the times between events. It counts only
+// while no factors are known.
+func (s *Sharing) SetRatio(bad float64) {
+	n := &Nominal
+	s.ratio = bad * float64(n.step(typicalRunning)) / float64(n.step(typicalRunning)+n.ChunkTime)
+}
+
+// typicalRunning is the number of calls of an engine for which SetRatio assumes prompts.
+const typicalRunning serving.Slots = 8
+
+// Stated reports whether enough factors are known.
+func (s *Sharing) Stated() bool { return s.n >= minFactors }
+
+// Share returns the share of the time for which a machine is shared.
+func (s *Sharing) Share() float64 {
+	if !s.Stated() {
+		return assumedShare
+	}
+	return s.shared / s.n
+}
+
+// Ratio returns how much longer work takes on a shared machine, at least 1.
+func (s *Sharing) Ratio() float64 {
+	switch {
+	case s.Stated() && s.shared >= minSharedFactors:
+		return min(maxRatio, s.sum/s.shared)
+	case s.Stated():
+		return 1
+	case s.ratio > 0:
+		return min(maxRatio, max(1, s.ratio))
+	}
+	return assumedRatio
+}
+
+// Mean returns the mean of the factor, where 1 is usual.
+func (s *Sharing) Mean() float64 { return 1 + s.Share()*(s.Ratio()-1) }
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -107,6 +107,11 @@
 	// Length is the expected length of the whole output; 0 if unknown. It is not set for a
 	// copy: where there is room goes before where it is fast.
 	Length serving.Tokens
+	// MaxPause is the longest pause between two events that the caller needs; 0 if it needs
+	// none.
+	MaxPause time.Duration
+	// FirstEventBy is the time from which on the first event is late; 0 if it never is.
+	FirstEventBy time.Duration
 	// Exclude lists engines that must not be chosen, such as those already tried.
 	Exclude []serving.EngineID
 	// CopyFrom is the data centre of the engine from which the memory of a running
@@ -139,6 +144,9 @@
 	if n.CopyFrom != "" {
 		u.Prefill = 0
 	}
+	if n.needsPace() {
+		u.Paced, u.MaxPause = 1, n.MaxPause
+	}
 	return u
 }
 
@@ -158,7 +166,7 @@
 	if len(fitting) == 0 {
 		return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
 	}
-	t := p.admit(now, p.cheapest(now, p.sample(fitting, n), n), n)
+	t := p.admit(now, p.cheapest(now, p.sample(now, fitting, n), n), n)
 	t.Fitting, t.Full = len(fitting), full
 	return t, nil
 }
@@ -172,7 +180,7 @@
 		}
 		e.parts.add(now, n.Parts)
 	}
-	return p.newTicket(e, n)
+	return p.newTicket(now, e, n)
 }
 
 // Claim adds a call to the load of an engine that was chosen elsewhere. It returns
@@ -183,7 +191,7 @@
 		return nil
 	}
 	p.countAdmitted(now, e)
-	return p.newTicket(e, n)
+	return p.newTicket(now, e, n)
 }
 
 // Avoid returns the engines that should not be chosen for a call because they are in
@@ -219,7 +227,7 @@
 // weights by their room. The load reported by other entries is a few hundred
 // milliseconds old. If each entry took the best engine of all, all generations that
 // arrive in this time would go to the same one.
-func (p *Pool) sample(fitting []*engine, n *Need) []*engine {
+func (p *Pool) sample(now time.Duration, fitting []*engine, n *Need) []*engine {
 	if n.Compare == CompareAll || n.Service.Model == nil || n.CopyFrom != "" || len(fitting) <= sampleSize {
 		return fitting
 	}
@@ -314,6 +322,8 @@
 	failures, latency float64
 	// pace is the typical time per token of the engines in seconds, 0 if unknown.
 	pace float64
+	// uneven describes the engines if their speeds differ; nil if not.
+	uneven *serviceSpeeds
 }
 
 // peerMedians returns the medians over the eligible engines. Both are lower
@@ -350,9 +360,13 @@
 	if m := n.Service.Model; m != nil {
 		memory := float64(max(m.MemoryTokens, 1))
 		cost += float64(sum.Expected+n.Prompt+n.Output) / memory
-		cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
-		if n.CopyFrom == "" {
-			cost += e.paceCost(now, n.Length, peers.pace)
+		if peers.uneven != nil {
+			cost += p.unevenCost(now, e, n, &sum, peers.uneven)
+		} else {
+			cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
+			if n.CopyFrom == "" {
+				cost += e.paceCost(now, n.Length, peers.pace)
+			}
 		}
 		if n.Prompt > 0 {
 			cost -= cachedWeight * float64(e.parts.cachedTokens(now, n.Parts)) / float64(n.Prompt)
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/machine"
 	"turmericdrum.org/turmericdrum/pkg/serving/pacing"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
@@ -24,6 +25,7 @@
 	entries      int
 	demand       map[serving.ServiceID]*pacing.Demand
 	pace         map[serving.ServiceID]typicalPace
+	speed        map[serving.ServiceID]*serviceSpeeds
 }
 
 // engine is the state of one engine as seen by the pool.
@@ -47,6 +49,10 @@
 	heard *pacing.Limit
 	// pace is how fast the engine generates tokens for this entry.
 	pace paceMeter
+	// steps has the durations of the engine's steps as this entry measured them, and machine
+	// what all entries know of its speed.
+	steps   stepMeter
+	machine machine.Engine
 	// saidLeaving is set once the engine has said in an answer that it leaves. It goes
 	// before the state in the directory, which may be older.
 	saidLeaving bool
@@ -129,6 +135,7 @@
 			e.pacer.Hear(now, pacing.Limit{PerSecond: l.PerSecond, Limited: l.Limited, HeardAt: now - max(0, l.Age)})
 		}
 	}
+	p.updateSpeeds(now)
 	for _, e := range p.engines {
 		e.pacer.SetOthers(now, e.others.Demand, p.entries)
 	}
@@ -151,7 +158,11 @@
 		}
 		u.Pace = e.pace.report(now)
 		u.Calls, u.Failures = e.health.recent.report(now)
-		if u.Demand > 0 || u.Limit != nil || u.Running != 0 || u.Expected != 0 || u.Broken != 0 || u.Pace.Tokens > 0 || u.Calls > 0 {
+		u.Steps = e.steps.report(now)
+		if f, age := e.machine.Factor(now); f > 0 && age < factorReportAge {
+			u.Factor, u.FactorAge = f, age
+		}
+		if u.Demand > 0 || u.Limit != nil || u.Running != 0 || u.Expected != 0 || u.Broken != 0 || u.Pace.Tokens > 0 || u.Calls > 0 || u.Steps != nil || u.Factor > 0 {
 			out = append(out, u)
 		}
 	}
@@ -162,6 +173,7 @@
 func (p *Pool) SetLoad(now time.Duration, id serving.EngineID, load serving.EngineLoad) {
 	if e := p.engines[id]; e != nil {
 		e.load, e.loadAt = load, now
+		p.setFactor(now, e, load.Factor)
 	}
 }
 
@@ -192,6 +204,9 @@
 	// Fitting and Full count the eligible engines that could and could not take the
 	// call when this one was chosen. Both are 0 after Claim.
 	Fitting, Full int
+	// Estimate is what was expected of the engine when it was chosen, the zero value if
+	// nothing is known of the speeds of the service's engines.
+	Estimate machine.Estimate
 	// MaxIdleConns is the maximum number of idle connections from this entry to the
 	// engine.
 	MaxIdleConns int
@@ -206,9 +221,12 @@
 // Before returns the load at the engine before the call was added.
 func (t *Ticket) Before() usage.Use { return t.before }
 
-func (p *Pool) newTicket(e *engine, n *Need) *Ticket {
+func (p *Pool) newTicket(now time.Duration, e *engine, n *Need) *Ticket {
 	use := n.use(e.Engine)
 	t := &Ticket{Target: e.target(), MaxIdleConns: p.maxIdleConns(n.Service), pool: p, engine: e, use: use, before: e.total()}
+	if s := p.speed[n.Service.ID]; s != nil && s.typical > 0 {
+		t.Estimate = e.estimate(now, n, &t.before, s)
+	}
 	if e.health.probeNext {
 		e.health.probe, t.probe = true, true
 	}
@@ -251,6 +269,7 @@
 	own.Held -= t.use.Held
 	own.Expected -= t.use.Expected
 	own.Prefill -= t.use.Prefill
+	removePaced(own, t.use.Paced)
 	// While a probe is in progress, only its own outcome counts. The other calls in
 	// progress began before the backoff.
 	if t.probe || !t.engine.health.probe {
@@ -263,6 +282,24 @@
 		e.own.Held -= t.use.Held
 		e.own.Expected -= t.use.Expected
 		e.own.Prefill -= t.use.Prefill
+		removePaced(&e.own, t.use.Paced)
+	}
+}
+
+// Late records that the answer was late, so that its pace matters no more.
+func (t *Ticket) Late() {
+	if t.ended {
+		return
+	}
+	removePaced(&t.engine.own, t.use.Paced)
+	t.use.Paced = 0
+}
+
+// removePaced subtracts streams that need a pace. The shortest required pause is kept until
+// none is left.
+func removePaced(u *usage.Use, n serving.Slots) {
+	if u.Paced -= n; u.Paced <= 0 {
+		u.Paced, u.MaxPause = 0, 0
 	}
 }
 
--- /dev/null
+++ b/pkg/serving/placement/uneven.go
@@ -0,0 +1,318 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/machine"
+	"turmericdrum.org/turmericdrum/pkg/serving/usage"
+)
+
+// Where the engines of a service differ in speed, a call is placed by whether the engine can
+// sustain what its caller needs: the time to the first event, and the pause between events
+// also while prompts are read beside it and the machine is shared. A call whose prompt would
+// make streams of others late is kept from their engine. The design notes engine-estimates.md
+// and long-prompts.md give the reasons.
+const (
+	// unevenSpread is the ratio of the slowness of slow engines to that of fast ones, the
+	// quantiles slowQuantile and fastQuantile, from which a service has uneven engines, and
+	// evenSpread the one below which it has no longer. Engines that differ less than
+	// unevenSpread are covered by paceCost.
+	unevenSpread = 1.5
+	evenSpread   = 1.35
+	slowQuantile = 0.9
+	fastQuantile = 0.1
+	// minMeasured is the number of measured engines from which speeds are compared.
+	minMeasured = 4
+	// lateWeight is the cost of a stream that is late, which has a sixth of its value. It
+	// exceeds the cost of a full engine in another region.
+	lateWeight = 2.0
+	// pauseMargin is the share of the required pause that an engine may need. The rest is for
+	// the network and for the error of the estimate.
+	pauseMargin = 0.85
+	// lateEvents is the number of events after which a stream at an engine that can't sustain
+	// its pace is expected to have had a late one.
+	lateEvents = 40.0
+	// pacedEvents is the number of further events from which a stream counts as one that
+	// needs a pace.
+	pacedEvents = 16
+	// protectedRisk is the share of the risk that is left for a stream whose pace is broken
+	// only by prompts on a shared machine, if no prompt is pending beside it.
+	protectedRisk = 0.3
+	// pendingPromptTime is the time of pending prompts from which on they count fully.
+	pendingPromptTime = time.Second
+	// excessWeight is the additional cost of an engine with twice the required pause.
+	excessWeight = 0.3
+	// firstEventMargin is the share of the time to the first event from which on an engine
+	// is avoided, and firstEventExcess the one at which the call is certainly late.
+	firstEventMargin = 0.75
+	firstEventExcess = 1.05
+	// badFirstEventShare is the share of the cost of a late first event that applies if only
+	// a shared machine makes it late.
+	badFirstEventShare = 0.4
+	// slowEngineBonus is the reduction of the cost of an engine of half the speed of the fast
+	// ones for a call with a short answer, which needs no pace.
+	slowEngineBonus = 0.4
+	// maxThreatened bounds the number of streams of others that a prompt is charged with.
+	maxThreatened = 8
+	// unevenSampleFactor multiplies the sampling weight of an engine where the risk of late
+	// streams exceeds unsuitableRisk.
+	unevenSampleFactor = 0.1
+	unsuitableRisk     = 0.25
+	// stepHalfLife is the half-life of measured steps, and minReportedSteps the weight below
+	// which they aren't reported.
+	stepHalfLife     = 6 * time.Second
+	minReportedSteps = 1.0
+	// factorReportAge is the age from which a factor isn't reported, and factorUseAge the one
+	// from which steps are no longer divided by it: half an episode of a shared machine.
+	factorReportAge = 2 * time.Second
+	factorUseAge    = machine.Episode / 2
+)
+
+// stepMeter measures the steps of one engine.
+type stepMeter struct {
+	steps machine.Steps
+	at    time.Duration
+}
+
+func (m *stepMeter) decay(now time.Duration) {
+	if now > m.at {
+		m.steps.Scale(halfLifeDecay(now-m.at, stepHalfLife))
+		m.at = now
+	}
+}
+
+// report returns the recent steps, nil if there are too few.
+func (m *stepMeter) report(now time.Duration) *machine.Steps {
+	m.decay(now)
+	if m.steps.Weight() < minReportedSteps {
+		return nil
+	}
+	steps := m.steps
+	return &steps
+}
+
+// RecordSteps records that a generation at an engine made n events within a time. A cold
+// engine isn't measured, because it is slow for another reason.
+func (p *Pool) RecordSteps(now time.Duration, id serving.EngineID, n int64, perEvent serving.Tokens, took time.Duration) {
+	e := p.engines[id]
+	if e == nil || n <= 0 || took <= 0 || now < e.ColdUntil {
+		return
+	}
+	slowness := machine.Nominal.Slowness(took, serving.Tokens(n)*perEvent, max(1, e.own.Running+e.others.Running))
+	if f, age := e.machine.Factor(now); f > 0 && age+took/2 <= factorUseAge {
+		slowness *= 100 / float64(f)
+	}
+	e.steps.decay(now)
+	e.steps.steps.Record(slowness, n)
+}
+
+// setFactor records the factor that an engine has stated at a time.
+func (p *Pool) setFactor(at time.Duration, e *engine, f serving.Percent) {
+	if e.machine.SetFactor(at, f) {
+		p.speedsOf(e.Service).sharing.Observe(f)
+	}
+}
+
+// serviceSpeeds has what is known of the speeds of the engines of a service.
+type serviceSpeeds struct {
+	sharing machine.Sharing
+	at      time.Duration
+	// uneven is set while the speeds differ by more than unevenSpread.
+	uneven bool
+	// fast and typical are the slowness of the fast engines and the median.
+	fast, typical float64
+	// known and ratios are reused by each computation.
+	known, ratios []float64
+}
+
+func (p *Pool) speedsOf(id serving.ServiceID) *serviceSpeeds {
+	s := p.speed[id]
+	if s == nil {
+		if p.speed == nil {
+			p.speed = map[serving.ServiceID]*serviceSpeeds{}
+		}
+		s = &serviceSpeeds{at: -typicalPaceTTL}
+		p.speed[id] = s
+	}
+	return s
+}
+
+// updateSpeeds applies what other entries and hubs have reported.
+func (p *Pool) updateSpeeds(now time.Duration) {
+	for _, e := range p.engines {
+		if e.others.Factor > 0 {
+			p.setFactor(now-e.others.FactorAge, e, e.others.Factor)
+		}
+		e.machine.SetSlowness(now, e.others.Slowness)
+	}
+}
+
+// UpdateSpeeds computes the speeds of the engines of all services for Slowness. Placing calls
+// does the same for the service of the call.
+func (p *Pool) UpdateSpeeds(now time.Duration) {
+	for _, e := range p.engines {
+		if e.others.Steps != nil {
+			p.speeds(now, e.Service)
+		}
+	}
+}
+
+// speeds returns what is known of the speeds of the engines of a service.
+func (p *Pool) speeds(now time.Duration, service serving.ServiceID) *serviceSpeeds {
+	s := p.speedsOf(service)
+	if now-s.at < typicalPaceTTL {
+		return s
+	}
+	s.at = now
+	s.known, s.ratios = s.known[:0], s.ratios[:0]
+	for _, e := range p.engines {
+		if e.Service != service || !e.Usable() {
+			continue
+		}
+		steps := machine.Steps{}
+		if e.others.Steps != nil {
+			steps = *e.others.Steps
+		}
+		e.steps.decay(now)
+		steps.Add(&e.steps.steps)
+		e.machine.Update(now, &steps)
+		slowness := e.machine.Slowness()
+		if slowness <= 0 {
+			continue
+		}
+		s.known = append(s.known, slowness)
+		if steps.Weight() >= minBadSteps {
+			s.ratios = append(s.ratios, steps.Quantile(badQuantile)/slowness)
+		}
+	}
+	if len(s.known) < minMeasured {
+		s.uneven = false
+		return s
+	}
+	slices.Sort(s.known)
+	s.fast, s.typical = quantile(s.known, fastQuantile), lowerMedian(s.known)
+	limit := unevenSpread
+	if s.uneven {
+		limit = evenSpread
+	}
+	s.uneven = quantile(s.known, slowQuantile) >= limit*s.fast
+	if len(s.ratios) >= minMeasured {
+		s.sharing.SetRatio(lowerMedian(s.ratios))
+	}
+	return s
+}
+
+const (
+	// badQuantile is the quantile of the measured steps that is taken for those with prompts
+	// on a shared machine, and minBadSteps the weight of the steps from which it counts.
+	badQuantile = 0.95
+	minBadSteps = 60.0
+)
+
+// quantile returns a quantile of sorted values.
+func quantile(sorted []float64, q float64) float64 {
+	return sorted[int(math.Round(q*float64(len(sorted)-1)))]
+}
+
+// Slowness returns the duration of the steps of an engine relative to [machine.Nominal], 0
+// if it is unknown.
+func (p *Pool) Slowness(id serving.EngineID) float64 {
+	if e := p.engines[id]; e != nil {
+		return e.machine.Slowness()
+	}
+	return 0
+}
+
+// perEvent returns the number of tokens of an event.
+func (n *Need) perEvent() serving.Tokens {
+	if m := n.Service.Model; m != nil && m.TokensPerEvent > 0 {
+		return m.TokensPerEvent
+	}
+	return 1
+}
+
+// needsPace reports whether the call needs a pace for more than a few events.
+func (n *Need) needsPace() bool {
+	return n.MaxPause > 0 && n.Output >= pacedEvents*n.perEvent()
+}
+
+// exposure returns the share of streams of this length that have a late event at an engine
+// where some are late.
+func (n *Need) exposure() float64 {
+	events := float64(n.Length) / float64(n.perEvent())
+	return 1 - math.Exp(-max(0, events-1)/lateEvents)
+}
+
+// estimate estimates the times of a call at an engine with a load.
+func (e *engine) estimate(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) machine.Estimate {
+	return e.machine.Estimate(now, &machine.Work{Prompt: n.Prompt, Cached: e.parts.cachedTokens(now, n.Parts), Pending: sum.Prefill,
+		Running: sum.Running + 1, PerEvent: n.perEvent(), Typical: s.typical}, &s.sharing)
+}
+
+// unevenCost returns the cost of an engine's speed for a call: of the time until its first
+// event, of the risk that it or streams of others become late, less the bonus of slow engines
+// for calls that need no fast one.
+func (p *Pool) unevenCost(now time.Duration, e *engine, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
+	est := e.estimate(now, n, sum, s)
+	exposure := n.exposure()
+	cost := prefillWeight * est.FirstEvent.Seconds()
+	cost += lateWeight * firstEventRisk(now, n, &est)
+	cost += lateWeight * exposure * pauseRisk(n.MaxPause, &est)
+	cost += lateWeight * threat(sum, &est, &s.sharing)
+	slowness := e.machine.Slowness()
+	if slowness > 0 && s.fast > 0 {
+		cost -= slowEngineBonus * (1 - exposure) * min(1, max(0, slowness/s.fast-1))
+	}
+	return cost
+}
+
+// unsuitable reports whether a call at the engine would probably be late or make others late.
+func (e *engine) unsuitable(now time.Duration, n *Need, s *serviceSpeeds) bool {
+	sum := e.total()
+	est := e.estimate(now, n, &sum, s)
+	return max(firstEventRisk(now, n, &est), n.exposure()*pauseRisk(n.MaxPause, &est))+threat(&sum, &est, &s.sharing) > unsuitableRisk
+}
+
+// firstEventRisk returns the risk that the first event is late.
+func firstEventRisk(now time.Duration, n *Need, est *machine.Estimate) float64 {
+	if n.FirstEventBy <= 0 {
+		return 0
+	}
+	left := float64(max(time.Millisecond, n.FirstEventBy-now))
+	ramp := func(d time.Duration) float64 {
+		return min(1, max(0, (float64(d)/left-firstEventMargin)/(firstEventExcess-firstEventMargin)))
+	}
+	return badFirstEventShare*ramp(est.FirstEventBad) + (1-badFirstEventShare)*ramp(est.FirstEvent)
+}
+
+// pauseRisk returns the risk that a long stream has a pause of more than limit.
+func pauseRisk(limit time.Duration, est *machine.Estimate) float64 {
+	allowed := time.Duration(pauseMargin * float64(limit))
+	if limit <= 0 || est.PauseBad <= allowed {
+		return 0
+	}
+	excess := excessWeight * min(1, float64(est.PauseBad)/float64(limit)-pauseMargin)
+	if est.PauseShared > allowed || est.PausePrompts > allowed {
+		return 1 + excess
+	}
+	// Only prompts on a shared machine break the pace.
+	prompts := min(1, float64(est.PendingTime)/float64(pendingPromptTime))
+	return protectedRisk + (1-protectedRisk)*prompts + excess
+}
+
+// threat returns the expected number of streams of others that the prompt makes late.
+func threat(sum *usage.Use, est *machine.Estimate, s *machine.Sharing) float64 {
+	allowed := time.Duration(pauseMargin * float64(sum.MaxPause))
+	if sum.Paced <= 0 || sum.MaxPause <= 0 || est.PauseBad <= allowed {
+		return 0
+	}
+	risk := 1.0
+	if est.PausePrompts <= allowed {
+		// The machine has to be shared at some time while the prompt is read.
+		risk = min(1, s.Share()*(1+float64(est.PromptTime)/float64(machine.Episode)))
+	}
+	return risk * float64(min(sum.Paced, maxThreatened))
+}
--- a/pkg/serving/usage/usage.go
+++ b/pkg/serving/usage/usage.go
@@ -18,6 +18,7 @@
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/machine"
 )
 
 // Use is the load at one engine.
@@ -45,6 +46,19 @@
 	// Calls and Failures count the calls that have recently ended and those that the engine
 	// failed, with weights that fall with time.
 	Calls, Failures float64
+	// Steps has the durations of the recent steps of the engine; nil if there are none.
+	Steps *machine.Steps
+	// Factor is the last factor that the engine has stated for its machine, 0 if unknown, and
+	// FactorAge its age when it was reported.
+	Factor    serving.Percent
+	FactorAge time.Duration
+	// Slowness is the duration of the engine's steps relative to the nominal ones as a hub
+	// has found it; 0 if unknown.
+	Slowness float64
+	// Paced counts the streams that need a pace and are on time so far, and MaxPause is the
+	// shortest of the pauses that they may have between two events.
+	Paced    serving.Slots
+	MaxPause time.Duration
 }
 
 // Pace is a number of tokens and the time that an engine took to generate them, summed over
@@ -64,7 +78,7 @@
 	Age time.Duration
 }
 
-// Add adds the load o at the same engine.
+// Add adds the load o at the same engine, without its steps.
 func (u *Use) Add(o *Use) {
 	u.Running += o.Running
 	u.Held += o.Held
@@ -76,11 +90,33 @@
 	u.Pace.Time += o.Pace.Time
 	u.Calls += o.Calls
 	u.Failures += o.Failures
+	if o.Factor > 0 && (u.Factor == 0 || o.FactorAge < u.FactorAge) {
+		u.Factor, u.FactorAge = o.Factor, o.FactorAge
+	}
+	if u.Slowness == 0 {
+		u.Slowness = o.Slowness
+	}
+	u.Paced += o.Paced
+	if o.MaxPause > 0 && (u.MaxPause == 0 || o.MaxPause < u.MaxPause) {
+		u.MaxPause = o.MaxPause
+	}
 	if o.Limit != nil && (u.Limit == nil || o.Limit.Age < u.Limit.Age) {
 		u.Limit = o.Limit
 	}
 }
 
+// AddSteps adds the steps of o, which may be nil. The steps of u must be nil or have been set
+// by this function, because it changes them.
+func (u *Use) AddSteps(o *machine.Steps) {
+	if o == nil {
+		return
+	}
+	if u.Steps == nil {
+		u.Steps = &machine.Steps{}
+	}
+	u.Steps.Add(o)
+}
+
 type report struct {
 	at   time.Duration
 	uses []Use
@@ -122,28 +158,49 @@
 				sums[u.Engine] = sum
 			}
 			sum.Add(u.aged(now - r.at))
+			sum.AddSteps(u.Steps)
 		}
 	}
 	return sums, reporters
 }
 
-// aged returns the load with the age of the limit increased by d.
+// aged returns the load with the ages of the limit and the factor increased by d.
 func (u *Use) aged(d time.Duration) *Use {
-	if u.Limit == nil {
+	if u.Limit == nil && u.Factor == 0 {
 		return u
 	}
-	out, limit := *u, *u.Limit
-	limit.Age += d
-	out.Limit = &limit
+	out := *u
+	out.FactorAge += d
+	if u.Limit != nil {
+		limit := *u.Limit
+		limit.Age += d
+		out.Limit = &limit
+	}
 	return &out
 }
 
+const (
+	// slownessUnits is the number of units of a slowness of 1 in messages.
+	slownessUnits = 1000
+	// maxSlowness bounds a slowness in a message. An engine that is slower serves nobody.
+	maxSlowness = 100.0
+	// maxFactorAge is the age from which a factor isn't reported.
+	maxFactorAge = 5 * time.Second
+)
+
 // ToWire converts the load to its protobuf message.
 func (u *Use) ToWire() *schema.EngineUse {
 	out := &schema.EngineUse{Engine: string(u.Engine), Running: int32(u.Running), HeldTokens: int64(u.Held),
 		ExpectedTokens: int64(u.Expected), PrefillTokens: int64(u.Prefill), Broken: int32(u.Broken), Demand: u.Demand,
 		PaceTokens: int64(u.Pace.Tokens), PaceUs: u.Pace.Time.Microseconds(),
-		RecentCalls: float32(u.Calls), RecentFailures: float32(u.Failures)}
+		RecentCalls: float32(u.Calls), RecentFailures: float32(u.Failures),
+		Slowness: int32(math.Round(u.Slowness * slownessUnits)), PacedStreams: int32(u.Paced), MaxPauseMs: int32(u.MaxPause.Milliseconds())}
+	if u.Steps != nil {
+		out.Steps = u.Steps.ToWire()
+	}
+	if u.Factor > 0 && u.FactorAge <= maxFactorAge {
+		out.Factor, out.FactorAgeMs = int32(u.Factor), int32(u.FactorAge.Milliseconds())
+	}
 	if u.Limit != nil {
 		out.Limit = &schema.EngineLimit{AgeMs: u.Limit.Age.Milliseconds()}
 		if u.Limit.Limited {
@@ -161,7 +218,16 @@
 			Held: serving.Tokens(m.GetHeldTokens()), Expected: serving.Tokens(m.GetExpectedTokens()), Prefill: serving.Tokens(m.GetPrefillTokens()),
 			Broken: int(m.GetBroken()), Demand: m.GetDemand(),
 			Pace:  Pace{Tokens: serving.Tokens(m.GetPaceTokens()), Time: time.Duration(m.GetPaceUs()) * time.Microsecond},
-			Calls: count(m.GetRecentCalls()), Failures: count(m.GetRecentFailures())}
+			Calls: count(m.GetRecentCalls()), Failures: count(m.GetRecentFailures()),
+			Slowness: min(maxSlowness, float64(max(0, m.GetSlowness()))/slownessUnits),
+			Paced:    serving.Slots(max(0, m.GetPacedStreams())), MaxPause: time.Duration(max(0, m.GetMaxPauseMs())) * time.Millisecond}
+		if b := m.GetSteps(); len(b) > 0 {
+			steps := machine.StepsFromWire(b)
+			out[i].Steps = &steps
+		}
+		if f := serving.Percent(m.GetFactor()); f >= serving.MinFactor && f <= serving.MaxFactor && m.GetFactorAgeMs() >= 0 {
+			out[i].Factor, out[i].FactorAge = f, time.Duration(m.GetFactorAgeMs())*time.Millisecond
+		}
 		if l := m.GetLimit(); l != nil {
 			out[i].Limit = &Limit{PerSecond: l.GetCallsPerSecond(), Limited: l.CallsPerSecond != nil, Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
 		}
