Place streams by what uneven engines can sustain

On the uneven load, about a fifth of the long streams had a pause over 180 ms. An event of an engine of speed 0.55 takes 115 ms while a prompt is read beside it, and 288 ms while its machine is shared as well. Long streams went there once the fast engines were about half fuller, and short ones hardly preferred the slow engines.

Where the slowness of a service's engines differs by a factor of 1.5 or more, the cost of an engine has these terms now: the risk that the first event is late, the risk that a pause is too long, the streams at the engine that the prompt would make late, and a bonus of slow engines for short answers. With less difference, the choice is as before.

TestUnevenPlacement has the load of the uneven deployment. Without the new terms, 4 of its 7 cases fail: 11 of 33 long streams and 11 of 11 short answers beside streams that need a pace go to slow engines. It should change the share of late streams with 188 events, and of short answers whose first event is late.

--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -233,8 +233,12 @@
 	}
 	weights := make([]float64, len(fitting))
 	sum := 0.0
+	speeds := p.speeds(now, n.Service.ID)
 	for i, e := range fitting {
 		weights[i] = p.sampleWeight(e, n)
+		if speeds.uneven && e.unsuitable(now, n, speeds) {
+			weights[i] *= unevenSampleFactor
+		}
 		sum += weights[i]
 	}
 	out := make([]*engine, 0, sampleSize)
@@ -266,6 +270,11 @@
 func (p *Pool) cheapest(now time.Duration, engines []*engine, n *Need) *engine {
 	peers := p.peerMedians(now, n)
 	peers.pace = p.typicalPace(now, n.Service)
+	if n.Service.Model != nil && n.CopyFrom == "" {
+		if s := p.speeds(now, n.Service.ID); s.uneven {
+			peers.uneven = s
+		}
+	}
 	best, bestCost := engines[0], p.cost(now, engines[0], n, peers)
 	for _, e := range engines[1:] {
 		if cost := p.cost(now, e, n, peers); cost < bestCost {
