Leave room for brief calls where memory is scarce

Brief answers were late because long ones had filled the engines, and the prompts of the brief ones piled up at engines that had just started (7,600 pending tokens before a late one, 1,000 before one on time). Calls that can wait now leave room for a brief prompt at each engine, and no prompt queues where its first event would be late.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -43,6 +43,7 @@
 		if hub == nil {
 			return g.place(ctx, need, rank, deadline-g.Clock.Now())
 		}
+		need.LastAttempt = g.Clock.Now()+2*placeInterval >= deadline
 		id, err := g.requestEngine(ctx, hub, need, regions)
 		switch {
 		case err != nil:
@@ -84,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	in := &schema.PlaceRequest{Service: string(need.Service.ID), PromptTokens: int64(need.Prompt), GrowthTokens: int64(need.Output),
-		Restricted: regions != nil, OutputTokens: int64(need.Length), MaxPauseMs: need.MaxPause.Milliseconds()}
+		Restricted: regions != nil, OutputTokens: int64(need.Length), MaxPauseMs: need.MaxPause.Milliseconds(), LastAttempt: need.LastAttempt}
 	if need.FirstEventBy > 0 {
 		left := max(1, (need.FirstEventBy - g.Clock.Now()).Milliseconds())
 		in.FirstEventMs = &left
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -77,7 +77,9 @@
 	// HeartbeatInterval is the heartbeat interval of engines; 0 means a third of
 	// presence.DefaultSilentAfter.
 	HeartbeatInterval time.Duration
-	Clock             serving.Clock
+	// ScarceMemory means that the settings state that the memory of engines is scarce.
+	ScarceMemory bool
+	Clock        serving.Clock
 
 	once sync.Once
 	// incarnation is a random number, never 0, that identifies this run of the hub.
@@ -178,7 +180,7 @@
 	h.leavingUntil = map[serving.ReplicaID]time.Duration{}
 	h.local, h.remote = usage.NewTable(useTTL), usage.NewTable(useTTL)
 	h.peers = map[string]*peer{}
-	h.placer.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: h.DataCentre, RegionOf: h.RegionOf}
+	h.placer.pool = placement.Pool{ScarceMemory: h.ScarceMemory, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: h.DataCentre, RegionOf: h.RegionOf}
 	h.state = &schema.DeploymentState{}
 	h.changed = make(chan struct{})
 	for _, address := range h.InitialHubs {
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -112,6 +112,8 @@
 	MaxPause time.Duration
 	// FirstEventBy is the time from which on the first event is late; 0 if it never is.
 	FirstEventBy time.Duration
+	// LastAttempt means that the call can't wait any longer for an engine.
+	LastAttempt bool
 	// Exclude lists engines that must not be chosen, such as those already tried.
 	Exclude []serving.EngineID
 	// CopyFrom is the data centre of the engine from which the memory of a running
@@ -153,6 +155,7 @@
 // Place chooses an engine for a call and adds the call to its load. The error is of
 // kind no_engine if no engine may run the call, and overloaded if none has room now.
 func (p *Pool) Place(now time.Duration, n *Need) (*Ticket, error) {
+	p.recordBrief(now, n)
 	fitting, full := p.fitting(now, n)
 	if len(fitting) == 0 && full > 0 {
 		if wait, ok := p.paceWait(now, n); ok {
@@ -214,7 +217,7 @@
 	for _, e := range p.engines {
 		switch {
 		case !p.eligible(e, n):
-		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.takesCalls(now, e) || !e.fits(now, n):
+		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.takesCalls(now, e) || !e.fits(now, n) || p.defers(now, e, n):
 			full++
 		default:
 			fitting = append(fitting, e)
@@ -271,7 +274,7 @@
 	peers := p.peerMedians(now, n)
 	peers.pace = p.typicalPace(now, n.Service)
 	if n.Service.Model != nil && n.CopyFrom == "" {
-		if s := p.speeds(now, n.Service.ID); s.uneven {
+		if s := p.speeds(now, n.Service.ID); s.uneven || p.ScarceMemory {
 			peers.uneven = s
 		}
 	}
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -19,6 +19,9 @@
 	// Choosers is the number of pools that choose engines at the same time, in the pool of a
 	// hub: the number of hubs. It may be changed at any time; 0 means the number of entries.
 	Choosers int
+	// ScarceMemory means that the deployment's settings state that the memory of engines is
+	// scarce. Calls that can wait then leave it to others.
+	ScarceMemory bool
 
 	engines      map[serving.EngineID]*engine
 	outOfService map[serving.DataCentreID]bool
@@ -26,6 +29,7 @@
 	demand       map[serving.ServiceID]*pacing.Demand
 	pace         map[serving.ServiceID]typicalPace
 	speed        map[serving.ServiceID]*serviceSpeeds
+	brief        map[serving.ServiceID]*briefCalls
 }
 
 // engine is the state of one engine as seen by the pool.
