Place by hubs of other regions, and fade old reports

Entries that reached no hub of their region chose engines by the last report that all of them had got, and sent their calls to the same engines: 36 of their 88 first events were late in six seconds of a play. Where memory is scarce, they now ask a hub of another region, and a report that isn't renewed fades to the mean.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,9 @@
 	Grace time.Duration
 	// Retries limits the retries of calls; Window, Ratio and Allowance must be set.
 	Retries placement.RetryBudget
-	Clock   serving.Clock
+	// ScarceMemory means that the settings state that the memory of engines is scarce.
+	ScarceMemory bool
+	Clock        serving.Clock
 
 	board    blackboard
 	upstream *upstream.Pool
@@ -144,7 +146,7 @@
 	if g.Clock == nil {
 		g.Clock = serving.NewMonotonicClock()
 	}
-	g.board.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
+	g.board.pool = placement.Pool{ScarceMemory: g.ScarceMemory, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
 	g.heldAnswers, g.heldBodies = newHeldAnswers(), newHeldBodies()
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, Clock: g.Clock}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -86,6 +86,9 @@
 	defer cancel()
 	in := &schema.PlaceRequest{Service: string(need.Service.ID), PromptTokens: int64(need.Prompt), GrowthTokens: int64(need.Output),
 		Restricted: regions != nil, OutputTokens: int64(need.Length), MaxPauseMs: need.MaxPause.Milliseconds(), LastAttempt: need.LastAttempt}
+	if g.watcher.placesRemotely() {
+		in.DataCentre = string(g.DataCentre)
+	}
 	if need.FirstEventBy > 0 {
 		left := max(1, (need.FirstEventBy - g.Clock.Now()).Milliseconds())
 		in.FirstEventMs = &left
@@ -127,6 +130,13 @@
 	return w.placementHub
 }
 
+// placesRemotely reports whether the hub that chooses engines is in another region.
+func (w *watcher) placesRemotely() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.placementRemote
+}
+
 // pausePlacement stops requests for engines to the hub for placeBackoff.
 func (w *watcher) pausePlacement() {
 	w.mu.Lock()
@@ -139,9 +149,9 @@
 func (w *watcher) setPlacementHub(h *hubState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.placementHub = nil
-	if h != nil && h.region == w.g.Region {
-		w.placementHub = h.client
+	w.placementHub, w.placementRemote = nil, false
+	if h != nil && (h.region == w.g.Region || w.g.ScarceMemory) {
+		w.placementHub, w.placementRemote = h.client, h.region != w.g.Region
 	}
 }
 
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -62,6 +62,8 @@
 	// used before placementPausedUntil.
 	placementHub         schema.Hub
 	placementPausedUntil time.Duration
+	// placementRemote is set if placementHub is in another region.
+	placementRemote bool
 }
 
 // hubState is the watcher's state for one hub.
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -52,7 +52,7 @@
 	h.placer.pool.CountCall(now, service.ID)
 	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
 		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll, MaxPause: time.Duration(max(0, in.GetMaxPauseMs())) * time.Millisecond}
-	need.LastAttempt = in.GetLastAttempt()
+	need.LastAttempt, need.Home = in.GetLastAttempt(), serving.DataCentreID(in.GetDataCentre())
 	if in.FirstEventMs != nil {
 		need.FirstEventBy = now + time.Duration(max(1, in.GetFirstEventMs()))*time.Millisecond
 	}
--- a/pkg/serving/placement/deferral.go
+++ b/pkg/serving/placement/deferral.go
@@ -31,6 +31,48 @@
 	briefShare = 0.4
 )
 
+// fadeOthers moves the load of other entries that this entry knows towards the mean of the
+// service's engines while no report of them arrives. Engines that had room in the last report
+// would otherwise get the calls of all entries that have the same old report.
+func (p *Pool) fadeOthers(now time.Duration, s *routing.Service) {
+	if !p.ScarceMemory || s.Model == nil || now-p.othersAt < fadeAfter || now-p.fadedAt < fadeInterval {
+		return
+	}
+	share := min(1, float64(now-max(p.fadedAt, p.othersAt+fadeAfter))/float64(fadeTime))
+	p.fadedAt = now
+	var sum usage.Use
+	n := 0
+	for _, e := range p.engines {
+		if e.Service == s.ID && e.Usable() {
+			sum.Running += e.others.Running
+			sum.Held += e.others.Held
+			sum.Expected += e.others.Expected
+			sum.Prefill += e.others.Prefill
+			n++
+		}
+	}
+	if n == 0 {
+		return
+	}
+	for _, e := range p.engines {
+		if e.Service != s.ID || !e.Usable() {
+			continue
+		}
+		e.others.Held += serving.Tokens(share * float64(sum.Held/serving.Tokens(n)-e.others.Held))
+		e.others.Expected += serving.Tokens(share * float64(sum.Expected/serving.Tokens(n)-e.others.Expected))
+		e.others.Prefill += serving.Tokens(share * float64(sum.Prefill/serving.Tokens(n)-e.others.Prefill))
+	}
+}
+
+const (
+	// fadeAfter is the age of the last report from which the load of others fades, a few
+	// intervals between reports, fadeTime how long that takes, and fadeInterval the time
+	// between two steps.
+	fadeAfter    = 300 * time.Millisecond
+	fadeTime     = time.Second
+	fadeInterval = 50 * time.Millisecond
+)
+
 // briefCalls describes the recent calls of a service with brief answers.
 type briefCalls struct {
 	// prompt is the mean number of prompt tokens, and left the mean time until the first event
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -112,6 +112,8 @@
 	MaxPause time.Duration
 	// FirstEventBy is the time from which on the first event is late; 0 if it never is.
 	FirstEventBy time.Duration
+	// Home is the data centre of the entry that has the call; empty means that of the pool.
+	Home serving.DataCentreID
 	// LastAttempt means that the call can't wait any longer for an engine.
 	LastAttempt bool
 	// Exclude lists engines that must not be chosen, such as those already tried.
@@ -156,6 +158,7 @@
 // kind no_engine if no engine may run the call, and overloaded if none has room now.
 func (p *Pool) Place(now time.Duration, n *Need) (*Ticket, error) {
 	p.recordBrief(now, n)
+	p.fadeOthers(now, n.Service)
 	fitting, full := p.fitting(now, n)
 	if len(fitting) == 0 && full > 0 {
 		if wait, ok := p.paceWait(now, n); ok {
@@ -413,6 +416,9 @@
 	if n.CopyFrom != "" {
 		home, otherDC, otherRegion, spread = n.CopyFrom, copyOtherDCCost, copyOtherRegionCost, copyJitter
 	}
+	if n.Home != "" && n.CopyFrom == "" {
+		home = n.Home
+	}
 	cost := spread * p.Random.Float64()
 	switch {
 	case e.DataCentre == home:
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -30,6 +30,9 @@
 	pace         map[serving.ServiceID]typicalPace
 	speed        map[serving.ServiceID]*serviceSpeeds
 	brief        map[serving.ServiceID]*briefCalls
+	// othersAt is when the load of the other entries was last set, and fadedAt when it was last
+	// changed because no report had arrived.
+	othersAt, fadedAt time.Duration
 }
 
 // engine is the state of one engine as seen by the pool.
@@ -129,6 +132,7 @@
 		e.others = usage.Use{Engine: e.Engine}
 	}
 	p.entries = max(entries, 1)
+	p.othersAt = now
 	for i := range uses {
 		e := p.engines[uses[i].Engine]
 		if e == nil {
