--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -20,6 +20,8 @@
 	// checkpointsWritten and checkpointsFailed count what is stored for the next start.
 	checkpointsWritten = expvar.NewInt("control_checkpoints_written")
 	checkpointsFailed  = expvar.NewInt("control_checkpoints_failed")
+	// callsDeferred counts the answers without an engine although engines had room.
+	callsDeferred = expvar.NewInt("calls_deferred")
 )
 
 // recordMembership updates the metrics of the membership.
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -64,6 +64,9 @@
 	}
 	ticket, err := h.placer.pool.Place(now, need)
 	if err != nil {
+		if serving.AsError(err).Detail == placement.DetailDeferred {
+			callsDeferred.Add(1)
+		}
 		return &schema.PlaceResult{}, nil
 	}
 	// The pool counts the call as a reservation until the entry, which claims the engine
--- a/pkg/serving/placement/deferral.go
+++ b/pkg/serving/placement/deferral.go
@@ -73,6 +73,10 @@
 	fadeInterval = 50 * time.Millisecond
 )
 
+// DetailDeferred is the detail of the error of Place if engines have room for the call, and the
+// call should wait because others need it more, or because it would be late there.
+const DetailDeferred = "deferred"
+
 // briefCalls describes the recent calls of a service with brief answers.
 type briefCalls struct {
 	// prompt is the mean number of prompt tokens, and left the mean time until the first event
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -170,7 +170,11 @@
 		return nil, serving.NewError(serving.KindNoEngine, "no engine of service "+string(n.Service.ID)+" is in service").WithRetryAfter(time.Second)
 	}
 	if len(fitting) == 0 {
-		return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
+		err := serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
+		if p.deferring > 0 {
+			return nil, err.WithDetail(DetailDeferred)
+		}
+		return nil, err
 	}
 	t := p.admit(now, p.cheapest(now, p.sample(now, fitting, n), n), n)
 	t.Fitting, t.Full = len(fitting), full
@@ -217,11 +221,15 @@
 // fitting returns the engines that can take the call now, and the number of eligible
 // ones that can't.
 func (p *Pool) fitting(now time.Duration, n *Need) (fitting []*engine, full int) {
+	p.deferring = 0
 	for _, e := range p.engines {
 		switch {
 		case !p.eligible(e, n):
-		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.takesCalls(now, e) || !e.fits(now, n) || p.defers(now, e, n):
+		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.takesCalls(now, e) || !e.fits(now, n):
+			full++
+		case p.defers(now, e, n):
 			full++
+			p.deferring++
 		default:
 			fitting = append(fitting, e)
 		}
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -30,6 +30,8 @@
 	pace         map[serving.ServiceID]typicalPace
 	speed        map[serving.ServiceID]*serviceSpeeds
 	brief        map[serving.ServiceID]*briefCalls
+	// deferring counts the engines that had room for the last call but were left to others.
+	deferring int
 	// othersAt is when the load of the other entries was last set, and fadedAt when it was last
 	// changed because no report had arrived.
 	othersAt, fadedAt time.Duration
