Tell entries how machines are shared; sample by speed

Entries that reach no hub of their region choose engines themselves. Each of them sees few factors: after 20 without a shared machine it took the machines for unshared, so that slow engines seemed to sustain every pace. The distribution starts from an assumed one now, and hubs tell entries what they have found for each service (WatchResult.machines).

Such an entry compares two engines that it samples by their room, which slow engines have more of. It also weighs them by their speed, and a tenth where the call would break a pace.

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -364,6 +364,9 @@
 		w.removeUnlisted(listed)
 	}
 	b.pool.SetOtherUse(now, withoutOwn(usage.FromWire(res.GetUses()), own), int(res.GetEntries()))
+	for _, m := range res.GetMachines() {
+		b.pool.SetSharing(serving.ServiceID(m.GetService()), float64(m.GetSharedShare()), float64(m.GetSharedRatio()))
+	}
 	b.suspects = quarantine.PartsFromWire(res.GetSuspects())
 	b.placeWaiting(now)
 	for _, id := range leaving {
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
@@ -106,6 +107,9 @@
 		}
 		out.Uses = append(out.Uses, u.ToWire())
 	}
+	h.placer.pool.EachSharing(func(id serving.ServiceID, share, ratio float64) {
+		out.Machines = append(out.Machines, &schema.ServiceMachines{Service: string(id), SharedShare: float32(share), SharedRatio: float32(ratio)})
+	})
 	out.Entries = int32(n)
 	out.Hubs = h.reachableHubs(now)
 	out.Suspects = quarantine.PartsToWire(h.evidence.Suspects(now, h.blocks))
--- a/pkg/serving/machine/sharing.go
+++ b/pkg/serving/machine/sharing.go
@@ -11,15 +11,15 @@
 	sharedFrom serving.Percent = 130
 	// sharingWeight is the number of factors after which an old one hardly counts.
 	sharingWeight = 400
-	// minFactors is the number of factors from which their distribution counts.
-	minFactors = 20
-	// minSharedFactors is the number of factors of shared machines from which their mean
-	// counts.
-	minSharedFactors = 4
-	// assumedShare and assumedRatio describe machines whose engines state no factor, until
-	// the times between events show more.
+	// assumedShare and assumedRatio describe machines until factors or the times between
+	// events show more. They count as much as priorFactors factors, priorShared of them of
+	// shared machines: with fewer, chance decides.
 	assumedShare = 0.1
 	assumedRatio = 1.5
+	priorFactors = 20
+	priorShared  = 2
+	// sharedRarely is the share below which machines count as not shared.
+	sharedRarely = 0.01
 	// maxRatio bounds how much longer work is assumed to take on a shared machine, so that a
 	// few implausible factors don't exclude all engines.
 	maxRatio = 5.0
@@ -34,6 +34,9 @@
 	n, shared, sum float64
 	// ratio is what the times between events show, 0 if they show nothing.
 	ratio float64
+	// reportedShare and reportedRatio are what another process has found, if reported is set.
+	reported                     bool
+	reportedShare, reportedRatio float64
 }
 
 // Observe adds a factor that an engine stated.
@@ -61,28 +64,36 @@
 // typicalRunning is the number of calls of an engine for which SetRatio assumes prompts.
 const typicalRunning serving.Slots = 8
 
-// Stated reports whether enough factors are known.
-func (s *Sharing) Stated() bool { return s.n >= minFactors }
+// Known reports whether any factor is known.
+func (s *Sharing) Known() bool { return s.n > 0 }
+
+// Set sets the share and the ratio that another process, which has more measurements, has
+// found. They go before the own ones. Values that can't be them are ignored.
+func (s *Sharing) Set(share, ratio float64) {
+	if share >= 0 && share <= 1 && ratio >= 1 && ratio <= maxRatio {
+		s.reported, s.reportedShare, s.reportedRatio = true, share, ratio
+	}
+}
 
 // Share returns the share of the time for which a machine is shared.
 func (s *Sharing) Share() float64 {
-	if !s.Stated() {
-		return assumedShare
+	if s.reported {
+		return s.reportedShare
 	}
-	return s.shared / s.n
+	return (s.shared + assumedShare*priorFactors) / (s.n + priorFactors)
 }
 
 // Ratio returns how much longer work takes on a shared machine, at least 1.
 func (s *Sharing) Ratio() float64 {
 	switch {
-	case s.Stated() && s.shared >= minSharedFactors:
-		return min(maxRatio, s.sum/s.shared)
-	case s.Stated():
+	case s.reported:
+		return s.reportedRatio
+	case s.Share() < sharedRarely:
 		return 1
-	case s.ratio > 0:
+	case s.n == 0 && s.ratio > 0:
 		return min(maxRatio, max(1, s.ratio))
 	}
-	return assumedRatio
+	return min(maxRatio, (s.sum+assumedRatio*priorShared)/(s.shared+priorShared))
 }
 
 // Mean returns the mean of the factor, where 1 is usual.
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -236,8 +236,8 @@
 	speeds := p.speeds(now, n.Service.ID)
 	for i, e := range fitting {
 		weights[i] = p.sampleWeight(e, n)
-		if speeds.uneven && e.unsuitable(now, n, speeds) {
-			weights[i] *= unevenSampleFactor
+		if speeds.uneven {
+			weights[i] *= e.suitability(now, n, speeds)
 		}
 		sum += weights[i]
 	}
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -54,7 +54,7 @@
 	badFirstEventShare = 0.4
 	// slowEngineBonus is the reduction of the cost of an engine of half the speed of the fast
 	// ones for a call with a short answer, which needs no pace.
-	slowEngineBonus = 0.4
+	slowEngineBonus = 0.1
 	// maxThreatened bounds the number of streams of others that a prompt is charged with.
 	maxThreatened = 8
 	// unevenSampleFactor multiplies the sampling weight of an engine where the risk of late
@@ -116,6 +116,21 @@
 	}
 }
 
+// EachSharing calls f with how the machines of a service's engines are shared, for the
+// services of which an engine has stated a factor.
+func (p *Pool) EachSharing(f func(id serving.ServiceID, share, ratio float64)) {
+	for id, s := range p.speed {
+		if s.sharing.Known() {
+			f(id, s.sharing.Share(), s.sharing.Ratio())
+		}
+	}
+}
+
+// SetSharing sets what a hub has found about the machines of a service's engines.
+func (p *Pool) SetSharing(id serving.ServiceID, share, ratio float64) {
+	p.speedsOf(id).sharing.Set(share, ratio)
+}
+
 // serviceSpeeds has what is known of the speeds of the engines of a service.
 type serviceSpeeds struct {
 	sharing machine.Sharing
@@ -269,11 +284,19 @@
 	return cost
 }
 
-// unsuitable reports whether a call at the engine would probably be late or make others late.
-func (e *engine) unsuitable(now time.Duration, n *Need, s *serviceSpeeds) bool {
+// suitability returns the factor of an engine's sampling weight: its speed relative to the
+// fast engines, further reduced if a call there would probably be late or make others late.
+func (e *engine) suitability(now time.Duration, n *Need, s *serviceSpeeds) float64 {
 	sum := e.total()
 	est := e.estimate(now, n, &sum, s)
-	return max(firstEventRisk(now, n, &est), n.exposure()*pauseRisk(n.MaxPause, &est))+threat(&sum, &est, &s.sharing) > unsuitableRisk
+	w := 1.0
+	if slowness := e.machine.Slowness(); slowness > 0 {
+		w = min(1, s.fast/slowness)
+	}
+	if n.exposure()*pauseRisk(n.MaxPause, &est)+threat(&sum, &est, &s.sharing) > unsuitableRisk {
+		w *= unevenSampleFactor
+	}
+	return w
 }
 
 // firstEventRisk returns the risk that the first event is late.
