Weigh engines by the probability of late streams

The cost of an engine that can't sustain a pace was a constant by cases, and slow engines had a bonus for short answers.

The cost is the probability now that the machine is shared and a prompt is read at the same time while the stream runs, from the measured share of shared machines and the prompts pending at the engine. The bonus is gone, and fullness counts with its cube on uneven engines, so that an empty slow engine isn't preferred to half-full fast ones.

--- a/pkg/serving/machine/sharing.go
+++ b/pkg/serving/machine/sharing.go
@@ -96,5 +96,10 @@
 	return min(maxRatio, (s.sum+assumedRatio*priorShared)/(s.shared+priorShared))
 }
 
+// Within returns the probability that a machine is shared at some time within d.
+func (s *Sharing) Within(d time.Duration) float64 {
+	return min(1, s.Share()*(1+float64(d)/float64(Episode)))
+}
+
 // Mean returns the mean of the factor, where 1 is usual.
 func (s *Sharing) Mean() float64 { return 1 + s.Share()*(s.Ratio()-1) }
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -368,7 +368,12 @@
 	cost := 0.0
 	if m := n.Service.Model; m != nil {
 		memory := float64(max(m.MemoryTokens, 1))
-		cost += float64(sum.Expected+n.Prompt+n.Output) / memory
+		full := float64(sum.Expected+n.Prompt+n.Output) / memory
+		if peers.uneven != nil {
+			// Room that isn't needed soon is worth less than a stream on time.
+			full = full * full * full
+		}
+		cost += full
 		if peers.uneven != nil {
 			cost += p.unevenCost(now, e, n, &sum, peers.uneven)
 		} else {
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -32,16 +32,13 @@
 	// pauseMargin is the share of the required pause that an engine may need. The rest is for
 	// the network and for the error of the estimate.
 	pauseMargin = 0.85
-	// lateEvents is the number of events after which a stream at an engine that can't sustain
-	// its pace is expected to have had a late one.
-	lateEvents = 40.0
 	// pacedEvents is the number of further events from which a stream counts as one that
 	// needs a pace.
 	pacedEvents = 16
-	// protectedRisk is the share of the risk that is left for a stream whose pace is broken
-	// only by prompts on a shared machine, if no prompt is pending beside it.
-	protectedRisk = 0.3
-	// pendingPromptTime is the time of pending prompts from which on they count fully.
+	// promptShare is the share of the time for which prompts are expected beside a stream at an
+	// engine where none is pending now, and pendingPromptTime the time of pending prompts from
+	// which on they are expected all the time.
+	promptShare       = 0.5
 	pendingPromptTime = time.Second
 	// excessWeight is the additional cost of an engine with twice the required pause.
 	excessWeight = 0.3
@@ -49,12 +46,6 @@
 	// is avoided, and firstEventExcess the one at which the call is certainly late.
 	firstEventMargin = 0.75
 	firstEventExcess = 1.05
-	// badFirstEventShare is the share of the cost of a late first event that applies if only
-	// a shared machine makes it late.
-	badFirstEventShare = 0.4
-	// slowEngineBonus is the reduction of the cost of an engine of half the speed of the fast
-	// ones for a call with a short answer, which needs no pace.
-	slowEngineBonus = 0.1
 	// maxThreatened bounds the number of streams of others that a prompt is charged with.
 	maxThreatened = 8
 	// unevenSampleFactor multiplies the sampling weight of an engine where the risk of late
@@ -254,13 +245,6 @@
 	return n.MaxPause > 0 && n.Output >= pacedEvents*n.perEvent()
 }
 
-// exposure returns the share of streams of this length that have a late event at an engine
-// where some are late.
-func (n *Need) exposure() float64 {
-	events := float64(n.Length) / float64(n.perEvent())
-	return 1 - math.Exp(-max(0, events-1)/lateEvents)
-}
-
 // estimate estimates the times of a call at an engine with a load.
 func (e *engine) estimate(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) machine.Estimate {
 	return e.machine.Estimate(now, &machine.Work{Prompt: n.Prompt, Cached: e.parts.cachedTokens(now, n.Parts), Pending: sum.Prefill,
@@ -272,15 +256,10 @@
 // for calls that need no fast one.
 func (p *Pool) unevenCost(now time.Duration, e *engine, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
 	est := e.estimate(now, n, sum, s)
-	exposure := n.exposure()
 	cost := prefillWeight * est.FirstEvent.Seconds()
-	cost += lateWeight * firstEventRisk(now, n, &est)
-	cost += lateWeight * exposure * pauseRisk(n.MaxPause, &est)
+	cost += lateWeight * firstEventRisk(now, n, &est, &s.sharing)
+	cost += lateWeight * pauseRisk(n, &est, &s.sharing)
 	cost += lateWeight * threat(sum, &est, &s.sharing)
-	slowness := e.machine.Slowness()
-	if slowness > 0 && s.fast > 0 {
-		cost -= slowEngineBonus * (1 - exposure) * min(1, max(0, slowness/s.fast-1))
-	}
 	return cost
 }
 
@@ -293,14 +272,14 @@
 	if slowness := e.machine.Slowness(); slowness > 0 {
 		w = min(1, s.fast/slowness)
 	}
-	if n.exposure()*pauseRisk(n.MaxPause, &est)+threat(&sum, &est, &s.sharing) > unsuitableRisk {
+	if pauseRisk(n, &est, &s.sharing)+threat(&sum, &est, &s.sharing) > unsuitableRisk {
 		w *= unevenSampleFactor
 	}
 	return w
 }
 
 // firstEventRisk returns the risk that the first event is late.
-func firstEventRisk(now time.Duration, n *Need, est *machine.Estimate) float64 {
+func firstEventRisk(now time.Duration, n *Need, est *machine.Estimate, s *machine.Sharing) float64 {
 	if n.FirstEventBy <= 0 {
 		return 0
 	}
@@ -308,22 +287,34 @@
 	ramp := func(d time.Duration) float64 {
 		return min(1, max(0, (float64(d)/left-firstEventMargin)/(firstEventExcess-firstEventMargin)))
 	}
-	return badFirstEventShare*ramp(est.FirstEventBad) + (1-badFirstEventShare)*ramp(est.FirstEvent)
+	shared := s.Within(est.FirstEvent)
+	return shared*ramp(est.FirstEventBad) + (1-shared)*ramp(est.FirstEvent)
 }
 
-// pauseRisk returns the risk that a long stream has a pause of more than limit.
-func pauseRisk(limit time.Duration, est *machine.Estimate) float64 {
-	allowed := time.Duration(pauseMargin * float64(limit))
-	if limit <= 0 || est.PauseBad <= allowed {
+// pauseRisk returns the risk that the stream has a pause that is too long for its caller.
+func pauseRisk(n *Need, est *machine.Estimate, s *machine.Sharing) float64 {
+	allowed := time.Duration(pauseMargin * float64(n.MaxPause))
+	pauses := n.Length/n.perEvent() - 1
+	if n.MaxPause <= 0 || pauses <= 0 || est.PauseBad <= allowed {
 		return 0
 	}
-	excess := excessWeight * min(1, float64(est.PauseBad)/float64(limit)-pauseMargin)
-	if est.PauseShared > allowed || est.PausePrompts > allowed {
-		return 1 + excess
+	excess := excessWeight * min(1, float64(est.PauseBad)/float64(n.MaxPause)-pauseMargin)
+	prompts := promptShare + (1-promptShare)*min(1, float64(est.PendingTime)/float64(pendingPromptTime))
+	// share is the share of the time in which pauses are too long.
+	share := s.Share() * prompts
+	switch {
+	case est.Pause > allowed:
+		share = 1
+	case est.PausePrompts > allowed && est.PauseShared > allowed:
+		share = 1 - (1-s.Share())*(1-prompts)
+	case est.PausePrompts > allowed:
+		share = prompts
+	case est.PauseShared > allowed:
+		share = s.Share()
 	}
-	// Only prompts on a shared machine break the pace.
-	prompts := min(1, float64(est.PendingTime)/float64(pendingPromptTime))
-	return protectedRisk + (1-protectedRisk)*prompts + excess
+	// Prompts and shared machines both last about an episode.
+	episodes := 1 + float64(pauses)*float64(est.Pause)/float64(machine.Episode)
+	return (1 - math.Pow(1-share, episodes)) * (1 + excess)
 }
 
 // threat returns the expected number of streams of others that the prompt makes late.
@@ -335,7 +326,7 @@
 	risk := 1.0
 	if est.PausePrompts <= allowed {
 		// The machine has to be shared at some time while the prompt is read.
-		risk = min(1, s.Share()*(1+float64(est.PromptTime)/float64(machine.Episode)))
+		risk = s.Within(est.PromptTime)
 	}
 	return risk * float64(min(sum.Paced, maxThreatened))
 }
