Test speeds and their reports; log the risk of late streams

"Stream answered" logs late_risk, the risk as estimated when the engine was chosen, streams_at_risk counts streams with a risk of a quarter or more, and uneven_services and control_uneven_services count the services to which the terms for uneven engines apply. Hubs log when these change.

The tests cover the separation of speed from prompts and machine, the bounds of what other processes report, the memory of a speed that nothing measures any more, entries without a hub, and equal choices on engines that differ by less than the factor.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,7 +35,11 @@
 	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
 	// streamsByPace counts the answered streams of routes with a required pace.
 	streamsByPace = expvar.NewMap("streams_by_pace")
-	panics        = expvar.NewInt("panics_recovered")
+	// streamsAtRisk counts the streams that were sent to an engine where they would probably
+	// be late, and unevenServices the services whose engines differ in speed.
+	streamsAtRisk  = expvar.NewInt("streams_at_risk")
+	unevenServices = expvar.NewInt("uneven_services")
+	panics         = expvar.NewInt("panics_recovered")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,6 +32,9 @@
 	flushBytes = 16 << 10
 )
 
+// riskyFrom is the risk of being late from which a stream counts in streamsAtRisk.
+const riskyFrom = 0.25
+
 // relay forwards the events of one generation to a caller.
 type relay struct {
 	*job
@@ -65,6 +68,7 @@
 	longestPause time.Duration
 	// estimate is what was expected of the engine when it was chosen.
 	estimate machine.Estimate
+	lateRisk float64
 	// unfinished is the number of bytes after the last event when the engine's answer
 	// ended.
 	unfinished int
@@ -98,7 +102,10 @@
 			return false
 		}
 		r.engine, r.sentAt, r.useBefore = ticket.Engine, r.g.Clock.Now(), ticket.Before()
-		r.fitting, r.full, r.estimate = ticket.Fitting, ticket.Full, ticket.Estimate
+		r.fitting, r.full, r.estimate, r.lateRisk = ticket.Fitting, ticket.Full, ticket.Estimate, ticket.LateRisk
+		if r.lateRisk >= riskyFrom {
+			streamsAtRisk.Add(1)
+		}
 		r.attach(ticket)
 		x, err := r.g.upstream.Send(r.ctx, r.engineRequest(ticket, nil, upstream.SafeIdleTime))
 		if err == nil && x.Status == http.StatusOK && x.Signed && !x.Encoded && !x.NotRun {
@@ -494,7 +501,7 @@
 		r.log("Stream answered", "events", r.events, "moved", r.moveCount, "framing", r.exchange.Framing, "waited", r.sentAt-r.arrivedAt,
 			"first", r.firstEventAt-r.sentAt, "prompt", r.PromptTokens, "hint", r.LengthHint, "most", r.MaxTokens, "prefill_before", r.useBefore.Prefill, "running_before", r.useBefore.Running, "expected_before", r.useBefore.Expected, "fitting", r.fitting, "full", r.full,
 			"engine_at_end", r.ticket.Engine, "longest_pause", r.longestPause, "pace", r.paceResult(), "expected_first", r.estimate.FirstEvent, "expected_first_bad", r.estimate.FirstEventBad,
-			"expected_pause", r.estimate.Pause, "expected_pause_bad", r.estimate.PauseBad, "paced_before", r.useBefore.Paced)
+			"expected_pause", r.estimate.Pause, "expected_pause_bad", r.estimate.PauseBad, "late_risk", r.lateRisk, "paced_before", r.useBefore.Paced)
 	}
 }
 
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -364,6 +364,8 @@
 		w.removeUnlisted(listed)
 	}
 	b.pool.SetOtherUse(now, withoutOwn(usage.FromWire(res.GetUses()), own), int(res.GetEntries()))
+	b.pool.UpdateSpeeds(now)
+	unevenServices.Set(int64(len(b.pool.Uneven())))
 	for _, m := range res.GetMachines() {
 		b.pool.SetSharing(serving.ServiceID(m.GetService()), float64(m.GetSharedShare()), float64(m.GetSharedRatio()))
 	}
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -16,6 +16,7 @@
 	replicaReopened   = expvar.NewInt("control_replica_reopened")
 	membershipChanges = expvar.NewMap("control_membership_changes")
 	blockedPrompts    = expvar.NewInt("prompts_blocked")
+	unevenServices    = expvar.NewInt("control_uneven_services")
 	suspectParts      = expvar.NewInt("prompt_parts_suspected")
 	// checkpointsWritten and checkpointsFailed count what is stored for the next start.
 	checkpointsWritten = expvar.NewInt("control_checkpoints_written")
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -31,6 +31,8 @@
 	version uint64
 	// speedsAt is when the engines' speeds were last computed for entries.
 	speedsAt time.Duration
+	// uneven lists the services whose engines differ in speed.
+	uneven []serving.ServiceID
 }
 
 // reservation is the load of a call that was placed recently.
@@ -82,6 +84,11 @@
 		p.speedsAt = now
 		h.refreshPool(now)
 		p.pool.UpdateSpeeds(now)
+		if uneven := p.pool.Uneven(); !slices.Equal(uneven, p.uneven) {
+			klog.InfoS("Services with engines of different speeds changed", "services", uneven, "before", p.uneven)
+			p.uneven = uneven
+			unevenServices.Set(int64(len(uneven)))
+		}
 	}
 }
 
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -207,6 +207,8 @@
 	// Estimate is what was expected of the engine when it was chosen, the zero value if
 	// nothing is known of the speeds of the service's engines.
 	Estimate machine.Estimate
+	// LateRisk is the risk that the call is late according to Estimate.
+	LateRisk float64
 	// MaxIdleConns is the maximum number of idle connections from this entry to the
 	// engine.
 	MaxIdleConns int
@@ -226,6 +228,7 @@
 	t := &Ticket{Target: e.target(), MaxIdleConns: p.maxIdleConns(n.Service), pool: p, engine: e, use: use, before: e.total()}
 	if s := p.speed[n.Service.ID]; s != nil && s.typical > 0 {
 		t.Estimate = e.estimate(now, n, &t.before, s)
+		t.LateRisk = lateRisk(now, n, &t.Estimate, s)
 	}
 	if e.health.probeNext {
 		e.health.probe, t.probe = true, true
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -160,12 +160,23 @@
 // does the same for the service of the call.
 func (p *Pool) UpdateSpeeds(now time.Duration) {
 	for _, e := range p.engines {
-		if e.others.Steps != nil {
+		if e.others.Steps != nil || e.machine.Slowness() > 0 {
 			p.speeds(now, e.Service)
 		}
 	}
 }
 
+// Uneven returns the services whose engines differ in speed, in order.
+func (p *Pool) Uneven() (services []serving.ServiceID) {
+	for id, s := range p.speed {
+		if s.uneven {
+			services = append(services, id)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 // speeds returns what is known of the speeds of the engines of a service.
 func (p *Pool) speeds(now time.Duration, service serving.ServiceID) *serviceSpeeds {
 	s := p.speedsOf(service)
@@ -278,6 +289,11 @@
 	return w
 }
 
+// lateRisk returns the risk that a call at the engine is late.
+func lateRisk(now time.Duration, n *Need, est *machine.Estimate, s *serviceSpeeds) float64 {
+	return min(1, max(firstEventRisk(now, n, est, &s.sharing), pauseRisk(n, est, &s.sharing)))
+}
+
 // firstEventRisk returns the risk that the first event is late.
 func firstEventRisk(now time.Duration, n *Need, est *machine.Estimate, s *machine.Sharing) float64 {
 	if n.FirstEventBy <= 0 {
--- a/pkg/serving/placement/uneven_test.go
+++ b/pkg/serving/placement/uneven_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/machine"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
@@ -112,3 +114,193 @@
 		})
 	}
 }
+
+// constant is a source of random numbers that makes choices independent of the order in which
+// engines are compared.
+type constant struct{ *rand.Rand }
+
+func (constant) Float64() float64 { return 0.5 }
+
+// Guards against engines that are placed differently than before although their speeds differ
+// by less than the factor from which the new terms apply, whatever else is known of them.
+func TestEvenEnginesArePlacedAsBefore(t *testing.T) {
+	var pools [2]*placement.Pool
+	for i := range pools {
+		p := newPool(1, "a-1")
+		p.Random = constant{}
+		var uses []usage.Use
+		for e := range 20 {
+			id := fmt.Sprint("e", e)
+			p.SetEngine(engine(id, "model", "a-1"))
+			u := streams(serving.Slots(e % 4))
+			u.Engine, u.Pace = serving.EngineID(id), usage.Pace{Tokens: 400, Time: 4*time.Second + time.Duration(e%4)*100*time.Millisecond}
+			u.Held, u.Expected = u.Held+serving.Tokens(7*e), u.Expected+serving.Tokens(7*e)
+			if i == 1 {
+				u.Steps, u.Factor = mixedSteps(1+float64(e%4)/10), 250
+			} else {
+				u.Paced, u.MaxPause = 0, 0
+			}
+			uses = append(uses, u)
+		}
+		p.SetOtherUse(0, uses, 70)
+		pools[i] = p
+	}
+	for call := range 60 {
+		var chosen [2]serving.EngineID
+		for i, p := range pools {
+			n := unevenLong()
+			if call%2 == 0 {
+				n = unevenShort()
+			}
+			if i == 0 {
+				n.MaxPause, n.FirstEventBy = 0, 0
+			}
+			ticket, err := p.Place(0, n)
+			assert.NilError(t, err)
+			chosen[i] = ticket.Engine
+		}
+		assert.Equal(t, chosen[1], chosen[0], "call %d", call)
+	}
+	assert.Equal(t, len(pools[1].Uneven()), 0)
+	assert.Assert(t, pools[1].Slowness("e0") > 0)
+}
+
+// Load pattern: as above, with entries that reach no hub and compare two engines that they
+// sample. Guards against long streams at slow engines, which have more room, because an entry
+// has measured few engines itself.
+func TestEntriesUseTheSpeedsOfHubs(t *testing.T) {
+	slow := 0
+	for seed := range uint64(100) {
+		p := newPool(seed, "a-1")
+		var uses []usage.Use
+		for i := range unevenEngines {
+			use, name, slowness := streams(4), fmt.Sprint("fast-", i), 1/1.2
+			if i < slowEngines {
+				use, name, slowness = usage.Use{}, fmt.Sprint("slow-", i), 1/0.55
+			}
+			p.SetEngine(engine(name, "model", "a-1"))
+			use.Engine, use.Slowness = serving.EngineID(name), slowness
+			uses = append(uses, use)
+		}
+		p.SetOtherUse(0, usage.FromWire(wire(uses)), 70)
+		p.SetSharing("model", 0.15, 2.5)
+		n := unevenLong()
+		n.Compare = placement.CompareSample
+		ticket, err := p.Place(0, n)
+		assert.NilError(t, err)
+		if strings.HasPrefix(string(ticket.Engine), "slow") {
+			slow++
+		}
+	}
+	assert.Assert(t, slow <= 2, "%d of 100 long streams at slow engines", slow)
+}
+
+func wire(uses []usage.Use) (out []*schema.EngineUse) {
+	for i := range uses {
+		out = append(out, uses[i].ToWire())
+	}
+	return out
+}
+
+// Load pattern: slow engines that had no long stream for minutes. Guards against a speed that
+// is forgotten while nothing measures it, which would send the next long stream there, and
+// against one that outlives the engine's process.
+func TestSpeedIsRemembered(t *testing.T) {
+	p := newUnevenPool(1, usage.Use{}, usage.Use{})
+	_, err := p.Place(0, unevenLong())
+	assert.NilError(t, err)
+	uses := make([]usage.Use, 0, unevenEngines)
+	for i := range unevenEngines {
+		if i >= slowEngines {
+			u := streams(5)
+			u.Engine = serving.EngineID(fmt.Sprint("fast-", i))
+			uses = append(uses, u)
+		}
+	}
+	later := 5 * time.Minute
+	p.SetOtherUse(later, uses, 70)
+	n := unevenLong()
+	n.FirstEventBy += later
+	for range 10 {
+		ticket, err := p.Place(later, n)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(string(ticket.Engine), "fast"), ticket.Engine)
+	}
+	assert.Assert(t, p.Slowness("slow-0") > 1.5)
+	restarted := engine("slow-0", "model", "a-1")
+	restarted.Started = 2
+	p.SetEngine(restarted)
+	assert.Equal(t, p.Slowness("slow-0"), 0.0)
+}
+
+// Guards against streams that are protected although they are late already, and against
+// streams that count after they have ended.
+func TestPacedStreamsAreCounted(t *testing.T) {
+	p := newPool(1, "a-1")
+	p.SetEngine(engine("e", "model", "a-1"))
+	place := func(n *placement.Need) *placement.Ticket {
+		ticket, err := p.Place(0, n)
+		assert.NilError(t, err)
+		return ticket
+	}
+	paced := func() serving.Slots { return usage.FromWire(wire(p.OwnUse(0)))[0].Paced }
+	a, b := place(unevenLong()), place(unevenLong())
+	place(unevenShort())
+	assert.Equal(t, paced(), serving.Slots(2))
+	assert.Equal(t, p.OwnUse(0)[0].MaxPause, 180*time.Millisecond)
+	a.Late()
+	a.Late()
+	assert.Equal(t, paced(), serving.Slots(1))
+	a.End(0, placement.OK, 0)
+	assert.Equal(t, paced(), serving.Slots(1))
+	b.End(0, placement.OK, 0)
+	b.Late()
+	assert.Equal(t, paced(), serving.Slots(0))
+	assert.Equal(t, p.OwnUse(0)[0].MaxPause, time.Duration(0))
+}
+
+// Guards against measurements that are lost on their way to the hub or from a cold engine,
+// and against a factor that counts once for each report of it.
+func TestStepsAndFactorsAreReported(t *testing.T) {
+	p := newPool(1, "a-1")
+	cold := engine("cold", "model", "a-1")
+	cold.ColdUntil = time.Second
+	p.SetEngine(cold)
+	p.SetEngine(engine("e", "model", "a-1"))
+	for _, id := range []serving.EngineID{"e", "cold", "unknown"} {
+		p.RecordSteps(0, id, 4, 4, 0)
+		p.RecordSteps(0, id, 0, 4, time.Second)
+		p.RecordSteps(0, id, 16, 4, 64*8*time.Millisecond)
+	}
+	p.SetLoad(0, "e", serving.EngineLoad{Factor: 250})
+	got := usage.FromWire(wire(p.OwnUse(300 * time.Millisecond)))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Factor, serving.Percent(250))
+	assert.Equal(t, got[0].FactorAge, 300*time.Millisecond)
+	q := got[0].Steps.Quantile(0.5)
+	assert.Assert(t, q > 1 && q < 1.2, "%f", q)
+	// Steps right after a factor are divided by it, later ones are not.
+	for at, want := range map[time.Duration]float64{400 * time.Millisecond: 1, 2 * time.Second: 2.5} {
+		p := newPool(1, "a-1")
+		p.SetEngine(engine("e", "model", "a-1"))
+		p.SetLoad(300*time.Millisecond, "e", serving.EngineLoad{Factor: 250})
+		p.RecordSteps(at, "e", 4, 4, 16*7120*2500*time.Nanosecond)
+		q := p.OwnUse(at)[0].Steps.Quantile(0.5)
+		assert.Assert(t, q > want/1.1 && q < want*1.1, "%v: %f", at, q)
+	}
+	hub := newPool(1, "a-1")
+	hub.SetEngine(engine("e", "model", "a-1"))
+	shares := map[float64]bool{}
+	for i := range 20 {
+		now := time.Duration(i) * time.Millisecond
+		hub.SetOtherUse(time.Second+now, got, 1)
+		hub.EachSharing(func(_ serving.ServiceID, share, _ float64) { shares[share] = true })
+	}
+	assert.Equal(t, len(shares), 1)
+	// Values of other processes that can't be true are ignored.
+	for _, m := range []*schema.EngineUse{{Engine: "e", Factor: -5}, {Engine: "e", Factor: 1 << 30}, {Engine: "e", Factor: 100, FactorAgeMs: -9},
+		{Engine: "e", Slowness: -3}, {Engine: "e", PacedStreams: -3, MaxPauseMs: -1}} {
+		u := usage.FromWire([]*schema.EngineUse{m})[0]
+		assert.DeepEqual(t, u, usage.Use{Engine: "e"})
+	}
+}
