Avoid prompts at machines that are shared now

Long streams at slow engines were late when a prompt was read there while the machine was shared: pauses of 185 ms where 180 are required. Where most engines are slow, a prompt now costs more at an engine that has stated a factor of 150 or more within 600 ms.

--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -250,7 +250,7 @@
 	speeds := p.speeds(now, n.Service.ID)
 	for i, e := range fitting {
 		weights[i] = p.sampleWeight(e, n)
-		if speeds.uneven {
+		if speeds.uneven && p.ScarceMemory {
 			weights[i] *= e.suitability(now, n, speeds)
 		}
 		sum += weights[i]
@@ -285,8 +285,11 @@
 	peers := p.peerMedians(now, n)
 	peers.pace = p.typicalPace(now, n.Service)
 	if n.Service.Model != nil && n.CopyFrom == "" {
-		if s := p.speeds(now, n.Service.ID); s.uneven || p.ScarceMemory {
+		s := p.speeds(now, n.Service.ID)
+		if p.ScarceMemory {
 			peers.uneven = s
+		} else if s.uneven {
+			peers.shared = s
 		}
 	}
 	best, bestCost := engines[0], p.cost(now, engines[0], n, peers)
@@ -347,6 +350,8 @@
 	pace float64
 	// uneven describes the engines if their speeds differ; nil if not.
 	uneven *serviceSpeeds
+	// shared describes them if the factors of their machines count; nil if not.
+	shared *serviceSpeeds
 }
 
 // peerMedians returns the medians over the eligible engines. Both are lower
@@ -394,6 +399,9 @@
 			cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
 			if n.CopyFrom == "" {
 				cost += e.paceCost(now, n.Length, peers.pace)
+				if peers.shared != nil {
+					cost += e.sharedCost(now, n, &sum, peers.shared)
+				}
 			}
 		}
 		if n.Prompt > 0 {
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -333,6 +333,34 @@
 	return (1 - math.Pow(1-share, episodes)) * (1 + excess)
 }
 
+const (
+	// sharedFactor is the factor from which a machine counts as shared, and sharedTTL the age
+	// up to which a factor tells that.
+	sharedFactor = 150
+	sharedTTL    = machine.Episode
+	// sharedPromptCost is the cost of a prompt at an engine whose machine is shared, and
+	// sharedStreamCost the cost for each stream there whose pace the prompt breaks.
+	sharedPromptCost = 0.3
+	sharedStreamCost = 0.5
+	// maxSharedStreams bounds the number of such streams.
+	maxSharedStreams = 4
+)
+
+// sharedCost returns the cost of reading a prompt while the machine of the engine is shared, as
+// it has stated just now.
+func (e *engine) sharedCost(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
+	f, age := e.machine.Factor(now)
+	if f < sharedFactor || age > sharedTTL {
+		return 0
+	}
+	cost := sharedPromptCost
+	est := e.estimate(now, n, sum, s)
+	if allowed := time.Duration(pauseMargin * float64(sum.MaxPause)); sum.Paced > 0 && est.PauseBad > allowed {
+		cost += sharedStreamCost * float64(min(sum.Paced, maxSharedStreams))
+	}
+	return cost
+}
+
 // threat returns the expected number of streams of others that the prompt makes late.
 func threat(sum *usage.Use, est *machine.Estimate, s *machine.Sharing) float64 {
 	allowed := time.Duration(pauseMargin * float64(sum.MaxPause))
