Assume shared machines while no factor is known

Without the fourth figure, the bad case was taken from the times between events alone. Slow engines that get short answers have few times beside a prompt, so their bad case looked as good as the usual one, and long streams went there.

TestSharingIsBounded has the values that the times may give.

--- a/pkg/serving/machine/machine_test.go
+++ b/pkg/serving/machine/machine_test.go
@@ -93,6 +93,10 @@
 	var s machine.Sharing
 	unknown := s.Ratio()
 	assert.Assert(t, unknown > 1)
+	for _, bad := range []float64{math.NaN(), 0, 1.1, 8, 1e9} {
+		s.SetRatio(bad)
+		assert.Assert(t, s.Ratio() >= unknown && s.Ratio() <= 5, "%f: %f", bad, s.Ratio())
+	}
 	for _, f := range []serving.Percent{-100, 0, 9, 10_001} {
 		s.Observe(f)
 	}
--- a/pkg/serving/machine/sharing.go
+++ b/pkg/serving/machine/sharing.go
@@ -55,8 +55,12 @@
 
 // SetRatio sets how much longer steps take in the bad case than without prompts and on a
 // machine that isn't shared, as measured from the times between events. It counts only
-// while no factors are known.
+// while no factors are known, and if it is more than assumed: short streams rarely run beside
+// a prompt, so their times say little about the bad case.
 func (s *Sharing) SetRatio(bad float64) {
+	if !(bad > 0) {
+		return
+	}
 	n := &Nominal
 	s.ratio = bad * float64(n.step(typicalRunning)) / float64(n.step(typicalRunning)+n.ChunkTime)
 }
@@ -90,8 +94,8 @@
 		return s.reportedRatio
 	case s.Share() < sharedRarely:
 		return 1
-	case s.n == 0 && s.ratio > 0:
-		return min(maxRatio, max(1, s.ratio))
+	case s.n == 0:
+		return min(maxRatio, max(assumedRatio, s.ratio))
 	}
 	return min(maxRatio, (s.sum+assumedRatio*priorShared)/(s.shared+priorShared))
 }
