Grade the risk of a pause near the required one

An engine whose estimated pause is just over 85% of the required one counted like one that needs twice as long: engines of speed 1 with 5 streams need 158 of 180 ms in the bad case, and would have got no prompts any more. The probability rises from 0 at 85% of the required pause to 1 at the required pause now, and is weighed over the four combinations of prompts and shared machine.

--- a/pkg/serving/machine/sharing.go
+++ b/pkg/serving/machine/sharing.go
@@ -71,6 +71,11 @@
 // Known reports whether any factor is known.
 func (s *Sharing) Known() bool { return s.n > 0 }
 
+// Shared reports whether the factors show that machines are shared at times.
+func (s *Sharing) Shared() bool {
+	return (s.reported || s.n >= priorFactors) && s.Ratio() > 1
+}
+
 // Set sets the share and the ratio that another process, which has more measurements, has
 // found. They go before the own ones. Values that can't be them are ignored.
 func (s *Sharing) Set(share, ratio float64) {
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -10,7 +10,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
-// Where the engines of a service differ in speed, a call is placed by whether the engine can
+// Where the engines of a service differ in speed or state that their machines are shared, a call is placed by whether the engine can
 // sustain what its caller needs: the time to the first event, and the pause between events
 // also while prompts are read beside it and the machine is shared. A call whose prompt would
 // make streams of others late is kept from their engine. The design notes engine-estimates.md
@@ -29,8 +29,9 @@
 	// lateWeight is the cost of a stream that is late, which has a sixth of its value. It
 	// exceeds the cost of a full engine in another region.
 	lateWeight = 2.0
-	// pauseMargin is the share of the required pause that an engine may need. The rest is for
-	// the network and for the error of the estimate.
+	// pauseMargin is the share of the required pause from which on an estimated pause may be
+	// too long, because of the network and the error of the estimate. At the required pause,
+	// it certainly is.
 	pauseMargin = 0.85
 	// pacedEvents is the number of further events from which a stream counts as one that
 	// needs a pace.
@@ -309,40 +310,35 @@
 
 // pauseRisk returns the risk that the stream has a pause that is too long for its caller.
 func pauseRisk(n *Need, est *machine.Estimate, s *machine.Sharing) float64 {
-	allowed := time.Duration(pauseMargin * float64(n.MaxPause))
 	pauses := n.Length/n.perEvent() - 1
-	if n.MaxPause <= 0 || pauses <= 0 || est.PauseBad <= allowed {
+	bad := tooLong(est.PauseBad, n.MaxPause)
+	if pauses <= 0 || bad == 0 {
 		return 0
 	}
-	excess := excessWeight * min(1, float64(est.PauseBad)/float64(n.MaxPause)-pauseMargin)
 	prompts := promptShare + (1-promptShare)*min(1, float64(est.PendingTime)/float64(pendingPromptTime))
-	// share is the share of the time in which pauses are too long.
-	share := s.Share() * prompts
-	switch {
-	case est.Pause > allowed:
-		share = 1
-	case est.PausePrompts > allowed && est.PauseShared > allowed:
-		share = 1 - (1-s.Share())*(1-prompts)
-	case est.PausePrompts > allowed:
-		share = prompts
-	case est.PauseShared > allowed:
-		share = s.Share()
-	}
+	shared := s.Share()
+	// late is the share of the time in which pauses are too long.
+	late := (1-shared)*((1-prompts)*tooLong(est.Pause, n.MaxPause)+prompts*tooLong(est.PausePrompts, n.MaxPause)) +
+		shared*((1-prompts)*tooLong(est.PauseShared, n.MaxPause)+prompts*bad)
 	// Prompts and shared machines both last about an episode.
 	episodes := 1 + float64(pauses)*float64(est.Pause)/float64(machine.Episode)
-	return (1 - math.Pow(1-share, episodes)) * (1 + excess)
+	return (1 - math.Pow(1-late, episodes)) * (1 + excessWeight*min(1, max(0, float64(est.PauseBad)/float64(n.MaxPause)-1)))
 }
 
 // threat returns the expected number of streams of others that the prompt makes late.
 func threat(sum *usage.Use, est *machine.Estimate, s *machine.Sharing) float64 {
-	allowed := time.Duration(pauseMargin * float64(sum.MaxPause))
-	if sum.Paced <= 0 || sum.MaxPause <= 0 || est.PauseBad <= allowed {
+	bad := tooLong(est.PauseBad, sum.MaxPause)
+	if sum.Paced <= 0 || bad == 0 {
 		return 0
 	}
-	risk := 1.0
-	if est.PausePrompts <= allowed {
-		// The machine has to be shared at some time while the prompt is read.
-		risk = s.Within(est.PromptTime)
+	shared := s.Within(est.PromptTime)
+	return (shared*bad + (1-shared)*tooLong(est.PausePrompts, sum.MaxPause)) * float64(min(sum.Paced, maxThreatened))
+}
+
+// tooLong returns the probability that a pause with this estimate is longer than required.
+func tooLong(d, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
 	}
-	return risk * float64(min(sum.Paced, maxThreatened))
+	return min(1, max(0, (float64(d)/float64(limit)-pauseMargin)/(1-pauseMargin)))
 }
