Estimate times also for engines that state shared machines

On engines of one speed with scarce memory, short answers waited behind the prompts of others: the cost of pending prompts was in proportion to them, whether the first event was late by then or not. The terms for uneven engines now also apply where at least 20 factors of a service are known and these show that machines are shared at times.

--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -127,7 +127,7 @@
 type serviceSpeeds struct {
 	sharing machine.Sharing
 	at      time.Duration
-	// uneven is set while the speeds differ by more than unevenSpread.
+	// uneven is set while the speeds differ by more than unevenSpread, or machines are shared.
 	uneven bool
 	// fast and typical are the slowness of the fast engines and the median.
 	fast, typical float64
@@ -216,7 +216,7 @@
 	if s.uneven {
 		limit = evenSpread
 	}
-	s.uneven = quantile(s.known, slowQuantile) >= limit*s.fast
+	s.uneven = s.sharing.Shared() || quantile(s.known, slowQuantile) >= limit*s.fast
 	if len(s.ratios) >= minMeasured {
 		s.sharing.SetRatio(lowerMedian(s.ratios))
 	}
