--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -51,7 +51,7 @@
 	maxThreatened = 8
 	// unevenSampleFactor multiplies the sampling weight of an engine where the risk of late
 	// streams exceeds unsuitableRisk.
-	unevenSampleFactor = 0.1
+	unevenSampleFactor = 0.25
 	unsuitableRisk     = 0.25
 	// stepHalfLife is the half-life of measured steps, and minReportedSteps the weight below
 	// which they aren't reported.
