Bound the reports of speeds

An entry reported the steps of every engine that it had used within half a minute, and hubs told all entries the speed of each engine. At the size expected in two years, that is several hundred engines in each of ten reports a second, against 18 KB/s in all.

A report has the steps of 16 engines now, those first whose steps were not reported for longest: at most 500 bytes, 5 KB/s. Hubs tell entries speeds and streams that need a pace only for services to which the terms for uneven engines apply. The speed counts from 16 events of an engine, and from 60 at an entry that no hub tells it, because a few streams may all run beside prompts.

Tests of hub, gateway and placement pass, of hub the test of speeds only.

--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -101,7 +101,11 @@
 	for _, u := range totalUse {
 		// Entries place few generations themselves, and leave the pace to the hubs.
 		u.Pace, u.Steps, u.Factor = usage.Pace{}, nil, 0
-		u.Slowness = h.placer.pool.Slowness(u.Engine)
+		if h.placer.pool.IsUneven(u.Engine) {
+			u.Slowness = h.placer.pool.Slowness(u.Engine)
+		} else {
+			u.Paced, u.MaxPause = 0, 0
+		}
 		if u.Failures < minSharedFailures {
 			u.Calls, u.Failures = 0, 0
 		}
--- a/pkg/serving/machine/engine.go
+++ b/pkg/serving/machine/engine.go
@@ -12,7 +12,7 @@
 	// time and prompts that are read for 60% of it, a third of the steps are such.
 	usualQuantile = 0.25
 	// minWeight is the number of pauses between events from which the speed counts.
-	minWeight = 12
+	minWeight = 16
 	// updateEvery is the time between two updates of the speed.
 	updateEvery = 500 * time.Millisecond
 	// downRate and upRate are the shares by which an update moves the slowness to a lower
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -26,6 +26,9 @@
 	demand       map[serving.ServiceID]*pacing.Demand
 	pace         map[serving.ServiceID]typicalPace
 	speed        map[serving.ServiceID]*serviceSpeeds
+	// reports counts the reports of OwnUse, and withSteps is reused by each of them.
+	reports   uint64
+	withSteps []*engine
 }
 
 // engine is the state of one engine as seen by the pool.
@@ -53,6 +56,10 @@
 	// what all entries know of its speed.
 	steps   stepMeter
 	machine machine.Engine
+	// reportsSteps is set if the next report has the steps, and stepsReported is the number
+	// of the last report that had them.
+	reportsSteps  bool
+	stepsReported uint64
 	// saidLeaving is set once the engine has said in an answer that it leaves. It goes
 	// before the state in the directory, which may be older.
 	saidLeaving bool
@@ -147,6 +154,7 @@
 // OwnUse returns this entry's load at each engine, without engines that have none.
 func (p *Pool) OwnUse(now time.Duration) []usage.Use {
 	var out []usage.Use
+	p.chooseReportedSteps(now)
 	for _, e := range p.engines {
 		u := e.own
 		u.Broken = e.health.recentBroken(now)
@@ -158,7 +166,9 @@
 		}
 		u.Pace = e.pace.report(now)
 		u.Calls, u.Failures = e.health.recent.report(now)
-		u.Steps = e.steps.report(now)
+		if e.reportsSteps {
+			u.Steps = e.steps.report(now)
+		}
 		if f, age := e.machine.Factor(now); f > 0 && age < factorReportAge {
 			u.Factor, u.FactorAge = f, age
 		}
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -57,6 +58,13 @@
 	// which they aren't reported.
 	stepHalfLife     = 6 * time.Second
 	minReportedSteps = 1.0
+	// maxReportedSteps is the number of engines whose steps are in one report, those first
+	// whose steps were not reported for longest. It bounds the steps to 500 bytes of a report,
+	// 5 KB/s at ten reports a second.
+	maxReportedSteps = 16
+	// minOwnSteps is the weight of the steps from which an entry relies on its own ones while
+	// no hub tells it a speed. A few streams may all run beside prompts.
+	minOwnSteps = 60.0
 	// factorReportAge is the age from which a factor isn't reported, and factorUseAge the one
 	// from which steps are no longer divided by it: half an episode of a shared machine.
 	factorReportAge = 2 * time.Second
@@ -86,6 +94,26 @@
 	return &steps
 }
 
+// chooseReportedSteps chooses the engines whose steps are in the next report.
+func (p *Pool) chooseReportedSteps(now time.Duration) {
+	p.withSteps = p.withSteps[:0]
+	for _, e := range p.engines {
+		e.reportsSteps = false
+		e.steps.decay(now)
+		if e.steps.steps.Weight() >= minReportedSteps {
+			p.withSteps = append(p.withSteps, e)
+		}
+	}
+	if len(p.withSteps) > maxReportedSteps {
+		slices.SortFunc(p.withSteps, func(a, b *engine) int { return cmp.Compare(a.stepsReported, b.stepsReported) })
+		p.withSteps = p.withSteps[:maxReportedSteps]
+	}
+	p.reports++
+	for _, e := range p.withSteps {
+		e.reportsSteps, e.stepsReported = true, p.reports
+	}
+}
+
 // RecordSteps records that a generation at an engine made n events within a time. A cold
 // engine isn't measured, because it is slow for another reason.
 func (p *Pool) RecordSteps(now time.Duration, id serving.EngineID, n int64, perEvent serving.Tokens, took time.Duration) {
@@ -196,7 +224,9 @@
 		}
 		e.steps.decay(now)
 		steps.Add(&e.steps.steps)
-		e.machine.Update(now, &steps)
+		if e.others.Steps != nil || steps.Weight() >= minOwnSteps {
+			e.machine.Update(now, &steps)
+		}
 		slowness := e.machine.Slowness()
 		if slowness <= 0 {
 			continue
@@ -235,6 +265,12 @@
 	return sorted[int(math.Round(q*float64(len(sorted)-1)))]
 }
 
+// IsUneven reports whether an engine belongs to a service whose engines differ in speed.
+func (p *Pool) IsUneven(id serving.EngineID) bool {
+	e := p.engines[id]
+	return e != nil && p.speed[e.Service] != nil && p.speed[e.Service].uneven
+}
+
 // Slowness returns the duration of the steps of an engine relative to [machine.Nominal], 0
 // if it is unknown.
 func (p *Pool) Slowness(id serving.EngineID) float64 {
--- a/pkg/serving/placement/uneven_test.go
+++ b/pkg/serving/placement/uneven_test.go
@@ -347,3 +347,24 @@
 		assert.DeepEqual(t, u, usage.Use{Engine: "e"})
 	}
 }
+
+// Guards against reports that grow with the number of engines, and against engines whose steps
+// are never reported: 40 engines, 16 of them in each report.
+func TestReportedStepsAreBounded(t *testing.T) {
+	p := newPool(1, "a-1")
+	for i := range 40 {
+		id := fmt.Sprint("e", i)
+		p.SetEngine(engine(id, "model", "a-1"))
+		p.RecordSteps(0, serving.EngineID(id), 40, 4, time.Second)
+	}
+	reported := map[serving.EngineID]bool{}
+	for range 3 {
+		uses := p.OwnUse(0)
+		assert.Equal(t, len(uses), 16)
+		for i := range uses {
+			assert.Assert(t, uses[i].Steps != nil)
+			reported[uses[i].Engine] = true
+		}
+	}
+	assert.Equal(t, len(reported), 40)
+}
