--- a/pkg/serving/placement/bench_test.go
+++ b/pkg/serving/placement/bench_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
@@ -10,6 +11,9 @@
 // engines.
 func BenchmarkPlaceUneven(b *testing.B) {
 	p := newUnevenPool(1, streams(4), streams(1))
+	for i := range 56 {
+		p.SetEngine(engine(fmt.Sprint("more-", i), "model", "a-1"))
+	}
 	n := unevenLong()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -209,8 +209,10 @@
 }
 
 // fitting returns the engines that can take the call now, and the number of eligible
-// ones that can't.
+// ones that can't. The result is valid until the next call.
 func (p *Pool) fitting(now time.Duration, n *Need) (fitting []*engine, full int) {
+	fitting = p.fit[:0]
+	defer func() { p.fit = fitting }()
 	for _, e := range p.engines {
 		switch {
 		case !p.eligible(e, n):
@@ -339,7 +341,7 @@
 // medians, so that a few failing or slow engines don't raise the level that counts
 // as normal.
 func (p *Pool) peerMedians(now time.Duration, n *Need) medians {
-	var rates, latencies []float64
+	rates, latencies := p.rates[:0], p.latencies[:0]
 	for _, e := range p.engines {
 		if !p.eligible(e, n) || e.health.calls == 0 && e.others.Calls == 0 {
 			continue
@@ -349,6 +351,7 @@
 			latencies = append(latencies, e.health.latency)
 		}
 	}
+	p.rates, p.latencies = rates, latencies
 	return medians{failures: lowerMedian(rates), latency: lowerMedian(latencies)}
 }
 
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -26,6 +26,9 @@
 	demand       map[serving.ServiceID]*pacing.Demand
 	pace         map[serving.ServiceID]typicalPace
 	speed        map[serving.ServiceID]*serviceSpeeds
+	// fit, rates and latencies are reused by each choice.
+	fit              []*engine
+	rates, latencies []float64
 	// reports counts the reports of OwnUse, and withSteps is reused by each of them.
 	reports   uint64
 	withSteps []*engine
