Prefer engines that sustain the pace for copies of streams

A stream whose engine leaves was copied to any engine with room, and slow ones have more of it. There, the rest of the stream is probably late. The risk of that costs 0.35 now: more than the random part of the choice, less than half of an engine's memory or another data centre, because a copy that comes too late or finds no room loses the stream.

Two cases of TestUnevenPlacement bound the choice from both sides.

--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -272,7 +272,7 @@
 func (p *Pool) cheapest(now time.Duration, engines []*engine, n *Need) *engine {
 	peers := p.peerMedians(now, n)
 	peers.pace = p.typicalPace(now, n.Service)
-	if n.Service.Model != nil && n.CopyFrom == "" {
+	if n.Service.Model != nil {
 		if s := p.speeds(now, n.Service.ID); s.uneven {
 			peers.uneven = s
 		}
@@ -372,18 +372,18 @@
 	if m := n.Service.Model; m != nil {
 		memory := float64(max(m.MemoryTokens, 1))
 		full := float64(sum.Expected+n.Prompt+n.Output) / memory
-		if peers.uneven != nil {
+		if peers.uneven != nil && n.CopyFrom == "" {
 			// Room that isn't needed soon is worth less than a stream on time.
 			full = full * full * full
 		}
 		cost += full
-		if peers.uneven != nil {
-			cost += p.unevenCost(now, e, n, &sum, peers.uneven)
-		} else {
-			cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
-			if n.CopyFrom == "" {
-				cost += e.paceCost(now, n.Length, peers.pace)
-			}
+		switch {
+		case n.CopyFrom != "":
+			cost += prefillWeight*float64(sum.Prefill+n.Prompt)/prefillTokensPerSecond + e.copyPaceCost(now, n, &sum, peers.uneven)
+		case peers.uneven != nil:
+			cost += e.unevenCost(now, n, &sum, peers.uneven)
+		default:
+			cost += prefillWeight*float64(sum.Prefill+n.Prompt)/prefillTokensPerSecond + e.paceCost(now, n.Length, peers.pace)
 		}
 		if n.Prompt > 0 {
 			cost -= cachedWeight * float64(e.parts.cachedTokens(now, n.Parts)) / float64(n.Prompt)
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -30,6 +30,10 @@
 	// lateWeight is the cost of a stream that is late, which has a sixth of its value. It
 	// exceeds the cost of a full engine in another region.
 	lateWeight = 2.0
+	// copyPaceWeight is the cost of a late stream for copies. It is below copyOtherDCCost and
+	// the cost of half an engine's memory: a copy that comes too late, or that finds no room,
+	// loses the stream.
+	copyPaceWeight = 0.35
 	// pauseMargin is the share of the required pause from which on an estimated pause may be
 	// too long, because of the network and the error of the estimate. At the required pause,
 	// it certainly is.
@@ -302,7 +306,7 @@
 // unevenCost returns the cost of an engine's speed for a call: of the time until its first
 // event, of the risk that it or streams of others become late, less the bonus of slow engines
 // for calls that need no fast one.
-func (p *Pool) unevenCost(now time.Duration, e *engine, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
+func (e *engine) unevenCost(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
 	est := e.estimate(now, n, sum, s)
 	cost := prefillWeight * est.FirstEvent.Seconds()
 	cost += lateWeight * firstEventRisk(now, n, &est, &s.sharing)
@@ -311,6 +315,16 @@
 	return cost
 }
 
+// copyPaceCost returns the cost of an engine that probably doesn't sustain the pace of the
+// stream whose memory is copied there. s is nil if the terms for uneven engines don't apply.
+func (e *engine) copyPaceCost(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
+	if s == nil {
+		return 0
+	}
+	est := e.estimate(now, n, sum, s)
+	return copyPaceWeight * min(1, pauseRisk(n, &est, &s.sharing))
+}
+
 // suitability returns the factor of an engine's sampling weight: its speed relative to the
 // fast engines, further reduced if a call there would probably be late or make others late.
 func (e *engine) suitability(now time.Duration, n *Need, s *serviceSpeeds) float64 {
@@ -346,7 +360,7 @@
 
 // pauseRisk returns the risk that the stream has a pause that is too long for its caller.
 func pauseRisk(n *Need, est *machine.Estimate, s *machine.Sharing) float64 {
-	pauses := n.Length/n.perEvent() - 1
+	pauses := max(n.Length, n.Output)/n.perEvent() - 1
 	bad := tooLong(est.PauseBad, n.MaxPause)
 	if pauses <= 0 || bad == 0 {
 		return 0
--- a/pkg/serving/placement/uneven_test.go
+++ b/pkg/serving/placement/uneven_test.go
@@ -64,6 +64,10 @@
 		MaxPause: 180 * time.Millisecond, FirstEventBy: 1500 * time.Millisecond}
 }
 
+func unevenCopy() *placement.Need {
+	return &placement.Need{Service: unevenService, Prompt: 3400, Output: 256, CopyFrom: "a-1", MaxPause: 180 * time.Millisecond}
+}
+
 // streams returns the load of n long streams that need a pace, at half of their length.
 func streams(n serving.Slots) usage.Use {
 	held := serving.Tokens(n) * 3460
@@ -95,6 +99,8 @@
 		{name: "short answers go to slow engines when fast ones fill up", need: unevenShort, fast: streams(5), calls: 11, minSlow: 11, maxSlow: 11},
 		{name: "short answers go to fast engines with much room", need: unevenShort, fast: streams(2), calls: 11, maxSlow: 0},
 		{name: "short answers don't wait for each other at slow engines", need: unevenShort, fast: streams(4), slow: pending(usage.Use{}, 2550), calls: 11, maxSlow: 0},
+		{name: "copies go to fast engines among those with room", need: unevenCopy, fast: streams(3), slow: streams(3), calls: 1, maxSlow: 0},
+		{name: "copies go where there is much more room", need: unevenCopy, fast: streams(6), calls: 1, minSlow: 1, maxSlow: 1},
 		{name: "prompts are kept from slow engines with long streams", need: unevenShort, fast: streams(5), slow: streams(2), calls: 11, maxSlow: 0},
 	}
 	for _, tt := range tests {
