--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -74,6 +74,8 @@
 	RegionOf map[serving.DataCentreID]serving.RegionID
 	// DecodeConfig decodes a routing configuration document.
 	DecodeConfig func(document []byte) (*routing.Config, error)
+	// Dialect decodes the answers of engines to load checks; nil means that there are none.
+	Dialect serving.Dialect
 	// HeartbeatInterval is the heartbeat interval of engines; 0 means a third of
 	// presence.DefaultSilentAfter.
 	HeartbeatInterval time.Duration
@@ -144,6 +146,7 @@
 	g.Go(func() error { h.managePeers(ctx); return nil })
 	g.Go(func() error { h.manageMembers(ctx); return nil })
 	g.Go(func() error { h.manageBlocks(ctx); return nil })
+	g.Go(func() error { h.checkMachines(ctx); return nil })
 	g.Go(func() error { h.keepCheckpoints(ctx); return nil })
 	if h.Metrics != nil && h.MetricsListen != "" {
 		l, err := net.Listen("tcp", h.MetricsListen)
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -21,6 +21,8 @@
 	// checkpointsWritten and checkpointsFailed count what is stored for the next start.
 	checkpointsWritten = expvar.NewInt("control_checkpoints_written")
 	checkpointsFailed  = expvar.NewInt("control_checkpoints_failed")
+	// machineChecks counts the load checks of engines by result.
+	machineChecks = expvar.NewMap("machine_checks")
 	// callsDeferred counts the answers without an engine although engines had room.
 	callsDeferred = expvar.NewInt("calls_deferred")
 )
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -219,9 +219,11 @@
 }
 
 // fitting returns the engines that can take the call now, and the number of eligible
-// ones that can't.
+// ones that can't. The result is valid until the next call.
 func (p *Pool) fitting(now time.Duration, n *Need) (fitting []*engine, full int) {
 	p.deferring = 0
+	fitting = p.fit[:0]
+	defer func() { p.fit = fitting }()
 	for _, e := range p.engines {
 		switch {
 		case !p.eligible(e, n):
@@ -250,7 +252,7 @@
 	speeds := p.speeds(now, n.Service.ID)
 	for i, e := range fitting {
 		weights[i] = p.sampleWeight(e, n)
-		if speeds.uneven && p.ScarceMemory {
+		if speeds.uneven && (p.ScarceMemory || speeds.mostSustain()) {
 			weights[i] *= e.suitability(now, n, speeds)
 		}
 		sum += weights[i]
@@ -284,11 +286,13 @@
 func (p *Pool) cheapest(now time.Duration, engines []*engine, n *Need) *engine {
 	peers := p.peerMedians(now, n)
 	peers.pace = p.typicalPace(now, n.Service)
-	if n.Service.Model != nil && n.CopyFrom == "" {
+	if n.Service.Model != nil {
 		s := p.speeds(now, n.Service.ID)
-		if p.ScarceMemory {
+		s.setPerEvent(n)
+		switch {
+		case p.ScarceMemory || s.uneven && s.mostSustain():
 			peers.uneven = s
-		} else if s.uneven {
+		case s.uneven:
 			peers.shared = s
 		}
 	}
@@ -358,7 +362,7 @@
 // medians, so that a few failing or slow engines don't raise the level that counts
 // as normal.
 func (p *Pool) peerMedians(now time.Duration, n *Need) medians {
-	var rates, latencies []float64
+	rates, latencies := p.rates[:0], p.latencies[:0]
 	for _, e := range p.engines {
 		if !p.eligible(e, n) || e.health.calls == 0 && e.others.Calls == 0 {
 			continue
@@ -368,6 +372,7 @@
 			latencies = append(latencies, e.health.latency)
 		}
 	}
+	p.rates, p.latencies = rates, latencies
 	return medians{failures: lowerMedian(rates), latency: lowerMedian(latencies)}
 }
 
@@ -388,20 +393,20 @@
 	if m := n.Service.Model; m != nil {
 		memory := float64(max(m.MemoryTokens, 1))
 		full := float64(sum.Expected+n.Prompt+n.Output) / memory
-		if peers.uneven != nil {
+		if peers.uneven != nil && n.CopyFrom == "" {
 			// Room that isn't needed soon is worth less than a stream on time.
 			full = full * full * full
 		}
 		cost += full
-		if peers.uneven != nil {
-			cost += p.unevenCost(now, e, n, &sum, peers.uneven)
-		} else {
-			cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
-			if n.CopyFrom == "" {
-				cost += e.paceCost(now, n.Length, peers.pace)
-				if peers.shared != nil {
-					cost += e.sharedCost(now, n, &sum, peers.shared)
-				}
+		switch {
+		case n.CopyFrom != "":
+			cost += prefillWeight*float64(sum.Prefill+n.Prompt)/prefillTokensPerSecond + e.copyPaceCost(now, n, &sum, peers.uneven)
+		case peers.uneven != nil:
+			cost += e.unevenCost(now, n, &sum, peers.uneven)
+		default:
+			cost += prefillWeight*float64(sum.Prefill+n.Prompt)/prefillTokensPerSecond + e.paceCost(now, n.Length, peers.pace)
+			if peers.shared != nil {
+				cost += e.sharedCost(now, &sum, peers.shared)
 			}
 		}
 		if n.Prompt > 0 {
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -35,6 +35,12 @@
 	// othersAt is when the load of the other entries was last set, and fadedAt when it was last
 	// changed because no report had arrived.
 	othersAt, fadedAt time.Duration
+	// fit, rates and latencies are reused by each choice.
+	fit              []*engine
+	rates, latencies []float64
+	// reports counts the reports of OwnUse, and withSteps is reused by each of them.
+	reports   uint64
+	withSteps []*engine
 }
 
 // engine is the state of one engine as seen by the pool.
@@ -62,6 +68,10 @@
 	// what all entries know of its speed.
 	steps   stepMeter
 	machine machine.Engine
+	// reportsSteps is set if the next report has the steps, and stepsReported is the number
+	// of the last report that had them.
+	reportsSteps  bool
+	stepsReported uint64
 	// saidLeaving is set once the engine has said in an answer that it leaves. It goes
 	// before the state in the directory, which may be older.
 	saidLeaving bool
@@ -157,6 +167,7 @@
 // OwnUse returns this entry's load at each engine, without engines that have none.
 func (p *Pool) OwnUse(now time.Duration) []usage.Use {
 	var out []usage.Use
+	p.chooseReportedSteps(now)
 	for _, e := range p.engines {
 		u := e.own
 		u.Broken = e.health.recentBroken(now)
@@ -168,7 +179,9 @@
 		}
 		u.Pace = e.pace.report(now)
 		u.Calls, u.Failures = e.health.recent.report(now)
-		u.Steps = e.steps.report(now)
+		if e.reportsSteps {
+			u.Steps = e.steps.report(now)
+		}
 		if f, age := e.machine.Factor(now); f > 0 && age < factorReportAge {
 			u.Factor, u.FactorAge = f, age
 		}
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -10,7 +12,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
-// Where the engines of a service differ in speed, a call is placed by whether the engine can
+// Where the engines of a service differ in speed or state that their machines are shared, a call is placed by whether the engine can
 // sustain what its caller needs: the time to the first event, and the pause between events
 // also while prompts are read beside it and the machine is shared. A call whose prompt would
 // make streams of others late is kept from their engine. The design notes engine-estimates.md
@@ -29,8 +31,13 @@
 	// lateWeight is the cost of a stream that is late, which has a sixth of its value. It
 	// exceeds the cost of a full engine in another region.
 	lateWeight = 2.0
-	// pauseMargin is the share of the required pause that an engine may need. The rest is for
-	// the network and for the error of the estimate.
+	// copyPaceWeight is the cost of a late stream for copies. It is below copyOtherDCCost and
+	// the cost of half an engine's memory: a copy that comes too late, or that finds no room,
+	// loses the stream.
+	copyPaceWeight = 0.35
+	// pauseMargin is the share of the required pause from which on an estimated pause may be
+	// too long, because of the network and the error of the estimate. At the required pause,
+	// it certainly is.
 	pauseMargin = 0.85
 	// pacedEvents is the number of further events from which a stream counts as one that
 	// needs a pace.
@@ -50,12 +57,19 @@
 	maxThreatened = 8
 	// unevenSampleFactor multiplies the sampling weight of an engine where the risk of late
 	// streams exceeds unsuitableRisk.
-	unevenSampleFactor = 0.1
+	unevenSampleFactor = 0.25
 	unsuitableRisk     = 0.25
 	// stepHalfLife is the half-life of measured steps, and minReportedSteps the weight below
 	// which they aren't reported.
 	stepHalfLife     = 6 * time.Second
 	minReportedSteps = 1.0
+	// maxReportedSteps is the number of engines whose steps are in one report, those first
+	// whose steps were not reported for longest. It bounds the steps to 500 bytes of a report,
+	// 5 KB/s at ten reports a second.
+	maxReportedSteps = 16
+	// minOwnSteps is the weight of the steps from which an entry relies on its own ones while
+	// no hub tells it a speed. A few streams may all run beside prompts.
+	minOwnSteps = 60.0
 	// factorReportAge is the age from which a factor isn't reported, and factorUseAge the one
 	// from which steps are no longer divided by it: half an episode of a shared machine.
 	factorReportAge = 2 * time.Second
@@ -85,6 +99,26 @@
 	return &steps
 }
 
+// chooseReportedSteps chooses the engines whose steps are in the next report.
+func (p *Pool) chooseReportedSteps(now time.Duration) {
+	p.withSteps = p.withSteps[:0]
+	for _, e := range p.engines {
+		e.reportsSteps = false
+		e.steps.decay(now)
+		if e.steps.steps.Weight() >= minReportedSteps {
+			p.withSteps = append(p.withSteps, e)
+		}
+	}
+	if len(p.withSteps) > maxReportedSteps {
+		slices.SortFunc(p.withSteps, func(a, b *engine) int { return cmp.Compare(a.stepsReported, b.stepsReported) })
+		p.withSteps = p.withSteps[:maxReportedSteps]
+	}
+	p.reports++
+	for _, e := range p.withSteps {
+		e.reportsSteps, e.stepsReported = true, p.reports
+	}
+}
+
 // RecordSteps records that a generation at an engine made n events within a time. A cold
 // engine isn't measured, because it is slow for another reason.
 func (p *Pool) RecordSteps(now time.Duration, id serving.EngineID, n int64, perEvent serving.Tokens, took time.Duration) {
@@ -100,6 +134,52 @@
 	e.steps.steps.Record(slowness, n)
 }
 
+// SetFactor records the factor that an engine has stated in an answer that wasn't one to a call.
+func (p *Pool) SetFactor(at time.Duration, id serving.EngineID, f serving.Percent) {
+	if e := p.engines[id]; e != nil {
+		p.setFactor(at, e, f)
+	}
+}
+
+// SharedMachine is an engine whose machine is worth asking how long work takes there.
+type SharedMachine struct {
+	Engine  serving.EngineID
+	Service serving.ServiceID
+	Address string
+}
+
+// SharedMachines returns the engines of a data centre, sorted by id, whose streams miss their
+// pace if a prompt is read while the machine is shared. There are none for services whose
+// engines have never stated a factor, or differ little in speed.
+func (p *Pool) SharedMachines(now time.Duration, dc serving.DataCentreID) []SharedMachine {
+	var out []SharedMachine
+	for _, e := range p.engines {
+		if e.DataCentre != dc || !e.Usable() || e.saidLeaving || e.others.Paced+e.own.Paced == 0 {
+			continue
+		}
+		s := p.speeds(now, e.Service)
+		if !s.uneven || !s.sharing.Known() {
+			continue
+		}
+		sum := e.total()
+		if e.breaksPace(now, &sum, s) {
+			out = append(out, SharedMachine{Engine: e.Engine, Service: e.Service, Address: e.Address})
+		}
+	}
+	slices.SortFunc(out, func(a, b SharedMachine) int { return strings.Compare(string(a.Engine), string(b.Engine)) })
+	return out
+}
+
+// breaksPace reports whether streams at the engine miss their pace if a prompt is read there
+// while the machine is shared.
+func (e *engine) breaksPace(now time.Duration, sum *usage.Use, s *serviceSpeeds) bool {
+	if sum.Paced <= 0 || sum.MaxPause <= 0 {
+		return false
+	}
+	est := e.machine.Estimate(now, &machine.Work{Running: sum.Running, PerEvent: s.perEvent, Typical: s.typical}, &s.sharing)
+	return est.PauseBad > time.Duration(pauseMargin*float64(sum.MaxPause))
+}
+
 // setFactor records the factor that an engine has stated at a time.
 func (p *Pool) setFactor(at time.Duration, e *engine, f serving.Percent) {
 	if e.machine.SetFactor(at, f) {
@@ -126,10 +206,12 @@
 type serviceSpeeds struct {
 	sharing machine.Sharing
 	at      time.Duration
-	// uneven is set while the speeds differ by more than unevenSpread.
+	// uneven is set while the speeds differ by more than unevenSpread, or machines are shared.
 	uneven bool
 	// fast and typical are the slowness of the fast engines and the median.
 	fast, typical float64
+	// perEvent is the number of tokens of an event of the service.
+	perEvent serving.Tokens
 	// known and ratios are reused by each computation.
 	known, ratios []float64
 }
@@ -146,6 +228,14 @@
 	return s
 }
 
+// setPerEvent records the number of tokens of an event, for estimates that belong to no call.
+func (s *serviceSpeeds) setPerEvent(n *Need) { s.perEvent = n.perEvent() }
+
+// mostSustain reports whether most engines are about as fast as the fast ones. Streams that need
+// a pace can then be kept from the others. Where most engines are slow, many streams must run
+// there, and avoiding them would only fill the few fast ones with prompts.
+func (s *serviceSpeeds) mostSustain() bool { return s.typical < unevenSpread*s.fast }
+
 // updateSpeeds applies what other entries and hubs have reported.
 func (p *Pool) updateSpeeds(now time.Duration) {
 	for _, e := range p.engines {
@@ -195,7 +285,9 @@
 		}
 		e.steps.decay(now)
 		steps.Add(&e.steps.steps)
-		e.machine.Update(now, &steps)
+		if e.others.Steps != nil || steps.Weight() >= minOwnSteps {
+			e.machine.Update(now, &steps)
+		}
 		slowness := e.machine.Slowness()
 		if slowness <= 0 {
 			continue
@@ -215,7 +307,7 @@
 	if s.uneven {
 		limit = evenSpread
 	}
-	s.uneven = quantile(s.known, slowQuantile) >= limit*s.fast
+	s.uneven = s.sharing.Shared() || quantile(s.known, slowQuantile) >= limit*s.fast
 	if len(s.ratios) >= minMeasured {
 		s.sharing.SetRatio(lowerMedian(s.ratios))
 	}
@@ -234,6 +326,12 @@
 	return sorted[int(math.Round(q*float64(len(sorted)-1)))]
 }
 
+// IsUneven reports whether an engine belongs to a service whose engines differ in speed.
+func (p *Pool) IsUneven(id serving.EngineID) bool {
+	e := p.engines[id]
+	return e != nil && p.speed[e.Service] != nil && p.speed[e.Service].uneven
+}
+
 // Slowness returns the duration of the steps of an engine relative to [machine.Nominal], 0
 // if it is unknown.
 func (p *Pool) Slowness(id serving.EngineID) float64 {
@@ -265,7 +363,7 @@
 // unevenCost returns the cost of an engine's speed for a call: of the time until its first
 // event, of the risk that it or streams of others become late, less the bonus of slow engines
 // for calls that need no fast one.
-func (p *Pool) unevenCost(now time.Duration, e *engine, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
+func (e *engine) unevenCost(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
 	est := e.estimate(now, n, sum, s)
 	cost := prefillWeight * est.FirstEvent.Seconds()
 	cost += lateWeight * firstEventRisk(now, n, &est, &s.sharing)
@@ -274,6 +372,16 @@
 	return cost
 }
 
+// copyPaceCost returns the cost of an engine that probably doesn't sustain the pace of the
+// stream whose memory is copied there. s is nil if the terms for uneven engines don't apply.
+func (e *engine) copyPaceCost(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
+	if s == nil {
+		return 0
+	}
+	est := e.estimate(now, n, sum, s)
+	return copyPaceWeight * min(1, pauseRisk(n, &est, &s.sharing))
+}
+
 // suitability returns the factor of an engine's sampling weight: its speed relative to the
 // fast engines, further reduced if a call there would probably be late or make others late.
 func (e *engine) suitability(now time.Duration, n *Need, s *serviceSpeeds) float64 {
@@ -309,28 +417,19 @@
 
 // pauseRisk returns the risk that the stream has a pause that is too long for its caller.
 func pauseRisk(n *Need, est *machine.Estimate, s *machine.Sharing) float64 {
-	allowed := time.Duration(pauseMargin * float64(n.MaxPause))
-	pauses := n.Length/n.perEvent() - 1
-	if n.MaxPause <= 0 || pauses <= 0 || est.PauseBad <= allowed {
+	pauses := max(n.Length, n.Output)/n.perEvent() - 1
+	bad := tooLong(est.PauseBad, n.MaxPause)
+	if pauses <= 0 || bad == 0 {
 		return 0
 	}
-	excess := excessWeight * min(1, float64(est.PauseBad)/float64(n.MaxPause)-pauseMargin)
 	prompts := promptShare + (1-promptShare)*min(1, float64(est.PendingTime)/float64(pendingPromptTime))
-	// share is the share of the time in which pauses are too long.
-	share := s.Share() * prompts
-	switch {
-	case est.Pause > allowed:
-		share = 1
-	case est.PausePrompts > allowed && est.PauseShared > allowed:
-		share = 1 - (1-s.Share())*(1-prompts)
-	case est.PausePrompts > allowed:
-		share = prompts
-	case est.PauseShared > allowed:
-		share = s.Share()
-	}
+	shared := s.Share()
+	// late is the share of the time in which pauses are too long.
+	late := (1-shared)*((1-prompts)*tooLong(est.Pause, n.MaxPause)+prompts*tooLong(est.PausePrompts, n.MaxPause)) +
+		shared*((1-prompts)*tooLong(est.PauseShared, n.MaxPause)+prompts*bad)
 	// Prompts and shared machines both last about an episode.
 	episodes := 1 + float64(pauses)*float64(est.Pause)/float64(machine.Episode)
-	return (1 - math.Pow(1-share, episodes)) * (1 + excess)
+	return (1 - math.Pow(1-late, episodes)) * (1 + excessWeight*min(1, max(0, float64(est.PauseBad)/float64(n.MaxPause)-1)))
 }
 
 const (
@@ -348,14 +447,13 @@
 
 // sharedCost returns the cost of reading a prompt while the machine of the engine is shared, as
 // it has stated just now.
-func (e *engine) sharedCost(now time.Duration, n *Need, sum *usage.Use, s *serviceSpeeds) float64 {
+func (e *engine) sharedCost(now time.Duration, sum *usage.Use, s *serviceSpeeds) float64 {
 	f, age := e.machine.Factor(now)
 	if f < sharedFactor || age > sharedTTL {
 		return 0
 	}
 	cost := sharedPromptCost
-	est := e.estimate(now, n, sum, s)
-	if allowed := time.Duration(pauseMargin * float64(sum.MaxPause)); sum.Paced > 0 && est.PauseBad > allowed {
+	if e.breaksPace(now, sum, s) {
 		cost += sharedStreamCost * float64(min(sum.Paced, maxSharedStreams))
 	}
 	return cost
@@ -363,14 +461,18 @@
 
 // threat returns the expected number of streams of others that the prompt makes late.
 func threat(sum *usage.Use, est *machine.Estimate, s *machine.Sharing) float64 {
-	allowed := time.Duration(pauseMargin * float64(sum.MaxPause))
-	if sum.Paced <= 0 || sum.MaxPause <= 0 || est.PauseBad <= allowed {
+	bad := tooLong(est.PauseBad, sum.MaxPause)
+	if sum.Paced <= 0 || bad == 0 {
 		return 0
 	}
-	risk := 1.0
-	if est.PausePrompts <= allowed {
-		// The machine has to be shared at some time while the prompt is read.
-		risk = s.Within(est.PromptTime)
+	shared := s.Within(est.PromptTime)
+	return (shared*bad + (1-shared)*tooLong(est.PausePrompts, sum.MaxPause)) * float64(min(sum.Paced, maxThreatened))
+}
+
+// tooLong returns the probability that a pause with this estimate is longer than required.
+func tooLong(d, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
 	}
-	return risk * float64(min(sum.Paced, maxThreatened))
+	return min(1, max(0, (float64(d)/float64(limit)-pauseMargin)/(1-pauseMargin)))
 }
--- a/pkg/serving/placement/uneven_test.go
+++ b/pkg/serving/placement/uneven_test.go
@@ -64,6 +64,10 @@
 		MaxPause: 180 * time.Millisecond, FirstEventBy: 1500 * time.Millisecond}
 }
 
+func unevenCopy() *placement.Need {
+	return &placement.Need{Service: unevenService, Prompt: 3400, Output: 256, CopyFrom: "a-1", MaxPause: 180 * time.Millisecond}
+}
+
 // streams returns the load of n long streams that need a pace, at half of their length.
 func streams(n serving.Slots) usage.Use {
 	held := serving.Tokens(n) * 3460
@@ -95,6 +99,8 @@
 		{name: "short answers go to slow engines when fast ones fill up", need: unevenShort, fast: streams(5), calls: 11, minSlow: 11, maxSlow: 11},
 		{name: "short answers go to fast engines with much room", need: unevenShort, fast: streams(2), calls: 11, maxSlow: 0},
 		{name: "short answers don't wait for each other at slow engines", need: unevenShort, fast: streams(4), slow: pending(usage.Use{}, 2550), calls: 11, maxSlow: 0},
+		{name: "copies go to fast engines among those with room", need: unevenCopy, fast: streams(3), slow: streams(3), calls: 1, maxSlow: 0},
+		{name: "copies go where there is much more room", need: unevenCopy, fast: streams(6), calls: 1, minSlow: 1, maxSlow: 1},
 		{name: "prompts are kept from slow engines with long streams", need: unevenShort, fast: streams(5), slow: streams(2), calls: 11, maxSlow: 0},
 	}
 	for _, tt := range tests {
@@ -121,8 +127,8 @@
 
 func (constant) Float64() float64 { return 0.5 }
 
-// Guards against engines that are placed differently than before although their speeds differ
-// by less than the factor from which the new terms apply, whatever else is known of them.
+// Guards against engines that are placed differently than before although they state no factor
+// and their speeds differ by less than the factor from which the new terms apply.
 func TestEvenEnginesArePlacedAsBefore(t *testing.T) {
 	var pools [2]*placement.Pool
 	for i := range pools {
@@ -136,7 +142,7 @@
 			u.Engine, u.Pace = serving.EngineID(id), usage.Pace{Tokens: 400, Time: 4*time.Second + time.Duration(e%4)*100*time.Millisecond}
 			u.Held, u.Expected = u.Held+serving.Tokens(7*e), u.Expected+serving.Tokens(7*e)
 			if i == 1 {
-				u.Steps, u.Factor = mixedSteps(1+float64(e%4)/10), 250
+				u.Steps = mixedSteps(1 + float64(e%4)/10)
 			} else {
 				u.Paced, u.MaxPause = 0, 0
 			}
@@ -165,6 +171,49 @@
 	assert.Assert(t, pools[1].Slowness("e0") > 0)
 }
 
+// Load pattern: engines of one speed whose memory is scarce, with 20 long streams and 38.5
+// short answers a second, on shared machines. Guards against short answers that wait behind the
+// prompts of others at engines with much room, although others could read theirs at once.
+func TestSharedMachinesSwitchEstimatesOn(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		factors []serving.Percent
+		want    bool
+	}{
+		{"no factor", nil, false}, {"never shared", []serving.Percent{100}, false}, {"shared at times", []serving.Percent{100, 100, 100, 250}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPool(1, "a-1")
+			for i := range 8 {
+				name := serving.EngineID(fmt.Sprint("e", i))
+				p.SetEngine(engine(string(name), "model", "a-1"))
+				for at := range 100 * len(tt.factors) {
+					p.SetLoad(time.Duration(at)*time.Second, name, serving.EngineLoad{Factor: tt.factors[at%len(tt.factors)]})
+				}
+			}
+			var uses []usage.Use
+			for i := range 8 {
+				// Half of the engines have little room and no prompt pending.
+				u := streams(5)
+				if i%2 == 0 {
+					u = streams(1)
+					u.Prefill = 5000
+				}
+				u.Engine, u.Steps = serving.EngineID(fmt.Sprint("e", i)), mixedSteps(1)
+				uses = append(uses, u)
+			}
+			now := time.Hour
+			p.SetOtherUse(now, uses, 70)
+			n := unevenShort()
+			n.FirstEventBy += now
+			ticket, err := p.Place(now, n)
+			assert.NilError(t, err)
+			assert.Equal(t, p.Total(ticket.Engine).Prefill == n.Prompt, tt.want, "%s has %d", ticket.Engine, p.Total(ticket.Engine).Prefill)
+			assert.Equal(t, len(p.Uneven()) == 1, tt.want)
+		})
+	}
+}
+
 // Load pattern: as above, with entries that reach no hub and compare two engines that they
 // sample. Guards against long streams at slow engines, which have more room, because an entry
 // has measured few engines itself.
@@ -304,3 +353,24 @@
 		assert.DeepEqual(t, u, usage.Use{Engine: "e"})
 	}
 }
+
+// Guards against reports that grow with the number of engines, and against engines whose steps
+// are never reported: 40 engines, 16 of them in each report.
+func TestReportedStepsAreBounded(t *testing.T) {
+	p := newPool(1, "a-1")
+	for i := range 40 {
+		id := fmt.Sprint("e", i)
+		p.SetEngine(engine(id, "model", "a-1"))
+		p.RecordSteps(0, serving.EngineID(id), 40, 4, time.Second)
+	}
+	reported := map[serving.EngineID]bool{}
+	for range 3 {
+		uses := p.OwnUse(0)
+		assert.Equal(t, len(uses), 16)
+		for i := range uses {
+			assert.Assert(t, uses[i].Steps != nil)
+			reported[uses[i].Engine] = true
+		}
+	}
+	assert.Equal(t, len(reported), 40)
+}
