--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,22 +10,28 @@
 )
 
 var (
-	inProgress          = expvar.NewInt("calls_in_progress")
-	answered            = expvar.NewMap("calls_answered")
-	refused             = expvar.NewMap("calls_refused")
-	callsRetried        = expvar.NewInt("calls_repeated")
-	callsWaited         = expvar.NewInt("calls_waited")
-	hubPolls            = expvar.NewInt("hub_polls")
-	moves               = expvar.NewMap("streams_moved")
-	streamsLost         = expvar.NewInt("streams_lost")
-	answersTruncated    = expvar.NewMap("answers_truncated")
-	answersUnsigned     = expvar.NewInt("answers_unsigned")
-	takenInShutdown     = expvar.NewInt("calls_taken_in_shutdown")
-	processChecks       = expvar.NewMap("engine_process_checks")
-	lostBeforeAnswer    = expvar.NewInt("calls_lost_before_answer")
-	answerTimes         = newHistogram("answer_ms")
-	firstEventTimes     = newHistogram("first_event_ms")
-	eventPauses         = newHistogram("event_pause_ms")
+	inProgress       = expvar.NewInt("calls_in_progress")
+	answered         = expvar.NewMap("calls_answered")
+	refused          = expvar.NewMap("calls_refused")
+	callsRetried     = expvar.NewInt("calls_repeated")
+	callsWaited      = expvar.NewInt("calls_waited")
+	hubPolls         = expvar.NewInt("hub_polls")
+	moves            = expvar.NewMap("streams_moved")
+	streamsLost      = expvar.NewInt("streams_lost")
+	answersTruncated = expvar.NewMap("answers_truncated")
+	answersUnsigned  = expvar.NewInt("answers_unsigned")
+	takenInShutdown  = expvar.NewInt("calls_taken_in_shutdown")
+	processChecks    = expvar.NewMap("engine_process_checks")
+	lostBeforeAnswer = expvar.NewInt("calls_lost_before_answer")
+	answerTimes      = newHistogram("answer_ms")
+	firstEventTimes  = newHistogram("first_event_ms")
+	eventPauses      = newHistogram("event_pause_ms")
+	// streamsByPace counts the answered streams of routes with a required pace.
+	streamsByPace = expvar.NewMap("streams_by_pace")
+	// streamsAtRisk counts the streams that were sent to an engine where they would probably
+	// be late, and unevenServices the services whose engines differ in speed.
+	streamsAtRisk       = expvar.NewInt("streams_at_risk")
+	unevenServices      = expvar.NewInt("uneven_services")
 	movePauses          = newHistogram("move_pause_ms")
 	callersDisconnected = expvar.NewInt("callers_left")
 	callersStalled      = expvar.NewInt("callers_stalled")
@@ -33,13 +39,7 @@
 	limitsChanged       = expvar.NewInt("engine_limits_changed")
 	pausesAsked         = expvar.NewInt("engine_pauses_asked")
 	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
-	// streamsByPace counts the answered streams of routes with a required pace.
-	streamsByPace = expvar.NewMap("streams_by_pace")
-	// streamsAtRisk counts the streams that were sent to an engine where they would probably
-	// be late, and unevenServices the services whose engines differ in speed.
-	streamsAtRisk  = expvar.NewInt("streams_at_risk")
-	unevenServices = expvar.NewInt("uneven_services")
-	panics         = expvar.NewInt("panics_recovered")
+	panics              = expvar.NewInt("panics_recovered")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -52,11 +52,8 @@
 	}
 	h.refreshPool(now)
 	h.placer.pool.CountCall(now, service.ID)
-	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
-		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll, MaxPause: time.Duration(max(0, in.GetMaxPauseMs())) * time.Millisecond}
-	if in.FirstEventMs != nil {
-		need.FirstEventBy = now + time.Duration(max(1, in.GetFirstEventMs()))*time.Millisecond
-	}
+	need := &placement.Need{MaxPause: time.Duration(max(0, in.GetMaxPauseMs())) * time.Millisecond, FirstEventBy: firstEventBy(now, in), Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
+		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll}
 	if in.GetRestricted() {
 		need.Allows = func(r serving.RegionID) bool { return slices.Contains(in.GetRegions(), string(r)) }
 	}
@@ -74,6 +71,15 @@
 	return &schema.PlaceResult{Engine: string(ticket.Engine)}, nil
 }
 
+// firstEventBy returns the time from which on the first event of a call is late; 0 if it never
+// is.
+func firstEventBy(now time.Duration, in *schema.PlaceRequest) time.Duration {
+	if in.FirstEventMs == nil {
+		return 0
+	}
+	return now + time.Duration(max(1, in.GetFirstEventMs()))*time.Millisecond
+}
+
 // speedsInterval is the longest time between two computations of the engines' speeds.
 const speedsInterval = 500 * time.Millisecond
 
