Keep rollouts in the deployment state

Operators want to shift the traffic of a service to another version of its engines, and to have the order, its state and its counts survive the loss of disks and leaders. No caller sees a change yet.

The replicated deployment state gets the rollouts, with commands that start one, change its phase, record its counts and drop it after its end. A start names the rollout that it replaces, and a change of phase the phase that it expects, so that a repeated order or a command of an earlier leader changes nothing. Rollouts have a revision of their own: counts and phases do not make entries load the configuration again.

--- a/pkg/serving/deployment/machine.go
+++ b/pkg/serving/deployment/machine.go
@@ -1,8 +1,8 @@
 // Package deployment implements the replicated state of a deployment: the routing
 // configuration with the highest version, the data centres that operators have taken out
-// of service, and the prompts that are blocked because they crash engines. It is a state
-// machine that applies the commands of the
-// replicated log.
+// of service, the prompts that are blocked because they crash engines, and the rollouts of
+// other versions of the engines' software. It is a state machine that applies the commands of
+// the replicated log.
 //
 // # Usage
 //
@@ -98,14 +98,15 @@
 // Apply implements serving.StateMachine. The result is always empty. Commands that
 // can't be decoded are ignored.
 func (m *Machine) Apply(index uint64, command []byte) []byte {
-	var c schema.DeploymentCommand
-	if proto.Unmarshal(command, &c) != nil {
+	var in schema.DeploymentCommand
+	if proto.Unmarshal(command, &in) != nil {
 		return nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	next := &schema.DeploymentState{Revision: index, Config: m.state.GetConfig(), Out: m.state.GetOut(), Blocks: m.state.GetBlocks()}
-	switch c := c.GetCommand().(type) {
+	next := &schema.DeploymentState{Revision: index, Config: m.state.GetConfig(), Out: m.state.GetOut(), Blocks: m.state.GetBlocks(),
+		Rollouts: m.state.GetRollouts(), RolloutsRevision: m.state.GetRolloutsRevision()}
+	switch c := in.GetCommand().(type) {
 	case *schema.DeploymentCommand_Config:
 		if c.Config.GetVersion() <= m.state.GetConfig().GetVersion() && m.state.GetConfig() != nil {
 			return nil
@@ -130,7 +131,9 @@
 		}
 		next.Blocks = slices.Delete(slices.Clone(m.state.GetBlocks()), at, at+1)
 	default:
-		return nil
+		if !applyRollout(next, m.state.GetRevision(), &in) {
+			return nil
+		}
 	}
 	m.set(next)
 	return nil
