Quota: release the load test evenly, keep a comparison in the cutover

What callers see: nothing yet, no process uses the package.

Allows takes the rollout and whether the call is repeated instead of phase and fraction. The draw moved from AllowanceFor to Quota, so that the sum of AllowanceFor stays below the allowance, and entries that get less than one call of the quota round it at random: with 1,300 entries and 300 calls a second, each has three calls in ten seconds and would send the new version none.

At the start of the cutover a quarter of the calls still goes to the old version. Without them, an outage in the cutover can't be told from a version that turned bad. Exclusive says from when on an entry may confirm that it has stopped using the old version.

Added: Brake (an entry stops on its own after 25 unexplained bad answers), PhaseAt.

--- a/pkg/serving/rollout/doc.go
+++ b/pkg/serving/rollout/doc.go
@@ -11,16 +11,23 @@
 //
 // An entry keeps a [Quota], a [Lease] and the [Evidence] of its own calls for each rollout:
 //
-//	quota := rollout.Quota{Share: share, Allowance: rollout.AllowanceFor(entries, allowance, before, random.Float64())}
-//	fraction := rollout.Fraction(elapsed, order.Duration)
-//	if lease.Valid(now) && quota.Allows(phase, fraction) {
-//		quota.CountSent(true, false)
-//		key := rollout.Key{Version: order.To, Route: route, Engine: engine, Slice: rollout.SliceAt(fraction)}
+//	quota := rollout.Quota{
+//		Share:     share,
+//		Allowance: rollout.AllowanceFor(entries, allowance, startedBeforeOrder),
+//		Draw:      random.Float64(),
+//	}
+//	r.Elapsed = elapsed
+//	if lease.Valid(now) && !brake.Engaged() && quota.Allows(&r, repeated) {
+//		quota.CountSent(true, repeated)
+//		key := rollout.Key{Version: r.To, Route: route, Engine: engine, Slice: r.Slice()}
 //		evidence.Sent(key)
 //		// after the call:
 //		evidence.Answered(key, rollout.Times{First: first, Token: token, Whole: whole})
 //	}
 //
+// Evidence is recorded of the first attempt of a call only: calls that failed at one engine
+// fail more often at the next, whatever its version.
+//
 // The leader sums the evidence of all entries and evaluates it:
 //
 //	sum.Merge(reported)
--- a/pkg/serving/rollout/evidence.go
+++ b/pkg/serving/rollout/evidence.go
@@ -121,12 +121,9 @@
 // same age and met the same conditions. The last slice also holds calls sent after the end.
 type Slice uint8
 
-// SliceAt returns the slice of a fraction of the duration.
-func SliceAt(fraction float64) Slice {
-	if !(fraction > 0) {
-		return 0
-	}
-	return Slice(min(Slices-1, int(min(1, fraction)*Slices)))
+// Slice returns the slice of calls that are sent now.
+func (r Rollout) Slice() Slice {
+	return Slice(min(Slices-1, int(r.Fraction()*Slices)))
 }
 
 // Key identifies the calls that are counted together.
--- a/pkg/serving/rollout/quota.go
+++ b/pkg/serving/rollout/quota.go
@@ -1,48 +1,80 @@
 package rollout
 
 import (
-	"cmp"
-	"slices"
+	"math"
 	"time"
+)
 
-	"github.com/cespare/xxhash/v2"
-
-	"turmericdrum.org/turmericdrum/pkg/serving"
+const (
+	// canaryPart is the part of the share that the canary uses. The rest is kept for the load
+	// test.
+	canaryPart = 0.5
+	// loadTestPart is the part of the share that canary and load test use together. The rest
+	// and the other half of the allowance are the margin for the rounding of all entries,
+	// see Quota.
+	loadTestPart = 0.85
+	// allowancePart is the part of the allowance that AllowanceFor hands out.
+	allowancePart = 0.5
+	// holdOutPart is the part of the calls that still goes to the old version at the start
+	// of the cutover. They are the only ones that show whether failures during the cutover
+	// are due to the new version or to an outage.
+	holdOutPart = 0.25
 )
 
-// Quota decides whether an entry may send one more call to a version in test. The sum of
-// the calls of all entries stays within the exposure bound without coordination, because
-// the bound is linear in the calls of each entry.
+// Quota decides whether an entry may send one more call to a version in test. The bound is
+// linear in the calls of the entry, so that the sum over all entries stays within the bound
+// of the service without any coordination.
+//
+// With hundreds of entries each one may send less than one call to the new version. Draw
+// rounds the bound of each entry up or down so that the mean is unchanged. The sum over all
+// entries then deviates by at most half the root of their number in standard deviations,
+// which is 18 calls for 1,300 entries; the margin is 15% of the share and half of the
+// allowance.
 type Quota struct {
 	// Share is the largest share of calls that may go to a version that may be bad, and
 	// Allowance this entry's part of the calls beyond the share, from AllowanceFor.
 	Share, Allowance float64
+	// Draw is a random number from 0 up to 1 that this process chose for the rollout. It must
+	// not depend on the calls. 0 rounds down.
+	Draw float64
 
 	sentAll, sentNew int64
 }
 
-// Allows reports whether a call may be sent to the new version in a phase, at a fraction of
-// the duration of the rollout.
-func (q *Quota) Allows(phase Phase, fraction float64) bool {
-	switch phase {
+// Allows reports whether a call may be sent to the new version. In the cutover, false means
+// that the call goes to the old version for comparison if it has a usable engine. repeated is
+// as for CountSent.
+func (q *Quota) Allows(r *Rollout, repeated bool) bool {
+	all := float64(q.sentAll)
+	if !repeated {
+		all++
+	}
+	switch r.Phase {
 	case Canary:
-		return float64(q.sentNew+1) <= canaryPart*q.Share*float64(q.sentAll+1)+q.Allowance
+		return q.within(canaryPart * all)
 	case LoadTest:
-		return float64(q.sentNew+1) <= loadTestPart*q.Share*float64(q.sentAll+1)+q.Allowance
-	case Cutover, Completed:
+		// The unused part is released evenly over the load test, because all of it at once
+		// would queue at the few engines of the canary and make a good version look slow.
+		progress := min(1, max(0, (r.Fraction()-canaryUntil)/(loadTestUntil-canaryUntil)))
+		return q.within((canaryPart + (loadTestPart-canaryPart)*progress) * all)
+	case Cutover:
+		if r.Exclusive() || repeated {
+			return true
+		}
+		return math.Floor(all*holdOutPart+q.Draw) == math.Floor((all-1)*holdOutPart+q.Draw)
+	case Completed:
 		return true
 	}
 	return false
 }
 
-const (
-	canaryPart   = 0.5
-	loadTestPart = 0.85
-)
+func (q *Quota) within(calls float64) bool {
+	return float64(q.sentNew+1) <= q.Share*calls+q.Allowance+min(max(0, q.Draw), 1)
+}
 
 // CountSent counts a call that is sent to an engine. Repeated calls, that is retries,
-// migrations and resumed streams, count towards the calls to the new version, but don't
-// increase the bound.
+// migrations, resumed streams and copies of memory, count towards the calls to the new
+// version, but don't raise the bound.
 func (q *Quota) CountSent(newVersion, repeated bool) {
 	if newVersion {
 		q.sentNew++
@@ -52,59 +84,75 @@
 	}
 }
 
-// Sent returns the numbers of calls, and of those that were sent to the new version.
+// Sent returns the number of calls without repeated ones, and that of all calls to the new
+// version.
 func (q *Quota) Sent() (all, newVersion int64) { return q.sentAll, q.sentNew }
 
-// AllowanceFor returns an entry's part of the allowance. draw is a random number from 0 to 1
-// that the entry's process chose at its start.
-func AllowanceFor(entries int, allowance float64, startedBeforeOrder bool, draw float64) float64 {
-	a := min(1, max(0, draw))
-	if startedBeforeOrder && entries > 0 {
-		a += max(0, allowance) / 2 / float64(entries)
+// AllowanceFor returns an entry's part of the allowance, 0 if its process started after the
+// order: its predecessor may have used the part of that host. entries is the number of
+// entries that the leader committed with the order, so that all entries divide by the same
+// number. The sum over these entries is half of the allowance.
+func AllowanceFor(entries int, allowance float64, startedBeforeOrder bool) float64 {
+	if !startedBeforeOrder || entries <= 0 || !(allowance > 0) {
+		return 0
 	}
-	return a
+	return allowancePart * allowance / float64(entries)
 }
 
-// LeaseTime is how long an entry uses a version in test after a hub confirmed the state of
-// the rollout. An entry that is frozen or cut off stops long before a bad version must not
-// be used any more.
+// LeaseTime is how long an entry uses a version that is not completed after a hub confirmed
+// the state of the rollout. An entry that is frozen or cut off then stops long before a bad
+// version must not be used any more (5 s after its 50th bad answer).
 const LeaseTime = 1500 * time.Millisecond
 
-// Lease permits an entry to use a version in test. The zero value is an expired lease.
+// Lease permits an entry to use a version in Canary, LoadTest and Cutover. The zero value is
+// an expired lease.
 type Lease struct {
 	confirmed bool
 	at        time.Duration
 }
 
 // Confirm renews the lease. now is the time when the entry asked for the state that the hub
-// confirmed, not when the answer came.
+// confirmed, not when the answer came. All times are of a clock that counts suspended time.
 func (l *Lease) Confirm(now time.Duration) {
 	if !l.confirmed || now > l.at {
 		l.confirmed, l.at = true, now
 	}
 }
 
-// Valid reports whether the lease holds. now is of a clock that counts suspended time.
+// Valid reports whether the lease holds.
 func (l *Lease) Valid(now time.Duration) bool {
 	return l.confirmed && now >= l.at && now-l.at < LeaseTime
 }
 
-const minCanary = 3
+// brakeExcess is the number of bad answers above what the old version's rate explains at
+// which an entry stops on its own. The rule of 5 s begins at 50 bad answers of all entries.
+const brakeExcess = 25
+
+// Brake stops the calls of one entry to a version that fails there, before the leader
+// decides. It counts from the last confirmation by a hub.
+type Brake struct {
+	newEnded, newBad, oldEnded, oldBad int64
+}
 
-// CanarySize returns the number of engines of the new version that get the calls of the
-// canary, so that each of them has about the load of an engine of the old version.
-func CanarySize(newEngines, oldEngines int, share float64) int {
-	n := int(canaryPart*max(0, share)*float64(max(0, oldEngines)) + 0.5)
-	return max(0, min(newEngines, max(minCanary, n)))
+// Record counts the end of a call.
+func (b *Brake) Record(newVersion, bad bool) {
+	n := int64(0)
+	if bad {
+		n = 1
+	}
+	if newVersion {
+		b.newEnded, b.newBad = b.newEnded+1, b.newBad+n
+	} else {
+		b.oldEnded, b.oldBad = b.oldEnded+1, b.oldBad+n
+	}
 }
 
-// CanarySubset returns n of the engines, selected by rank of a hash of their ids. All
-// entries select the same ones, and an engine that comes or goes changes at most one.
-func CanarySubset(engines []serving.EngineID, n int) []serving.EngineID {
-	out := slices.Clone(engines)
-	slices.SortFunc(out, func(a, b serving.EngineID) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
-	})
-	out = slices.Compact(out)
-	return out[:max(0, min(n, len(out)))]
+// Engaged reports whether the entry must not use the new version.
+func (b *Brake) Engaged() bool {
+	expected := float64(b.newEnded) * float64(b.oldBad) / float64(max(1, b.oldEnded))
+	return float64(b.newBad)-expected >= brakeExcess
 }
+
+// Release starts anew after a hub confirmed the state of the rollout with the counts of this
+// entry.
+func (b *Brake) Release() { *b = Brake{} }
--- a/pkg/serving/rollout/rollout.go
+++ b/pkg/serving/rollout/rollout.go
@@ -115,8 +115,9 @@
 type Rollout struct {
 	Order
 	Phase Phase
-	// Elapsed is the time since the order.
-	Elapsed time.Duration
+	// Elapsed is the time since the order, and PhaseAt what it was when the phase began. 0
+	// means that it is unknown.
+	Elapsed, PhaseAt time.Duration
 	// Reason says why the rollout is in its phase.
 	Reason string
 }
@@ -124,6 +125,20 @@
 // Fraction returns the part of the duration that has elapsed, from 0 to 1.
 func (r Rollout) Fraction() float64 { return Fraction(r.Elapsed, r.Duration) }
 
+// Exclusive reports whether an entry that has this state must send no call to the old version
+// while the new one has a usable engine. It confirms the cutover to the hub once this holds
+// and its calls to the old version have ended or moved.
+func (r Rollout) Exclusive() bool {
+	return r.Phase == Completed || r.Phase == Cutover && r.Elapsed >= holdOutUntil(r.Duration)
+}
+
+// holdOutUntil returns how long after the order some calls may go to the old version for
+// comparison during the cutover: 0.8 of the duration, or up to 3 s before its end if that is
+// later. The rest is for the confirmations, and for streams that move.
+func holdOutUntil(duration time.Duration) time.Duration {
+	return max(duration*8/10, duration-3*time.Second)
+}
+
 // Fraction returns elapsed as a part of duration, from 0 to 1.
 func Fraction(elapsed, duration time.Duration) float64 {
 	if duration <= 0 {
