Carry out rollouts at hubs and entries

Operators can shift the traffic of a service to engines with another version of their software, with POST /-/rollouts and GET /-/rollouts/SERVICE, if the settings' contracts contain rollout. Without it, no message, log line or decision changes.

The leader commits the order, evaluates the counts of all entries every 100 ms, commits each change of phase at once and the counts once a second. Entries get the phases with their polls, apart from the rest of the state, and report cumulative counts that have changed; hubs forward them to each other. An entry places calls at the new version within its quota and while its lease holds, restricts all other calls by version, and moves streams away from the old version at the end of the cutover.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,9 @@
 	Grace time.Duration
 	// Retries limits the retries of calls; Window, Ratio and Allowance must be set.
 	Retries placement.RetryBudget
-	Clock   serving.Clock
+	// Exposure enables rollouts.
+	Exposure Exposure
+	Clock    serving.Clock
 
 	board    blackboard
 	upstream *upstream.Pool
@@ -146,6 +148,7 @@
 	}
 	g.board.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
 	g.heldAnswers, g.heldBodies = newHeldAnswers(), newHeldBodies()
+	g.board.rollouts.exposure, g.board.rollouts.started = g.Exposure, g.Clock.Now()
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, Clock: g.Clock}
 	g.watcher.setup(g)
@@ -237,6 +240,7 @@
 	limitLogged time.Duration
 	suspects    []quarantine.Part
 	waitQueue   waitQueue
+	rollouts    rollouts
 	// streams holds the streams in progress by engine.
 	streams map[serving.EngineID]map[*relay]bool
 	// movePlans holds the plans for engines that are leaving.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,11 @@
 	pausesAsked         = expvar.NewInt("engine_pauses_asked")
 	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
 	panics              = expvar.NewInt("panics_recovered")
+	// rolloutCalls counts the calls sent to services with a rollout in progress by version, and
+	// rolloutCallsWithheld those of the canary's time that the quota, the lease or the brake kept
+	// from the new version.
+	rolloutCalls         = expvar.NewMap("rollout_calls")
+	rolloutCallsWithheld = expvar.NewInt("rollout_calls_withheld")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -17,6 +17,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -282,6 +283,7 @@
 			m.reserved, m.sameDC = need.Prompt, sameDC
 		}
 		need.SameDataCentre = sameDC
+		need.Software = g.board.software(now, need.Service.ID)
 		if ticket, err = g.board.pool.Place(now, need); err == nil {
 			return ticket, nil
 		}
@@ -476,8 +478,12 @@
 		return nil, serving.NewError(serving.KindEngineFailed, "the engine did not resume the generation").WithRan(serving.RanUnknown)
 	}
 	old := r.ticket
+	r.endAttempt(placement.OK, rollout.Times{Token: r.tokenTime()})
 	r.detach()
 	r.g.endTicket(old, placement.Abandoned, 0)
+	r.g.board.mu.Lock()
+	r.beginAttempt(target, true)
+	r.g.board.mu.Unlock()
 	r.engine = target.Engine
 	r.pacedAt = 0
 	m.dest = nil
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -75,6 +75,7 @@
 func (g *Gateway) placePaced(need *placement.Need) *placement.Ticket {
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
+	need.Software = g.board.software(g.Clock.Now(), need.Service.ID)
 	return g.board.pool.PlacePaced(g.Clock.Now(), need)
 }
 
@@ -89,6 +90,10 @@
 		in.Regions = append(in.Regions, string(r))
 	}
 	g.board.mu.Lock()
+	need.Software = g.board.software(g.Clock.Now(), need.Service.ID)
+	if s := need.Software; s != nil {
+		in.OnlyVersion, in.NotVersion = string(s.Only), string(s.Not)
+	}
 	for _, id := range append(g.board.pool.Avoid(g.Clock.Now(), need), need.Exclude...) {
 		in.Exclude = append(in.Exclude, string(id))
 	}
@@ -102,6 +107,7 @@
 func (g *Gateway) claim(id serving.EngineID, need *placement.Need) *placement.Ticket {
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
+	need.Software = g.board.software(g.Clock.Now(), need.Service.ID)
 	return g.board.pool.Claim(g.Clock.Now(), id, need)
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,6 +12,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 )
 
 const (
@@ -56,10 +57,13 @@
 	var last attemptResult
 	for {
 		need := &placement.Need{Service: j.Service, Allows: j.Allows, Exclude: j.tried}
-		ticket, err := j.g.place(j.ctx, need, j.Rank(), j.plainWait())
-		if err != nil {
-			j.answer(last, err)
-			return
+		ticket := j.placeInRollout(need, len(j.tried) > 0)
+		if ticket == nil {
+			var err error
+			if ticket, err = j.g.place(j.ctx, need, j.Rank(), j.plainWait()); err != nil {
+				j.answer(last, err)
+				return
+			}
 		}
 		if err := j.checkBlocked(); err != nil {
 			// The call was blocked while it waited for an engine or was retried.
@@ -106,11 +110,15 @@
 			defer t.Stop()
 		}
 	}
+	j.g.board.mu.Lock()
+	j.beginAttempt(t, len(j.tried) > 0)
+	j.g.board.mu.Unlock()
 	start := j.g.Clock.Now()
 	x, err := j.g.upstream.Send(ctx, j.engineRequest(t, nil, maxIdleTime))
 	if err != nil {
 		e := serving.AsError(err)
 		outcome := sendFailureOutcome(j.ctx, e)
+		j.endAttempt(outcome, rollout.Times{})
 		j.g.endTicket(t, outcome, 0)
 		if outcome == placement.Broken && ctx.Err() == nil {
 			j.recordLost(t)
@@ -119,6 +127,7 @@
 	}
 	res := j.readAnswer(x, t)
 	j.g.recordAnswer(t.Engine, &x.Answer)
+	j.endAttempt(res.engineOutcome(j.ctx), rollout.Times{Whole: j.g.Clock.Now() - start})
 	j.g.endTicket(t, res.engineOutcome(j.ctx), j.g.Clock.Now()-start)
 	switch {
 	case res.brokenOff && ctx.Err() == nil:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,6 +56,10 @@
 	headerWritten bool
 	// held counts the bytes of answers that are held for the call.
 	held hold
+	// record counts the attempt in progress in the rollout of the service.
+	record attemptRecord
+	// counted is set if the quota has counted the next attempt.
+	counted bool
 }
 
 // serve answers one request of a caller.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,6 +15,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -78,10 +79,14 @@
 // stream. It returns false if none does; the call has then been answered.
 func (r *relay) sendToEngine() bool {
 	for {
-		ticket, err := r.g.placeGeneration(r.ctx, r.need(), r.Rank(), r.accountID(), r.Regions, r.streamWait())
-		if err != nil {
-			r.refuse(err)
-			return false
+		need := r.need()
+		ticket := r.placeInRollout(need, len(r.tried) > 0)
+		if ticket == nil {
+			var err error
+			if ticket, err = r.g.placeGeneration(r.ctx, need, r.Rank(), r.accountID(), r.Regions, r.streamWait()); err != nil {
+				r.refuse(err)
+				return false
+			}
 		}
 		if err := r.checkBlocked(); err != nil {
 			// The call was blocked while it waited for an engine.
@@ -92,6 +97,9 @@
 		r.engine, r.sentAt, r.useBefore = ticket.Engine, r.g.Clock.Now(), ticket.Before()
 		r.fitting, r.full = ticket.Fitting, ticket.Full
 		r.attach(ticket)
+		r.g.board.mu.Lock()
+		r.beginAttempt(ticket, len(r.tried) > 0)
+		r.g.board.mu.Unlock()
 		x, err := r.g.upstream.Send(r.ctx, r.engineRequest(ticket, nil, upstream.SafeIdleTime))
 		if err == nil && x.Status == http.StatusOK && x.Signed && !x.Encoded && !x.NotRun {
 			r.exchange = x
@@ -117,6 +125,7 @@
 	if err != nil {
 		e := serving.AsError(err)
 		outcome := sendFailureOutcome(r.ctx, e)
+		r.endAttempt(outcome, rollout.Times{})
 		r.g.endTicket(t, outcome, 0)
 		if r.ctx.Err() == nil && outcome == placement.Broken {
 			r.recordLost(t)
@@ -125,6 +134,7 @@
 	}
 	res := r.readAnswer(x, t)
 	r.g.recordAnswer(t.Engine, &x.Answer)
+	r.endAttempt(res.engineOutcome(r.ctx), rollout.Times{})
 	r.g.endTicket(t, res.engineOutcome(r.ctx), 0)
 	return res
 }
@@ -374,6 +384,7 @@
 	defer r.g.board.mu.Unlock()
 	if first {
 		r.ticket.FirstEvent()
+		r.record.firstEvent(now - r.sentAt)
 	}
 	if r.events == quarantine.SoundEvents {
 		r.recordSound()
@@ -425,6 +436,7 @@
 	r.cancelMove()
 	r.detach()
 	r.exchange.Close(r.outcome == placement.OK)
+	r.endAttempt(r.outcome, rollout.Times{Token: r.tokenTime()})
 	r.g.endTicket(r.ticket, r.outcome, r.tokenTime())
 	r.g.board.mu.Lock()
 	r.observeStream()
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -211,13 +211,22 @@
 		in.Uses = append(in.Uses, own[i].ToWire())
 	}
 	in.LostCalls, in.SoundParts = w.ownOutcomes()
+	asked := w.g.Clock.Now()
+	reported := func(bool) {}
+	if b := &w.g.board; w.g.Exposure.Enabled {
+		in.RolloutsRevision = b.rolloutsRevision()
+		in.Rollouts, reported = b.reportRollouts(asked, h.incarnation)
+	}
 	res, err := h.client.Watch(ctx, in)
+	reported(err == nil)
 	if err != nil {
 		return serving.WrapError(err, serving.KindNoQuorum, "poll the hub")
 	}
 	hubPolls.Add(1)
 	w.applyState(res)
 	w.applyEngines(res, h, own)
+	w.g.board.applyRollouts(w.g.Clock.Now(), asked, res)
+	w.g.leaveOldVersions()
 	for _, a := range res.GetHubs() {
 		w.addHub(a)
 	}
--- a/internal/hub/checkpoint.go
+++ b/internal/hub/checkpoint.go
@@ -88,7 +88,8 @@
 		h.directory.Observe(now, r)
 	}
 	age := checkpoint.StateAge(c, wall)
-	if c.GetState().GetRevision() > h.state.GetRevision() {
+	if newerState(c.GetState(), h.state) {
+		h.rollouts.observe(now, c.GetState())
 		h.state, h.blocks = c.GetState(), quarantine.BlocksFromWire(c.GetState().GetBlocks())
 	}
 	if !h.everConfirmed {
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -77,7 +77,11 @@
 	// HeartbeatInterval is the heartbeat interval of engines; 0 means a third of
 	// presence.DefaultSilentAfter.
 	HeartbeatInterval time.Duration
-	Clock             serving.Clock
+	// ServesRollouts enables rollouts. ContactTime is how long an entry that has gone silent
+	// delays the end of a rollout; 0 means defaultContactTime.
+	ServesRollouts bool
+	ContactTime    time.Duration
+	Clock          serving.Clock
 
 	once sync.Once
 	// incarnation is a random number, never 0, that identifies this run of the hub.
@@ -98,7 +102,8 @@
 	// evidence holds the calls that were lost with their engines.
 	evidence quarantine.Evidence
 	// blocks are the blocked prompts of state.
-	blocks *quarantine.Blocklist
+	blocks   *quarantine.Blocklist
+	rollouts rolloutTracker
 	// state is the latest deployment state that was published. It is never modified.
 	state *schema.DeploymentState
 	// confirmedAt is when a leader last confirmed the state, also before the start of this
@@ -142,6 +147,7 @@
 	g.Go(func() error { h.managePeers(ctx); return nil })
 	g.Go(func() error { h.manageMembers(ctx); return nil })
 	g.Go(func() error { h.manageBlocks(ctx); return nil })
+	g.Go(func() error { h.manageRollouts(ctx); return nil })
 	g.Go(func() error { h.keepCheckpoints(ctx); return nil })
 	if h.Metrics != nil && h.MetricsListen != "" {
 		l, err := net.Listen("tcp", h.MetricsListen)
@@ -233,12 +239,7 @@
 		changed, replaced := h.replica.changes()
 		state := h.replica.state()
 		h.mu.Lock()
-		if state.GetRevision() > h.state.GetRevision() {
-			h.state = state
-			h.blocks = quarantine.BlocksFromWire(state.GetBlocks())
-			h.notify()
-			klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", state.GetConfig().GetVersion(), "out", state.GetOut(), "blocks", len(state.GetBlocks()))
-		}
+		h.publish(state)
 		h.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -248,6 +249,21 @@
 	}
 }
 
+// publish makes a state the one that entries get if it is newer. The caller holds mu.
+func (h *Hub) publish(state *schema.DeploymentState) {
+	if !newerState(state, h.state) {
+		return
+	}
+	last := h.state
+	h.state = state
+	h.blocks = quarantine.BlocksFromWire(state.GetBlocks())
+	h.rollouts.observe(h.Clock.Now(), state)
+	h.notify()
+	if state.GetRevision() > last.GetRevision() {
+		klog.InfoS("Deployment state applied", "revision", state.GetRevision(), "version", state.GetConfig().GetVersion(), "out", state.GetOut(), "blocks", len(state.GetBlocks()))
+	}
+}
+
 // expire marks engines as silent and removes old times from lastDirect.
 func (h *Hub) expire(ctx context.Context) {
 	every(ctx, checkInterval, func() {
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -20,6 +20,9 @@
 	// checkpointsWritten and checkpointsFailed count what is stored for the next start.
 	checkpointsWritten = expvar.NewInt("control_checkpoints_written")
 	checkpointsFailed  = expvar.NewInt("control_checkpoints_failed")
+	// rolloutPhaseChanges counts the changes that this hub has applied by the new phase.
+	rolloutsInProgress  = expvar.NewInt("rollouts_in_progress")
+	rolloutPhaseChanges = expvar.NewMap("rollout_phase_changes")
 )
 
 // recordMembership updates the metrics of the membership.
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -42,7 +42,7 @@
 // reportCursors are the positions up to which changes of the directory and evidence were
 // reported to a hub.
 type reportCursors struct {
-	cursor, evidenceCursor uint64
+	cursor, evidenceCursor, rolloutCursor uint64
 }
 
 // hostOf returns the host id of a hub, which is the host in its base URL.
@@ -127,7 +127,7 @@
 			p.reportCursors = cursors
 		} else {
 			// The hub may have restarted. It gets everything that is recent again.
-			p.refreshedAt, p.evidenceCursor = 0, 0
+			p.refreshedAt, p.evidenceCursor, p.rolloutCursor = 0, 0, 0
 		}
 		if unreachable := err != nil; unreachable != p.unreachable {
 			p.unreachable = unreachable
@@ -162,7 +162,9 @@
 	out.Entries = int32(n)
 	lost, sound, evidenceCursor := h.evidence.Direct(now, p.evidenceCursor)
 	out.LostCalls, out.SoundParts = quarantine.LostToWire(now, lost), quarantine.SoundToWire(now, sound)
-	return out, reportCursors{h.directory.Cursor(), evidenceCursor}
+	var rolloutCursor uint64
+	out.Rollouts, rolloutCursor = h.rollouts.changedReports(now, p.rolloutCursor)
+	return out, reportCursors{h.directory.Cursor(), evidenceCursor, rolloutCursor}
 }
 
 // Report implements schema.Hub. It applies the report of another hub.
@@ -183,6 +185,9 @@
 		}
 	}
 	h.collect(now, in.GetLostCalls(), in.GetSoundParts(), false)
+	for _, e := range in.GetRollouts() {
+		h.collectRollouts(now, time.Duration(min(max(0, e.GetAgeMs()), time.Hour.Milliseconds()))*time.Millisecond, entryProcess{e.GetEntry(), e.GetIncarnation()}, e.GetReports(), false)
+	}
 	if changed {
 		h.notify()
 	}
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -11,6 +11,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -50,6 +51,9 @@
 	h.placer.pool.CountCall(now, service.ID)
 	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
 		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll}
+	if in.GetOnlyVersion() != "" || in.GetNotVersion() != "" {
+		need.Software = &placement.Software{Only: rollout.Version(in.GetOnlyVersion()), Not: rollout.Version(in.GetNotVersion())}
+	}
 	if in.GetRestricted() {
 		need.Allows = func(r serving.RegionID) bool { return slices.Contains(in.GetRegions(), string(r)) }
 	}
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -42,6 +42,7 @@
 	now := h.Clock.Now()
 	h.local.Report(now, in.GetEntry(), usage.FromWire(in.GetUses()))
 	h.collect(now, in.GetLostCalls(), in.GetSoundParts(), true)
+	h.collectRollouts(now, 0, entryProcess{in.GetEntry(), in.GetIncarnation()}, in.GetRollouts(), true)
 	if h.hasUpdates(in) {
 		return nil
 	}
@@ -50,7 +51,8 @@
 
 // hasUpdates reports whether the entry is not up to date. The caller holds mu.
 func (h *Hub) hasUpdates(in *schema.WatchRequest) bool {
-	return in.GetRevision() < h.state.GetRevision() || in.GetHubIncarnation() != h.incarnation || in.GetCursor() != h.directory.Cursor()
+	return in.GetRevision() < h.state.GetRevision() || in.GetHubIncarnation() != h.incarnation || in.GetCursor() != h.directory.Cursor() ||
+		h.ServesRollouts && in.RolloutsRevision != nil && in.GetRolloutsRevision() < h.state.GetRolloutsRevision()
 }
 
 // waitForChange waits up to d until changed is closed, and then for batchPause.
@@ -81,8 +83,9 @@
 		out.StateAgeMs = &age
 	}
 	if in.GetRevision() < h.state.GetRevision() {
-		out.State = h.state
+		out.State = stateForEntries(h.state)
 	}
+	h.rolloutsForEntry(now, in, out)
 	cursor := in.GetCursor()
 	if in.GetHubIncarnation() != h.incarnation {
 		cursor = 0
--- a/pkg/serving/deployment/rollouts.go
+++ b/pkg/serving/deployment/rollouts.go
@@ -71,6 +71,7 @@
 			}
 			r.Phase, r.Reason = c.RolloutAdvance.GetPhase(), c.RolloutAdvance.GetReason()
 			setRolloutCounts(r, c.RolloutAdvance.GetElapsedMs(), c.RolloutAdvance.GetCounts())
+			r.PhaseAtMs = r.GetElapsedMs()
 			return true
 		})
 	case *schema.DeploymentCommand_RolloutForget:
@@ -123,7 +124,8 @@
 	}
 	old := next.GetRollouts()[at]
 	r := &schema.Rollout{Id: old.GetId(), Service: old.GetService(), To: old.GetTo(), DurationNs: old.GetDurationNs(), OrderedMs: old.GetOrderedMs(),
-		Phase: old.GetPhase(), Reason: old.GetReason(), ElapsedMs: old.GetElapsedMs(), Counts: old.GetCounts()}
+		Phase: old.GetPhase(), Reason: old.GetReason(), ElapsedMs: old.GetElapsedMs(), Counts: old.GetCounts(),
+		PhaseAtMs: old.GetPhaseAtMs(), Entries: old.GetEntries()}
 	if !change(r) {
 		return false
 	}
--- a/pkg/serving/deployment/rollouts_test.go
+++ b/pkg/serving/deployment/rollouts_test.go
@@ -28,7 +28,7 @@
 	return deployment.AdvanceRollout(&schema.RolloutAdvance{Id: id, Expected: expected, Phase: phase, Reason: phase.String(), ElapsedMs: 7000})
 }
 
-func counts(id uint64, elapsedMs int64, sent uint64) []byte {
+func counts(id uint64, elapsedMs, sent int64) []byte {
 	return deployment.RecordRollout(&schema.RolloutRecord{Id: id, ElapsedMs: elapsedMs, Counts: []*schema.RolloutCounts{{Route: "r", Sent: sent}}})
 }
 
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -116,6 +116,8 @@
 	SameDataCentre bool
 	// Compare selects the engines whose costs are compared.
 	Compare Comparison
+	// Software restricts the versions of the engines' software; nil allows all.
+	Software *Software
 }
 
 // Comparison selects the engines whose costs are compared when a generation is
@@ -270,7 +272,8 @@
 // eligible reports whether the engine may run the call, regardless of its load.
 func (p *Pool) eligible(e *engine, n *Need) bool {
 	return e.Service == n.Service.ID && e.Usable() && !e.saidLeaving && !p.outOfService[e.DataCentre] && (!n.SameDataCentre || e.DataCentre == n.CopyFrom) &&
-		(n.Allows == nil || n.Allows(e.region)) && !slices.Contains(n.Exclude, e.Engine)
+		(n.Allows == nil || n.Allows(e.region)) && !slices.Contains(n.Exclude, e.Engine) &&
+		n.Software.allows(e)
 }
 
 // fits reports whether the engine has room for the call in addition to its current
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -6,6 +6,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/pacing"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -65,10 +66,15 @@
 	// Started is the start time of the engine's process in Unix milliseconds; 0 if
 	// unknown.
 	Started int64
+	// Version is that of the engine's software; empty if unknown.
+	Version rollout.Version
+	// ColdUntil is when the cold start of the engine ends.
+	ColdUntil time.Duration
 }
 
 func (e *engine) target() Target {
-	return Target{Engine: e.Engine, Address: e.Address, DataCentre: e.DataCentre, Leaving: e.State != presence.Ready || e.saidLeaving, Started: e.Started}
+	return Target{Engine: e.Engine, Address: e.Address, DataCentre: e.DataCentre, Leaving: e.State != presence.Ready || e.saidLeaving, Started: e.Started,
+		Version: e.Version, ColdUntil: e.ColdUntil}
 }
 
 // SetOutOfService replaces the list of data centres that get no new calls.
--- a/pkg/serving/presence/directory.go
+++ b/pkg/serving/presence/directory.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 )
 
 // State is the state that an engine reports.
@@ -42,6 +43,8 @@
 	DataCentre serving.DataCentreID
 	State      State
 	Slots      serving.Slots
+	// Version is that of the engine's software; empty if unknown.
+	Version rollout.Version
 	// Started is the start of the engine's process in Unix milliseconds; 0 if unknown.
 	Started int64
 	// Sequence numbers the heartbeats since the engine's start.
@@ -114,9 +117,13 @@
 		// A late heartbeat must not make a leaving engine ready again.
 		r.State = Leaving
 	}
+	if r.Version == "" && r.Started == e.Started {
+		// The record came through a process that does not know versions.
+		r.Version = e.Version
+	}
 	lastHeartbeat := max(r.LastHeartbeat, e.LastHeartbeat)
 	same := e.State == r.State && e.Address == r.Address && e.Service == r.Service && e.Started == r.Started &&
-		e.Slots == r.Slots && e.DataCentre == r.DataCentre && coldEqual(e.ColdUntil, r.ColdUntil, now)
+		e.Slots == r.Slots && e.DataCentre == r.DataCentre && e.Version == r.Version && coldEqual(e.ColdUntil, r.ColdUntil, now)
 	moved := e.Address != r.Address || e.Started != r.Started
 	if e.State != r.State {
 		e.stateSince = now
