--- a/pkg/serving/rollout/evidence.go
+++ b/pkg/serving/rollout/evidence.go
@@ -13,9 +13,12 @@
 	// bucketsPerOctave is the number of buckets for each doubling of the time. Buckets reach
 	// from 1 ms to 41 s.
 	bucketsPerOctave = 1.5
-	// MaxKeys bounds the keys of an Evidence. Further calls are counted under the route
-	// OtherRoute of the same version and slice, without the engine.
-	MaxKeys = 1024
+	// MaxKeys bounds the keys of an Evidence, about 1.4 MB. From then on, calls with new keys
+	// are counted under the route OtherRoute of the same version and slice, without the
+	// engine, and dropped if there are too many of those, too.
+	MaxKeys = 4096
+	// otherKeys is the number of keys above MaxKeys: two versions with all slices.
+	otherKeys = 2 * Slices
 	// OtherRoute is the route under which calls are counted above MaxKeys.
 	OtherRoute = "*"
 )
@@ -136,6 +139,12 @@
 	Slice  Slice
 }
 
+// Valid reports whether a key that another process reported may belong to a rollout to the
+// version.
+func (k Key) Valid(to Version) bool {
+	return (k.Version == to || k.Version == "" && k.Engine == "") && k.Slice < Slices
+}
+
 // Times are the times that an answer took; 0 means that the time is unknown or does not
 // apply.
 type Times struct {
@@ -146,9 +155,9 @@
 
 // Counts holds the numbers of calls of one key. All of them only grow.
 type Counts struct {
-	// Sent counts calls that were sent to an engine, including repeated ones. Answered and
-	// Failed count those that ended with and without a valid answer. Uncounted counts calls
-	// that say nothing of the version: the caller left, or the engine was cold.
+	// Sent counts calls that were sent to an engine. Answered and Failed count those that
+	// ended with and without a valid answer. Uncounted counts calls that say nothing of the
+	// version: the engine was cold or refused the call as not run, or the caller left.
 	Sent, Answered, Failed, Uncounted int64
 	First, Token, Whole               Histogram
 }
@@ -190,7 +199,9 @@
 		}
 	}
 	c := &Counts{}
-	e[key] = c
+	if len(e) < MaxKeys+otherKeys {
+		e[key] = c
+	}
 	return c
 }
 
@@ -211,11 +222,11 @@
 	}
 }
 
-// Failed counts a call that the engine failed.
+// Failed counts a call that ended without a valid answer.
 func (e Evidence) Failed(key Key) { e.Add(key).Failed++ }
 
-// Uncounted counts a call whose outcome says nothing of the version, because the caller left
-// or the engine was cold.
+// Uncounted counts a call whose outcome says nothing of the version. For a cold engine it is
+// called together with Sent, and neither Answered nor Failed is called later.
 func (e Evidence) Uncounted(key Key) { e.Add(key).Uncounted++ }
 
 // Merge adds the counts of other.
