--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
@@ -26,8 +27,8 @@
 	// sharedCountedKeys the number for all entries together. Hubs keep the counts of all entries.
 	minCountedKeys    = 48
 	sharedCountedKeys = 1 << 16
-	// keptKeys is the part of rollout.MaxKeys that is kept for counts without an engine.
-	keptKeys = 128
+	// keptKeys is the part of rollout.MaxKeys that is kept for counts of groups of engines.
+	keptKeys = 512
 	// moveWindow is the time after which the plan of the moves from an engine of the old
 	// version begins anew. Plans assume that the engine ends.
 	moveWindow = 1800 * time.Millisecond
@@ -209,13 +210,19 @@
 	s.changed[key] = true
 }
 
-// countedKey returns the key under which a call is counted. Above the bounds the engine, and
-// then the route, is left out.
+// groupedEngines are the names under which the calls of engines are counted together. There are
+// several, because failures count against the version only if they show at several engines.
+var groupedEngines = [...]serving.EngineID{"group-0", "group-1", "group-2", "group-3"}
+
+// countedKey returns the key under which a call is counted. Above the bounds engines are
+// grouped, and then the route is left out.
 func (s *serviceRollout) countedKey(key rollout.Key, entries int) rollout.Key {
 	most := min(rollout.MaxKeys-keptKeys, max(minCountedKeys, sharedCountedKeys/entries))
 	if s.evidence[key] == nil && len(s.evidence) >= most {
-		key.Engine = ""
-		if s.evidence[key] == nil && len(s.evidence) >= rollout.MaxKeys-4*rollout.Slices {
+		if key.Engine != "" {
+			key.Engine = groupedEngines[xxhash.Sum64String(string(key.Engine))%uint64(len(groupedEngines))]
+		}
+		if s.evidence[key] == nil && len(s.evidence) >= rollout.MaxKeys-8*rollout.Slices {
 			key.Route = rollout.OtherRoute
 		}
 	}
--- a/internal/hub/rollouts.go
+++ b/internal/hub/rollouts.go
@@ -210,8 +210,10 @@
 		return e
 	}
 	now := h.Clock.Now()
-	_, entries := h.totalUse(now)
-	next.Entries = int32(entries)
+	if _, entries := h.totalUse(now); h.complete(now) {
+		// A hub that has just started knows few entries; each would get too much.
+		next.Entries = int32(entries)
+	}
 	if f := h.rolloutFleet(now, order); h.complete(now) && f.New > 0 && f.Old == 0 {
 		next.Phase, next.Reason = rollout.Completed.ToWire(), "all engines run the version"
 	}
