--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -17,7 +17,7 @@
 // Guards against one malformed answer of a hub that ends an entry.
 func TestMalformedAnswersOfHubLeaveEntryUsable(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		g := &Gateway{Host: "10.0.0.1", DataCentre: "a", Region: "a", Hubs: []string{"http://10.0.0.1:80"},
+		g := &Gateway{Host: "10.0.0.1", DataCentre: "a", Region: "a", Hubs: []string{"http://10.0.0.1:80"}, Exposure: Exposure{Enabled: true, Share: 0.1, Allowance: 50},
 			DecodeConfig: func([]byte) (*routing.Config, error) { return &routing.Config{}, nil }}
 		g.setup()
 		w := &g.watcher
@@ -26,6 +26,10 @@
 			schematest.Draw(rt, res)
 			w.applyState(res)
 			w.applyEngines(res, w.hubs[0], []usage.Use{{Engine: "a", Running: 1}})
+			g.board.applyRollouts(g.Clock.Now(), g.Clock.Now(), res)
+			g.leaveOldVersions()
+			_, reported := g.board.reportRollouts(g.Clock.Now(), res.GetHubIncarnation())
+			reported(false)
 			for _, a := range res.GetHubs() {
 				w.addHub(a)
 			}
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -69,6 +69,8 @@
 	// disks are the simulated faults of the hubs' disks.
 	disks  [7]diskFaults
 	clocks [7]jumpingClock
+	// configure, if set, is called with each hub before its start.
+	configure func(*Hub)
 }
 
 // host returns the address of hub i. Test processes that run at the same time have
@@ -87,13 +89,19 @@
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
+	if c.configure != nil {
+		c.configure(h.Hub)
+	}
 	h.Hub.once.Do(h.setup)
 	go func() { h.done <- h.Run(ctx) }()
 	return h
 }
 
-func startHubs(t *testing.T) *testHubs {
-	c := &testHubs{t: t, port: freePort(t), control: freePort(t)}
+func startHubs(t *testing.T) *testHubs { return startHubsWith(t, nil) }
+
+// startHubsWith is startHubs with a function that is called with each hub before its start.
+func startHubsWith(t *testing.T, configure func(*Hub)) *testHubs {
+	c := &testHubs{t: t, port: freePort(t), control: freePort(t), configure: configure}
 	for i := range 3 {
 		c.initial = append(c.initial, c.address(i))
 	}
--- a/internal/hub/malformed_test.go
+++ b/internal/hub/malformed_test.go
@@ -18,7 +18,7 @@
 // entries is the same. The messages come from other hubs and from entries.
 func TestMalformedMessagesLeaveHubUsable(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		h := &Hub{Host: "10.0.0.4", DataCentre: "a", Region: "a", Address: "http://10.0.0.4:80", ControlAddress: "10.0.0.4:81", Control: http.NotFoundHandler(),
+		h := &Hub{Host: "10.0.0.4", DataCentre: "a", Region: "a", Address: "http://10.0.0.4:80", ControlAddress: "10.0.0.4:81", Control: http.NotFoundHandler(), ServesRollouts: true,
 			DecodeConfig: func([]byte) (*routing.Config, error) { return &routing.Config{}, nil }}
 		h.setup()
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
