--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -11,6 +11,7 @@
 //	turmericdrum demo
 //	turmericdrum gateway --metrics-port 9464
 //	turmericdrum hub --metrics-port 9464
+//	turmericdrum rollout --server 10.0.0.1:8748 start SERVICE VERSION --duration 10m
 //	turmericdrum soak --binary target/turmericdrum --seeds 50
 //
 // An entry accepts requests and forwards them to engines. A control process runs one
@@ -44,17 +45,18 @@
 type arguments struct {
 	Verbosity int `arg:"-v,--verbosity" help:"detail of the logs, 0 to 3"`
 
-	Entry      *entryCommand           `arg:"subcommand:entry" help:"run an entry process"`
-	Control    *controlCommand         `arg:"subcommand:control" help:"run a control replica, or work on its data folder"`
-	Admin      *admin.Command          `arg:"subcommand:admin" help:"operate the system"`
-	Check      *checkCommand           `arg:"subcommand:check" help:"check settings files without starting"`
-	Timeline   *timelines.Command      `arg:"subcommand:timeline" help:"merge event logs into one time line"`
-	Load       *load.Command           `arg:"subcommand:load" help:"send load to running entries and measure as callers would"`
-	Experiment *load.ExperimentCommand `arg:"subcommand:experiment" help:"compare placement policies in virtual time"`
-	Gateway    *gatewayCommand         `arg:"subcommand:gateway" help:"run the process of an entry host on the users' platform"`
-	Hub        *hubCommand             `arg:"subcommand:hub" help:"run the process of a control host on the users' platform"`
-	Soak       *soak.Command           `arg:"subcommand:soak" help:"run the real programs under faults and check the promises"`
-	Demo       *demo.Command           `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
+	Entry      *entryCommand            `arg:"subcommand:entry" help:"run an entry process"`
+	Control    *controlCommand          `arg:"subcommand:control" help:"run a control replica, or work on its data folder"`
+	Admin      *admin.Command           `arg:"subcommand:admin" help:"operate the system"`
+	Check      *checkCommand            `arg:"subcommand:check" help:"check settings files without starting"`
+	Timeline   *timelines.Command       `arg:"subcommand:timeline" help:"merge event logs into one time line"`
+	Load       *load.Command            `arg:"subcommand:load" help:"send load to running entries and measure as callers would"`
+	Experiment *load.ExperimentCommand  `arg:"subcommand:experiment" help:"compare placement policies in virtual time"`
+	Gateway    *gatewayCommand          `arg:"subcommand:gateway" help:"run the process of an entry host on the users' platform"`
+	Hub        *hubCommand              `arg:"subcommand:hub" help:"run the process of a control host on the users' platform"`
+	Rollout    *platform.RolloutCommand `arg:"subcommand:rollout" help:"shift the traffic of a service to another version of its engines"`
+	Soak       *soak.Command            `arg:"subcommand:soak" help:"run the real programs under faults and check the promises"`
+	Demo       *demo.Command            `arg:"subcommand:demo" help:"run everything in one process and show it at work"`
 }
 
 type gatewayCommand struct {
@@ -98,6 +100,8 @@
 		return platform.RunEntry(args.Gateway.Options)
 	case args.Hub != nil:
 		return platform.RunHub(args.Hub.Options)
+	case args.Rollout != nil:
+		return args.Rollout.Run(context.Background(), os.Stdout)
 	case args.Soak != nil:
 		return args.Soak.Run(context.Background(), os.Stdout)
 	case args.Admin != nil:
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -114,12 +114,13 @@
 	s.mayUse, s.refreshedAt = mayUse, now
 	of, others := b.pool.ByVersion(s.Service, s.To)
 	s.newEngines = len(of)
-	subset := map[serving.EngineID]bool{}
-	for _, id := range rollout.CanarySubset(of, rollout.CanarySize(len(of), others, b.rollouts.exposure.Share)) {
-		subset[id] = true
-	}
-	s.test = placement.Software{Only: s.To, Among: subset}
 	s.comparison = placement.Software{Not: s.To}
+	if s.Phase == rollout.Canary || s.Phase == rollout.LoadTest {
+		s.test = placement.Software{Only: s.To, Among: map[serving.EngineID]bool{}}
+		for _, id := range rollout.CanarySubset(of, rollout.CanarySize(len(of), others, b.rollouts.exposure.Share)) {
+			s.test.Among[id] = true
+		}
+	}
 	onlyNew, notNew := placement.Software{Only: s.To}, placement.Software{Not: s.To}
 	s.usual = placement.Software{}
 	switch {
@@ -359,7 +360,9 @@
 	for _, s := range r.services {
 		s.refresh(now, b)
 	}
-	b.placeWaiting(now)
+	if len(r.services) > 0 {
+		b.placeWaiting(now)
+	}
 }
 
 // replace replaces the rollouts by those of an answer.
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -162,8 +162,12 @@
 	out.Entries = int32(n)
 	lost, sound, evidenceCursor := h.evidence.Direct(now, p.evidenceCursor)
 	out.LostCalls, out.SoundParts = quarantine.LostToWire(now, lost), quarantine.SoundToWire(now, sound)
-	var rolloutCursor uint64
-	out.Rollouts, rolloutCursor = h.rollouts.changedReports(now, p.rolloutCursor)
+	rolloutCursor := p.rolloutCursor
+	if !p.unreachable {
+		// A hub that has restarted gets all reports of a rollout, which are too many to encode
+		// for each attempt to reach it.
+		out.Rollouts, rolloutCursor = h.rollouts.changedReports(now, rolloutCursor)
+	}
 	return out, reportCursors{h.directory.Cursor(), evidenceCursor, rolloutCursor}
 }
 
--- a/internal/hub/rollouts.go
+++ b/internal/hub/rollouts.go
@@ -214,14 +214,14 @@
 		// A hub that has just started knows few entries; each would get too much.
 		next.Entries = int32(entries)
 	}
-	if f := h.rolloutFleet(now, order); h.complete(now) && f.New > 0 && f.Old == 0 {
+	if f := h.rolloutFleet(order); h.complete(now) && f.New > 0 && f.Old == 0 {
 		next.Phase, next.Reason = rollout.Completed.ToWire(), "all engines run the version"
 	}
 	return nil
 }
 
 // rolloutFleet counts the usable engines of a service by version. The caller holds mu.
-func (h *Hub) rolloutFleet(_ time.Duration, order rollout.Order) (f rollout.Fleet) {
+func (h *Hub) rolloutFleet(order rollout.Order) (f rollout.Fleet) {
 	h.directory.ForEach(func(e *presence.EngineStatus) {
 		switch {
 		case e.Service != order.Service || !e.Usable() || e.Silent:
@@ -355,7 +355,7 @@
 		// Engines that this hub does not know yet would seem to be missing.
 		return rollout.Decision{Phase: r.Phase, Reason: r.Reason}
 	}
-	fleet := h.rolloutFleet(now, r.Order)
+	fleet := h.rolloutFleet(r.Order)
 	_, entries := h.totalUse(now)
 	confirmed := 0
 	for _, e := range t.reports {
