--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -219,3 +219,20 @@
 		})
 	}
 }
+
+// BenchmarkSoftware measures the restriction of a call's engines by version with 100 engines.
+func BenchmarkSoftware(b *testing.B) {
+	versions := make([]rollout.Version, 100)
+	for i := range versions {
+		versions[i] = rollout.Version(fmt.Sprint("v", 1+i%2))
+	}
+	g, clock := newRolloutGateway(versions...)
+	applyPhase(g, rollout.Canary, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		// A thousand calls a second.
+		clock.now += time.Millisecond
+		g.board.rollouts.lease.Confirm(clock.now)
+		g.board.software(clock.now, "s")
+	}
+}
--- a/internal/hub/rollouts.go
+++ b/internal/hub/rollouts.go
@@ -1,7 +1,10 @@
 package hub
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -305,30 +308,41 @@
 			return
 		}
 		for _, m := range state.GetRollouts() {
-			if command, what := h.nextRolloutCommand(m); command != nil {
-				if err := h.proposeCommand(ctx, command); err != nil {
-					klog.ErrorS(err, "Rollout not "+what+", trying again", "id", m.GetId(), "service", m.GetService(), "to", m.GetTo())
-				}
+			next := h.nextRolloutCommand(m)
+			if next.command == nil {
+				continue
 			}
+			if err := h.proposeCommand(ctx, next.command); err != nil {
+				klog.ErrorS(err, "Rollout not "+next.what+", trying again", "id", m.GetId(), "service", m.GetService(), "to", m.GetTo())
+				continue
+			}
+			logEvidence(m, next.evidence)
 		}
 	})
 }
 
-// nextRolloutCommand returns the command that a rollout needs now, nil if there is none, and
-// what it does.
-func (h *Hub) nextRolloutCommand(m *schema.Rollout) (command []byte, what string) {
+// rolloutCommand is the command that a rollout needs now; nil if there is none.
+type rolloutCommand struct {
+	command []byte
+	// what names its effect.
+	what string
+	// evidence is that of a decision that ends the rollout.
+	evidence rollout.Evidence
+}
+
+func (h *Hub) nextRolloutCommand(m *schema.Rollout) rolloutCommand {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
 	t := h.rollouts.tracked(now, m.GetId())
 	if t == nil {
-		return nil, ""
+		return rolloutCommand{}
 	}
 	if deployment.RolloutEnded(m.GetPhase()) {
 		if t.ended && now-t.endedAt >= forgetAfter {
-			return deployment.ForgetRollout(m.GetId()), "forgotten"
+			return rolloutCommand{command: deployment.ForgetRollout(m.GetId()), what: "forgotten"}
 		}
-		return nil, ""
+		return rolloutCommand{}
 	}
 	elapsed := t.elapsedAt(now, m)
 	r := rollout.FromWire(m)
@@ -336,14 +350,45 @@
 	evidence := t.evidence(m)
 	d := h.decideRollout(now, r, t, evidence)
 	if d.Phase != r.Phase {
-		return deployment.AdvanceRollout(&schema.RolloutAdvance{Id: m.GetId(), Expected: m.GetPhase(), Phase: d.Phase.ToWire(), Reason: d.Reason,
-			ElapsedMs: elapsed.Milliseconds(), Counts: countsToWire(byRoute(evidence))}), "advanced"
+		next := rolloutCommand{what: "advanced", command: deployment.AdvanceRollout(&schema.RolloutAdvance{Id: m.GetId(), Expected: m.GetPhase(), Phase: d.Phase.ToWire(),
+			Reason: d.Reason, ElapsedMs: elapsed.Milliseconds(), Counts: countsToWire(byRoute(evidence))})}
+		if !d.Phase.InProgress() {
+			next.evidence = evidence
+		}
+		return next
 	}
 	if now-t.recordedAt < recordInterval {
-		return nil, ""
+		return rolloutCommand{}
 	}
 	t.recordedAt = now
-	return deployment.RecordRollout(&schema.RolloutRecord{Id: m.GetId(), ElapsedMs: elapsed.Milliseconds(), Counts: countsToWire(byRoute(evidence))}), "recorded"
+	return rolloutCommand{what: "recorded", command: deployment.RecordRollout(&schema.RolloutRecord{Id: m.GetId(), ElapsedMs: elapsed.Milliseconds(),
+		Counts: countsToWire(byRoute(evidence))})}
+}
+
+// maxEvidenceLines bounds the log lines about one decision.
+const maxEvidenceLines = 64
+
+// logEvidence logs the counts by route and version, and for the new version by engine, on which
+// the end of a rollout is based. Engines with the most failures come first.
+func logEvidence(m *schema.Rollout, evidence rollout.Evidence) {
+	sums := rollout.Evidence{}
+	for key, c := range evidence {
+		key.Slice = 0
+		sums.Add(key).Merge(c)
+		if key.Engine != "" {
+			key.Engine = ""
+			sums.Add(key).Merge(c)
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(sums), func(a, b rollout.Key) int {
+		return cmp.Or(cmp.Compare(min(1, len(a.Engine)), min(1, len(b.Engine))), cmp.Compare(a.Route, b.Route), cmp.Compare(sums[b].Failed, sums[a].Failed),
+			cmp.Compare(a.Version, b.Version), cmp.Compare(a.Engine, b.Engine))
+	})
+	for _, key := range keys[:min(len(keys), maxEvidenceLines)] {
+		c := sums[key]
+		klog.InfoS("Rollout evidence", "id", m.GetId(), "service", m.GetService(), "route", key.Route, "version", key.Version, "engine", key.Engine, "sent", c.Sent,
+			"answered", c.Answered, "failed", c.Failed, "uncounted", c.Uncounted, "first", c.First.Quantile(0.5), "token", c.Token.Quantile(0.5), "whole", c.Whole.Quantile(0.5))
+	}
 }
 
 // decideRollout returns the phase that a rollout should have now. The caller holds mu.
