Move streams away from the old version from 6 s before the end of a rollout

Streams began to move at 0.8 of the duration only, which leaves 1.9 s of a rollout of 12 s; 24 streams of 3,000 tokens take about 4 s on an engine's link, so that some would be cut when the old engines stop.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -79,7 +79,12 @@
 // smallest ones are first, because there may not be enough time for all. The caller
 // holds mu of the blackboard.
 func (g *Gateway) moveStreams(id serving.EngineID) {
-	streams := slices.Collect(maps.Keys(g.board.streams[id]))
+	g.moveStreamsIf(id, func(*relay) bool { return true })
+}
+
+// moveStreamsIf is moveStreams for the streams for which include returns true.
+func (g *Gateway) moveStreamsIf(id serving.EngineID, include func(*relay) bool) {
+	streams := slices.DeleteFunc(slices.Collect(maps.Keys(g.board.streams[id])), func(r *relay) bool { return !include(r) })
 	slices.SortFunc(streams, func(a, b *relay) int { return cmp.Compare(a.ticket.Use().Held, b.ticket.Use().Held) })
 	for _, r := range streams {
 		g.startMove(r)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -32,6 +32,10 @@
 	// moveWindow is the time after which the plan of the moves from an engine of the old
 	// version begins anew. Plans assume that the engine ends.
 	moveWindow = 1800 * time.Millisecond
+	// moveBefore is how long before the end of a rollout streams begin to leave the old version.
+	// 24 streams of 3,000 tokens and 330 KB for each token take about 4 s on a link of 47 Gbit/s.
+	// The earlier ones would mostly end before.
+	moveBefore = 6 * time.Second
 )
 
 // Exposure enables rollouts and bounds the calls that a version in test may get.
@@ -393,8 +397,8 @@
 	r.services, r.revision = next, res.GetRolloutsRevision()
 }
 
-// leaveOldVersions moves the streams at engines of old versions once their services use the new
-// one only.
+// leaveOldVersions moves the streams at engines of old versions shortly before the end of the
+// rollout. Streams that were sent there for comparison begin to move when no others are.
 func (g *Gateway) leaveOldVersions() {
 	b := &g.board
 	b.mu.Lock()
@@ -402,9 +406,12 @@
 	now := g.Clock.Now()
 	for _, s := range b.rollouts.services {
 		state := s.at(now)
-		if !state.Exclusive() || !s.mayUse && s.Phase != rollout.Completed || s.newEngines == 0 {
+		ending := state.Exclusive() || state.Phase == rollout.Cutover && state.Elapsed >= state.Duration-moveBefore
+		if !ending || !s.mayUse && s.Phase != rollout.Completed || s.newEngines == 0 {
 			continue
 		}
+		cutoverAt := now - (state.Elapsed - state.PhaseAt)
+		leaves := func(r *relay) bool { return state.Exclusive() || r.sentAt < cutoverAt }
 		for id := range b.streams {
 			if !b.pool.HasOtherVersion(id, s.Service, s.To) {
 				continue
@@ -415,7 +422,7 @@
 			for r := range b.streams[id] {
 				r.forgetFailedMove()
 			}
-			g.moveStreams(id)
+			g.moveStreamsIf(id, leaves)
 		}
 	}
 }
