Rollouts: later starts, machines and single engines in the evidence; gradual cutover

The evidence since each slice counts too, so that a version that turns bad late is not outweighed by its good calls before. The factor of a machine is taken from all routes of an engine, and calls without an outcome count as slow once they are older than a slow answer. The evidence must remain without the worst engines. The cutover begins with 0.3 of the calls: that a version is bad shows with fewer calls to it while many go to the old one.

--- a/pkg/serving/rollout/assess.go
+++ b/pkg/serving/rollout/assess.go
@@ -34,8 +34,14 @@
 const (
 	// falseRevert bounds the probability that a good version is ever reverted.
 	falseRevert = 1.0 / 1000
-	// evidenceOfRest is the evidence that must remain without the worst engines.
-	evidenceOfRest = 100
+	// restEvidence is the evidence, restBad the number of bad calls, and restPart the part of
+	// the excess of all engines that must remain without the worst engines. With these, two
+	// or three failures of other engines by chance don't let a bad engine revert a version.
+	restEvidence = 300
+	restBad      = 5
+	restPart     = 1.0 / 3
+	// maxWorst is the largest number of engines that are left out.
+	maxWorst = 3
 	// minBad is the smallest number of bad calls that shows anything.
 	minBad = 8
 	// minExcess is the smallest difference of the shares of bad calls, which engines of one
@@ -52,12 +58,14 @@
 	// machine is taken. It is low, so that a version that slows a part of its calls doesn't
 	// change it.
 	machineQuantile = 0.2
-	// maxLoadFactor bounds the factor by which answers may be slower because an engine in the
-	// load test has more calls than one of the old version.
-	maxLoadFactor = 4
+	// freeLoad is how many times the load of an engine of the old version an engine of the
+	// canary may have without being slower for it. Above, its answers may take longer in
+	// proportion, at most maxLoadFactor times.
+	freeLoad      = 1.5
+	maxLoadFactor = 3
 	// minTimes is the number of times of the old version on a route, and minEngineTimes that
 	// of an engine, from which quantiles are taken.
-	minTimes, minEngineTimes = 30, 8
+	minTimes, minEngineTimes = 30, 12
 	// laterWeight is the weight of the evidence since each slice after the first, the rest
 	// is that of the whole rollout. A version that turns bad late has many good calls before.
 	laterWeight = 0.05
@@ -90,7 +98,7 @@
 // shared, so that they are less independent than failures.
 var (
 	kindWeights = [kinds]float64{0.5, 1. / 6, 1. / 6, 1. / 6}
-	tempering   = [kinds]float64{1, 0.6, 0.6, 0.6}
+	tempering   = [kinds]float64{1, 0.8, 0.8, 0.8}
 )
 
 // excesses are the additional shares of bad calls that the tests look for.
@@ -100,8 +108,10 @@
 type stratum struct {
 	newCalls, oldCalls float64
 	newBad, oldBad     [kinds]float64
-	engines            map[serving.EngineID]*engineStratum
-	oldTimes           [kinds]Histogram
+	// oldRunning is the number of calls to the old version without an outcome.
+	oldRunning float64
+	engines    map[serving.EngineID]*engineStratum
+	oldTimes   [kinds]Histogram
 	// surge is set for kinds of bad calls that are not compared in this slice.
 	surge [kinds]bool
 }
@@ -113,9 +123,9 @@
 
 // engineStratum counts the calls of one engine of the new version.
 type engineStratum struct {
-	calls float64
-	bad   [kinds]float64
-	times [kinds]*Histogram
+	calls, running float64
+	bad            [kinds]float64
+	times          [kinds]*Histogram
 }
 
 // routeStrata holds the strata of a route.
@@ -159,9 +169,11 @@
 		}
 		s := &route.slices[key.Slice]
 		calls := float64(max(0, n.Sent-n.Uncounted))
+		running := max(0, calls-float64(n.Answered+n.Failed))
 		times := [kinds]*Histogram{nil, &n.First, &n.Token, &n.Whole}
 		if key.Version != r.To {
 			s.oldCalls += calls
+			s.oldRunning += running
 			s.oldBad[failed] += float64(n.Failed)
 			for k := slowFirst; k < kinds; k++ {
 				s.oldTimes[k].Merge(times[k])
@@ -172,14 +184,12 @@
 		if s.engines == nil {
 			s.engines = map[serving.EngineID]*engineStratum{}
 		}
-		s.engines[key.Engine] = &engineStratum{calls: calls, bad: [kinds]float64{failed: float64(n.Failed)}, times: times}
+		s.engines[key.Engine] = &engineStratum{calls: calls, running: running, bad: [kinds]float64{failed: float64(n.Failed)}, times: times}
 	}
 	// The order of a map is random, and so would be the sums of floating point numbers.
 	slices.SortFunc(c.routes, func(a, b *routeStrata) int { return cmp.Compare(a.name, b.name) })
 	loads := c.loadFactors(fleet)
-	for _, route := range c.routes {
-		route.countSlow(loads)
-	}
+	c.countSlow(r, loads)
 	c.dropSurges(r.Slice())
 	for _, route := range c.routes {
 		route.setRates()
@@ -188,8 +198,9 @@
 	return c
 }
 
-// loadFactors returns for each slice how many times the part of all calls that an engine of
-// the new version had exceeded that of an engine of the old version before the cutover.
+// loadFactors returns for each slice by what factor the answers of an engine of the new
+// version may take longer because of its load. Its load is compared as a part of all calls
+// with that of an engine of the old version in the slice where that had most calls.
 func (c *comparison) loadFactors(fleet Fleet) (factors [Slices]float64) {
 	var newCalls, oldCalls [Slices]float64
 	var newEngines [Slices]map[serving.EngineID]bool
@@ -216,50 +227,101 @@
 	for i := range factors {
 		factors[i] = 1
 		if n := len(newEngines[i]); n > 0 && old > 0 {
-			factors[i] = min(maxLoadFactor, max(1, newCalls[i]/float64(n)/(newCalls[i]+oldCalls[i])/old))
+			factors[i] = min(maxLoadFactor, max(1, newCalls[i]/float64(n)/(newCalls[i]+oldCalls[i])/old/freeLoad))
 		}
 	}
 	return factors
 }
 
 // countSlow counts the slow answers of both versions.
-func (r *routeStrata) countSlow(loads [Slices]float64) {
+func (c *comparison) countSlow(r Rollout, loads [Slices]float64) {
 	for k := slowFirst; k < kinds; k++ {
-		var old Histogram
-		perEngine := map[serving.EngineID]*Histogram{}
-		for i := range r.slices {
-			old.Merge(&r.slices[i].oldTimes[k])
-			for id, e := range r.slices[i].engines {
-				if perEngine[id] == nil {
-					perEngine[id] = &Histogram{}
+		limits := make([]float64, len(c.routes))
+		lows := make([]float64, len(c.routes))
+		for i, route := range c.routes {
+			var old Histogram
+			for j := range route.slices {
+				old.Merge(&route.slices[j].oldTimes[k])
+			}
+			if old.Count() >= minTimes {
+				limits[i] = slowFactor * float64(old.Quantile(0.5))
+				lows[i] = float64(old.Quantile(machineQuantile))
+			}
+		}
+		machines := c.machines(k, lows)
+		for i, route := range c.routes {
+			if limits[i] == 0 {
+				continue
+			}
+			for j := range route.slices {
+				s := &route.slices[j]
+				// age is the least age of the calls of the slice.
+				age := float64(r.Elapsed) - float64(j+1)/Slices*float64(r.Duration)
+				s.oldBad[k] = s.oldTimes[k].above(time.Duration(limits[i]))
+				if k == slowWhole && age > limits[i] {
+					s.oldBad[k] += s.oldRunning
+				}
+				for id, e := range s.engines {
+					limit := limits[i] * loads[j]
+					if f, ok := machines[id]; ok {
+						limit *= f
+					}
+					e.bad[k] = e.times[k].above(time.Duration(limit))
+					if k == slowWhole && age > limit {
+						e.bad[k] += e.running
+					}
 				}
-				perEngine[id].Merge(e.times[k])
 			}
 		}
-		if old.Count() < minTimes {
+	}
+}
+
+// machines returns for engines of the new version the factor by which their machines are
+// slower than the usual one of the old version, from the low quantiles of its times on the
+// routes. A machine is slow on all routes, so that the median over the routes is taken.
+func (c *comparison) machines(k kind, lows []float64) map[serving.EngineID]float64 {
+	type onRoute struct {
+		factor float64
+		count  int64
+	}
+	factors := map[serving.EngineID][]onRoute{}
+	for i, route := range c.routes {
+		if lows[i] == 0 {
 			continue
 		}
-		limit := slowFactor * float64(old.Quantile(0.5))
-		low := float64(old.Quantile(machineQuantile))
-		machines := map[serving.EngineID]float64{}
-		for id, h := range perEngine {
-			machines[id] = 1
-			if h.Count() < minEngineTimes {
-				continue
+		times := map[serving.EngineID]*Histogram{}
+		for j := range route.slices {
+			for id, e := range route.slices[j].engines {
+				if times[id] == nil {
+					times[id] = &Histogram{}
+				}
+				times[id].Merge(e.times[k])
 			}
-			// A larger factor is not that of a machine.
-			if f := float64(h.Quantile(machineQuantile)) / max(low, 1); f <= machineFactor {
-				machines[id] = max(1, f)
+		}
+		for id, h := range times {
+			if n := h.Count(); n > 0 {
+				factors[id] = append(factors[id], onRoute{float64(h.Quantile(machineQuantile)) / lows[i], n})
 			}
 		}
-		for i := range r.slices {
-			s := &r.slices[i]
-			s.oldBad[k] = s.oldTimes[k].above(time.Duration(limit))
-			for id, e := range s.engines {
-				e.bad[k] = e.times[k].above(time.Duration(limit * machines[id] * loads[i]))
+	}
+	out := map[serving.EngineID]float64{}
+	for id, fs := range factors {
+		slices.SortFunc(fs, func(a, b onRoute) int { return cmp.Compare(a.factor, b.factor) })
+		n, below := int64(0), int64(0)
+		for _, f := range fs {
+			n += f.count
+		}
+		for _, f := range fs {
+			if below += f.count; 2*below >= n {
+				// A larger factor is not that of a machine.
+				if n >= minEngineTimes && f.factor > 1 && f.factor <= machineFactor {
+					out[id] = f.factor
+				}
+				break
 			}
 		}
 	}
+	return out
 }
 
 func (r *routeStrata) setRates() {
@@ -327,20 +389,18 @@
 	}
 }
 
-// evidence returns the likelihood ratio for one kind on some routes, and the counts since
-// the slice from which on the version appears worst.
-func evidence(routes []*routeStrata, k kind) (float64, totals) {
+// evidence returns the likelihood ratio for one kind on some routes, and the slice from which
+// on the version appears worst.
+func evidence(routes []*routeStrata, k kind) (sum float64, from int) {
 	// logs has for each excess the logarithm of the ratio of the calls sent since the slice.
 	var logs [len(excesses)]float64
-	var t, worst totals
-	sum, largest := 0.0, 0.0
+	largest := 0.0
 	for i := Slices - 1; i >= 0; i-- {
 		for _, route := range routes {
 			s := &route.slices[i]
 			if !s.compared(k) {
 				continue
 			}
-			t.add(s, k)
 			pi := s.newCalls / (s.newCalls + s.oldCalls)
 			for j, excess := range excesses {
 				theta := 1 + excess/route.rates[k]
@@ -352,7 +412,7 @@
 			e += math.Exp(min(600, tempering[k]*l)) / float64(len(logs))
 		}
 		if e > largest {
-			largest, worst = e, t
+			largest, from = e, i
 		}
 		weight := laterWeight
 		if i == 0 {
@@ -360,7 +420,7 @@
 		}
 		sum += weight * e
 	}
-	return sum, worst
+	return sum, from
 }
 
 // totals are the counts of all strata that were compared. expected is the number of bad
@@ -369,22 +429,36 @@
 	newCalls, newBad, oldCalls, oldBad, expected float64
 }
 
-func (t *totals) add(s *stratum, k kind) {
-	t.newCalls += s.newCalls
-	t.newBad += s.newBad[k]
-	t.oldCalls += s.oldCalls
-	t.oldBad += s.oldBad[k]
-	t.expected += s.newCalls * s.oldBad[k] / s.oldCalls
+// totalsSince sums the calls that were sent since the slice from.
+func totalsSince(routes []*routeStrata, k kind, from int) (t totals) {
+	for _, route := range routes {
+		for i := from; i < Slices; i++ {
+			s := &route.slices[i]
+			if !s.compared(k) {
+				continue
+			}
+			t.newCalls += s.newCalls
+			t.newBad += s.newBad[k]
+			t.oldCalls += s.oldCalls
+			t.oldBad += s.oldBad[k]
+			t.expected += s.newCalls * s.oldBad[k] / s.oldCalls
+		}
+	}
+	return t
 }
 
+// excess returns the share of bad calls of the new version above that of the old one.
+func (t *totals) excess() float64 { return (t.newBad - t.expected) / max(1, t.newCalls) }
+
 // matters reports whether the difference is larger than that among engines of one version.
 func (t *totals) matters() bool {
-	return t.newBad >= minBad && t.newBad >= minRatio*t.expected && t.newBad-t.expected >= minExcess*t.newCalls
+	return t.newBad >= minBad && t.newBad >= minRatio*t.expected && t.excess() >= minExcess
 }
 
-// worst returns a quarter of the engines of the new version, at least one, with the most bad
-// calls above what the old version's rates explain. It returns none if only one engine is in
-// the test.
+// worst returns the engines of the new version with the most bad calls above what the old
+// version's rates explain: a quarter of them, at least one and at most maxWorst, because of
+// many engines with few calls each, those that have the bad calls are many. It returns none
+// if only one engine is in the test.
 func (c *comparison) worst(routes []*routeStrata, k kind) map[serving.EngineID]bool {
 	excess := map[serving.EngineID]float64{}
 	for _, route := range routes {
@@ -409,7 +483,7 @@
 		return cmp.Or(cmp.Compare(excess[b], excess[a]), cmp.Compare(a, b))
 	})
 	out := map[serving.EngineID]bool{}
-	for _, id := range ids[:min(len(ids), (len(c.engines)+3)/4)] {
+	for _, id := range ids[:min(len(ids), (len(c.engines)+3)/4, maxWorst)] {
 		out[id] = true
 	}
 	return out
@@ -430,17 +504,22 @@
 }
 
 func (c *comparison) test(f *finding, r Rollout, routes []*routeStrata, k kind, weight float64, where string) {
-	ev, t := evidence(routes, k)
+	ev, from := evidence(routes, k)
 	ev *= weight
 	f.evidence = max(f.evidence, ev)
-	if f.bad || ev < 1/falseRevert || !t.matters() {
+	if f.bad || ev < 1/falseRevert {
+		return
+	}
+	t := totalsSince(routes, k, from)
+	if !t.matters() {
 		return
 	}
 	if worst := c.worst(routes, k); worst != nil {
 		c.sum(worst)
-		rest, rt := evidence(routes, k)
+		rest, _ := evidence(routes, k)
+		rt := totalsSince(routes, k, from)
 		c.sum(nil)
-		if rest < evidenceOfRest || rt.newBad-rt.expected < minExcess*rt.newCalls {
+		if rest < restEvidence || rt.newBad < restBad || rt.excess() < max(minExcess, restPart*t.excess()) {
 			return
 		}
 	}
--- a/pkg/serving/rollout/quota.go
+++ b/pkg/serving/rollout/quota.go
@@ -15,10 +15,13 @@
 	loadTestPart = 0.85
 	// allowancePart is the part of the allowance that AllowanceFor hands out.
 	allowancePart = 0.5
-	// holdOutPart is the part of the calls that still goes to the old version at the start
-	// of the cutover. They are the only ones that show whether failures during the cutover
-	// are due to the new version or to an outage.
-	holdOutPart = 0.25
+	// cutoverFrom and cutoverTo are the parts of the calls that go to the new version at the
+	// start of the cutover and when the comparison ends. The others are the only ones that
+	// show whether failures during the cutover are due to the new version or to an outage,
+	// and a bad version shows with fewer calls to it while many go to the old one.
+	cutoverFrom, cutoverTo = 0.3, 0.8
+	// goldenRatio spreads the calls that are held out evenly over all calls.
+	goldenRatio = 0.6180339887498949
 )
 
 // Quota decides whether an entry may send one more call to a version in test. The bound is
@@ -61,13 +64,25 @@
 		if r.Exclusive() || repeated {
 			return true
 		}
-		return math.Floor(all*holdOutPart+q.Draw) == math.Floor((all-1)*holdOutPart+q.Draw)
+		_, position := math.Modf(all*goldenRatio + q.Draw)
+		return position < cutoverPart(r)
 	case Completed:
 		return true
 	}
 	return false
 }
 
+// cutoverPart returns the part of the calls that goes to the new version in the cutover.
+func cutoverPart(r *Rollout) float64 {
+	end := holdOutUntil(r.Duration)
+	start := max(r.PhaseAt, time.Duration(loadTestUntil*float64(r.Duration)))
+	if r.Elapsed >= end || start >= end {
+		return 1
+	}
+	progress := max(0, float64(r.Elapsed-start)/float64(end-start))
+	return cutoverFrom + (cutoverTo-cutoverFrom)*progress
+}
+
 func (q *Quota) within(calls float64) bool {
 	return float64(q.sentNew+1) <= q.Share*calls+q.Allowance+min(max(0, q.Draw), 1)
 }
