Ask the hub for the engines of calls for comparison

Entries placed these generations themselves, which hubs do better, as they see the choices of all entries at once. The entry now passes the version with its request, and uses the new version if the old one has no room.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -288,7 +288,7 @@
 			m.reserved, m.sameDC = need.Prompt, sameDC
 		}
 		need.SameDataCentre = sameDC
-		need.Software = g.board.software(now, need.Service.ID)
+		g.board.restrict(now, need)
 		if ticket, err = g.board.pool.Place(now, need); err == nil {
 			return ticket, nil
 		}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -55,6 +55,8 @@
 			}
 			need.Exclude = append(need.Exclude, id)
 			continue
+		case g.endComparison(need):
+			continue
 		case g.Clock.Now()+placeInterval >= deadline:
 			return nil, g.overloadedError(need)
 		case waiter == nil:
@@ -75,7 +77,7 @@
 func (g *Gateway) placePaced(need *placement.Need) *placement.Ticket {
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
-	need.Software = g.board.software(g.Clock.Now(), need.Service.ID)
+	g.board.restrict(g.Clock.Now(), need)
 	return g.board.pool.PlacePaced(g.Clock.Now(), need)
 }
 
@@ -90,7 +92,7 @@
 		in.Regions = append(in.Regions, string(r))
 	}
 	g.board.mu.Lock()
-	need.Software = g.board.software(g.Clock.Now(), need.Service.ID)
+	g.board.restrict(g.Clock.Now(), need)
 	if s := need.Software; s != nil {
 		in.OnlyVersion, in.NotVersion = string(s.Only), string(s.Not)
 	}
@@ -107,10 +109,17 @@
 func (g *Gateway) claim(id serving.EngineID, need *placement.Need) *placement.Ticket {
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
-	need.Software = g.board.software(g.Clock.Now(), need.Service.ID)
+	g.board.restrict(g.Clock.Now(), need)
 	return g.board.pool.Claim(g.Clock.Now(), id, need)
 }
 
+// endComparison is that of the blackboard.
+func (g *Gateway) endComparison(need *placement.Need) bool {
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	return g.board.endComparison(need)
+}
+
 // overloadedError returns the error for a generation if no engine has room for it.
 func (g *Gateway) overloadedError(need *placement.Need) error {
 	return serving.NewError(serving.KindOverloaded, "all engines of service "+string(need.Service.ID)+" are full").WithRetryAfter(time.Second)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -32,6 +32,10 @@
 	// moveWindow is the time after which the plan of the moves from an engine of the old
 	// version begins anew. Plans assume that the engine ends.
 	moveWindow = 1800 * time.Millisecond
+	// endedVersion is the number of calls in a row that don't reach the old version after which an
+	// entry without a lease uses both versions in the cutover: the rollout was completed, and the
+	// old engines have stopped.
+	endedVersion = 3
 	// moveBefore is how long before the end of a rollout streams begin to leave the old version.
 	// 24 streams of 3,000 tokens and 330 KB for each token take about 4 s on a link of 47 Gbit/s.
 	// The earlier ones would mostly end before.
@@ -82,6 +86,8 @@
 	mayUse bool
 	// newEngines is the number of usable engines of the new version.
 	newEngines int
+	// oldUnreachable counts the calls in a row that did not reach an engine of another version.
+	oldUnreachable int
 }
 
 // at returns the state of the rollout at a time.
@@ -93,15 +99,29 @@
 	return r
 }
 
-// software returns the restriction of the engines of a call that is placed now, nil if there is
-// none. The caller holds mu of the blackboard.
-func (b *blackboard) software(now time.Duration, id serving.ServiceID) *placement.Software {
-	s := b.rollouts.services[id]
+// restrict sets the restriction of the engines of a call that is placed now. A call for
+// comparison keeps its own until endComparison. The caller holds mu of the blackboard.
+func (b *blackboard) restrict(now time.Duration, need *placement.Need) {
+	s := b.rollouts.services[need.Service.ID]
 	if s == nil {
-		return nil
+		need.Software = nil
+		return
 	}
 	s.refresh(now, b)
-	return &s.usual
+	if need.Software != &s.comparison || s.Phase != rollout.Cutover {
+		need.Software = &s.usual
+	}
+}
+
+// endComparison ends the restriction of a call for comparison, for which no engine has room. It
+// returns false if the call was none.
+func (b *blackboard) endComparison(need *placement.Need) bool {
+	s := b.rollouts.services[need.Service.ID]
+	if s == nil || need.Software != &s.comparison {
+		return false
+	}
+	need.Software = nil
+	return true
 }
 
 // refresh determines the engines that calls may get, if the lease or the brake has changed or
@@ -132,7 +152,7 @@
 		s.usual = notNew
 	case s.Phase == rollout.Cutover && mayUse && len(of) > 0:
 		s.usual = onlyNew
-	case s.Phase == rollout.Cutover && others > 0:
+	case s.Phase == rollout.Cutover && others > 0 && s.oldUnreachable < endedVersion:
 		s.usual = notNew
 	case s.Phase == rollout.Completed && len(of) > 0:
 		s.usual = onlyNew
@@ -141,10 +161,10 @@
 	}
 }
 
-// placeInRollout claims an engine for a call for which the rollout of its service chooses the
-// version: the new one for the calls of the canary, and the old one for those that are compared
-// in the cutover. It returns nil if the call is placed as usual. repeated is set if the call was
-// sent to an engine before.
+// placeInRollout chooses the version for a call to a service with a rollout in progress. It
+// claims an engine for a call of the canary. For all others it returns nil, and the call is
+// placed as usual, in the cutover partly at the old version for comparison. repeated is set if
+// the call was sent to an engine before.
 func (j *job) placeInRollout(need *placement.Need, repeated bool) *placement.Ticket {
 	b := &j.g.board
 	b.mu.Lock()
@@ -157,23 +177,28 @@
 	s.refresh(now, b)
 	state := s.at(now)
 	allowed := s.mayUse && s.newEngines > 0 && s.quota.Allows(&state, repeated)
-	switch {
-	case s.Phase == rollout.Cutover && !allowed && s.mayUse:
-		need.Software = &s.comparison
-	case s.Phase != rollout.Cutover && allowed:
-		need.Software = &s.test
-	default:
-		if s.Phase != rollout.Cutover && s.newEngines > 0 {
+	if s.Phase == rollout.Cutover {
+		if s.mayUse && !allowed {
+			need.Software = &s.comparison
+		}
+		// Counted before the call is placed, so that concurrent calls are spread.
+		s.quota.CountSent(allowed, repeated)
+		j.counted = true
+		return nil
+	}
+	if !allowed {
+		if s.newEngines > 0 {
 			rolloutCallsWithheld.Add(1)
 		}
 		return nil
 	}
+	need.Software = &s.test
 	ticket, err := b.pool.Place(now, need)
 	if err != nil {
 		return nil
 	}
 	// Counted at once, so that concurrent calls don't use the same part of the quota.
-	s.quota.CountSent(ticket.Version == s.To, repeated)
+	s.quota.CountSent(true, repeated)
 	j.counted = true
 	return ticket
 }
@@ -268,10 +293,25 @@
 		// The engine did not take the call.
 		s.evidence.Uncounted(key)
 	}
+	if key.Version == "" {
+		s.countOld(o)
+	}
 	s.changed[key] = true
 	j.record = attemptRecord{}
 }
 
+// countOld counts the outcome of a call at another version.
+func (s *serviceRollout) countOld(o placement.Outcome) {
+	switch o {
+	case placement.Unreachable:
+		if s.oldUnreachable++; s.oldUnreachable == endedVersion {
+			s.refreshedAt = 0
+		}
+	case placement.OK, placement.Failed, placement.Refused:
+		s.oldUnreachable = 0
+	}
+}
+
 // rolloutsRevision returns the revision of the rollouts that the entry has.
 func (b *blackboard) rolloutsRevision() *uint64 {
 	b.mu.Lock()
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -29,8 +29,12 @@
 func (g *Gateway) place(ctx context.Context, need *placement.Need, rank int, maxWait time.Duration) (*placement.Ticket, error) {
 	b := &g.board
 	b.mu.Lock()
-	need.Software = b.software(g.Clock.Now(), need.Service.ID)
+	b.restrict(g.Clock.Now(), need)
 	ticket, err := b.pool.Place(g.Clock.Now(), need)
+	if err != nil && b.endComparison(need) {
+		b.restrict(g.Clock.Now(), need)
+		ticket, err = b.pool.Place(g.Clock.Now(), need)
+	}
 	if err == nil || maxWait <= 0 || waitsTooLong(err, maxWait) {
 		b.mu.Unlock()
 		return ticket, err
@@ -58,7 +62,7 @@
 	if ctx.Err() != nil {
 		return nil, err
 	}
-	need.Software = b.software(g.Clock.Now(), need.Service.ID)
+	b.restrict(g.Clock.Now(), need)
 	// The ticket must not be dropped: it may be the only probe of its engine.
 	return b.pool.Place(g.Clock.Now(), need)
 }
@@ -101,7 +105,7 @@
 			remaining = append(remaining, w)
 			continue
 		}
-		w.need.Software = b.software(now, service)
+		b.restrict(now, w.need)
 		ticket, err := b.pool.Place(now, w.need)
 		if err != nil {
 			failed[service]++
