--- a/pkg/serving/rollout/assess.go
+++ b/pkg/serving/rollout/assess.go
@@ -34,12 +34,14 @@
 const (
 	// falseRevert bounds the probability that a good version is ever reverted.
 	falseRevert = 1.0 / 1000
-	// restEvidence is the evidence, restBad the number of bad calls, and restPart the part of
-	// the excess of all engines that must remain without the worst engines. With these, two
-	// or three failures of other engines by chance don't let a bad engine revert a version.
-	restEvidence = 300
-	restBad      = 5
-	restPart     = 1.0 / 3
+	// restEvidence is the evidence that must remain without the worst engines, restBad the
+	// number of bad calls, and restPart the part of the excess of all engines. From
+	// evenPart on, the engines are about equally bad, and evenEvidence suffices. Otherwise
+	// two or three failures of other engines by chance would let a bad engine revert a
+	// version.
+	restEvidence, evenEvidence = 300, 100
+	restPart, evenPart         = 1.0 / 3, 0.6
+	restBad                    = 5
 	// maxWorst is the largest number of engines that are left out.
 	maxWorst = 3
 	// minBad is the smallest number of bad calls that shows anything.
@@ -139,8 +141,9 @@
 // comparison is the evidence of all routes.
 type comparison struct {
 	routes []*routeStrata
-	// engines are the engines of the new version that got calls.
-	engines map[serving.EngineID]bool
+	// several is set if the new version has more than one engine, so that a bad engine can be
+	// told from a bad version.
+	several bool
 }
 
 // finding is the result of an assessment.
@@ -155,7 +158,8 @@
 }
 
 func compare(r Rollout, e Evidence, fleet Fleet) *comparison {
-	c := &comparison{engines: map[serving.EngineID]bool{}}
+	c := &comparison{several: fleet.New > 1}
+	engines := map[serving.EngineID]bool{}
 	byName := map[string]*routeStrata{}
 	for key, n := range e {
 		if !key.Valid(r.To) {
@@ -180,7 +184,8 @@
 			}
 			continue
 		}
-		c.engines[key.Engine] = true
+		engines[key.Engine] = true
+		c.several = c.several || len(engines) > 1
 		if s.engines == nil {
 			s.engines = map[serving.EngineID]*engineStratum{}
 		}
@@ -456,11 +461,13 @@
 }
 
 // worst returns the engines of the new version with the most bad calls above what the old
-// version's rates explain: a quarter of them, at least one and at most maxWorst, because of
-// many engines with few calls each, those that have the bad calls are many. It returns none
-// if only one engine is in the test.
+// version's rates explain: a quarter of those in the test, at least one and at most maxWorst,
+// because of many engines with few calls each, those that have the bad calls are many.
 func (c *comparison) worst(routes []*routeStrata, k kind) map[serving.EngineID]bool {
 	excess := map[serving.EngineID]float64{}
+	// expected are the bad calls of each engine if all are equally bad. An engine that
+	// only got calls before the version turned bad is not in the test.
+	expected := map[serving.EngineID]float64{}
 	for _, route := range routes {
 		for i := range route.slices {
 			s := &route.slices[i]
@@ -469,12 +476,10 @@
 			}
 			for id, e := range s.engines {
 				excess[id] += e.bad[k] - e.calls*s.oldBad[k]/s.oldCalls
+				expected[id] += e.calls * s.newBad[k] / s.newCalls
 			}
 		}
 	}
-	if len(c.engines) < 2 {
-		return nil
-	}
 	ids := make([]serving.EngineID, 0, len(excess))
 	for id := range excess {
 		ids = append(ids, id)
@@ -482,8 +487,14 @@
 	slices.SortFunc(ids, func(a, b serving.EngineID) int {
 		return cmp.Or(cmp.Compare(excess[b], excess[a]), cmp.Compare(a, b))
 	})
+	sum, squares := 0.0, 0.0
+	for _, id := range ids {
+		sum += expected[id]
+		squares += expected[id] * expected[id]
+	}
+	inTest := sum * sum / max(squares, math.SmallestNonzeroFloat64)
 	out := map[serving.EngineID]bool{}
-	for _, id := range ids[:min(len(ids), (len(c.engines)+3)/4, maxWorst)] {
+	for _, id := range ids[:min(len(ids), max(1, int(math.Ceil(inTest/4))), maxWorst)] {
 		out[id] = true
 	}
 	return out
@@ -514,12 +525,16 @@
 	if !t.matters() {
 		return
 	}
-	if worst := c.worst(routes, k); worst != nil {
-		c.sum(worst)
+	if c.several {
+		c.sum(c.worst(routes, k))
 		rest, _ := evidence(routes, k)
 		rt := totalsSince(routes, k, from)
 		c.sum(nil)
-		if rest < restEvidence || rt.newBad < restBad || rt.excess() < max(minExcess, restPart*t.excess()) {
+		needed := float64(restEvidence)
+		if rt.excess() >= evenPart*t.excess() {
+			needed = evenEvidence
+		}
+		if rest < needed || rt.newBad < restBad || rt.excess() < max(minExcess, restPart*t.excess()) {
 			return
 		}
 	}
--- a/pkg/serving/rollout/quota.go
+++ b/pkg/serving/rollout/quota.go
@@ -15,6 +15,12 @@
 	loadTestPart = 0.85
 	// allowancePart is the part of the allowance that AllowanceFor hands out.
 	allowancePart = 0.5
+	// maxCredit bounds the calls that the canary sends at once after calls that found no
+	// engine with room.
+	maxCredit = 2
+	// minProgress bounds the part of the canary that has elapsed, from which the number of its
+	// calls is estimated.
+	minProgress = 0.05
 	// cutoverFrom and cutoverTo are the parts of the calls that go to the new version at the
 	// start of the cutover and when the comparison ends. The others are the only ones that
 	// show whether failures during the cutover are due to the new version or to an outage,
@@ -42,29 +48,58 @@
 	Draw float64
 
 	sentAll, sentNew int64
+	// credit is the part of a call that the canary has accrued, and started is set when it
+	// begins with Draw.
+	credit  float64
+	started bool
+	// loadFrom and loadBase are the time since the order and the calls to the new version,
+	// with the credit, when this entry began the load test.
+	loadFrom time.Duration
+	loadBase float64
+	loading  bool
 }
 
-// Allows reports whether a call may be sent to the new version. In the cutover, false means
-// that the call goes to the old version for comparison if it has a usable engine. repeated is
-// as for CountSent.
+// Allows reports whether a call may be sent to the new version. It is asked once for each
+// call, and only while the new version has a usable engine. In the cutover, false means that
+// the call goes to the old version for comparison if it has a usable engine. repeated is as
+// for CountSent.
+//
+// The calls to the new version are spread evenly over the time. A burst would end before
+// the calls to the old version that are compared with it, so that its failures would be
+// known earlier; it would also queue at the few engines of the canary, which would look slow.
 func (q *Quota) Allows(r *Rollout, repeated bool) bool {
 	all := float64(q.sentAll)
 	if !repeated {
 		all++
 	}
+	draw := min(max(0, q.Draw), 1)
 	switch r.Phase {
 	case Canary:
-		return q.within(canaryPart * all)
+		if !q.started {
+			q.started, q.credit = true, draw
+		}
+		if !repeated {
+			// The allowance is spread over the calls of the canary like the share.
+			progress := max(minProgress, min(1, r.Fraction()/canaryUntil))
+			q.credit = min(maxCredit, q.credit+canaryPart*q.Share+q.Allowance*progress/max(1, all))
+		}
+		return q.credit >= 1 && float64(q.sentNew+1) <= canaryPart*q.Share*all+q.Allowance+draw
 	case LoadTest:
-		// The unused part is released evenly over the load test, because all of it at once
-		// would queue at the few engines of the canary and make a good version look slow.
-		progress := min(1, max(0, (r.Fraction()-canaryUntil)/(loadTestUntil-canaryUntil)))
-		return q.within((canaryPart + (loadTestPart-canaryPart)*progress) * all)
+		if !q.loading {
+			q.loading, q.loadFrom = true, r.Elapsed
+			q.loadBase = float64(q.sentNew) + min(1, q.credit)
+		}
+		bound := loadTestPart*q.Share*all + q.Allowance + draw
+		progress := 1.0
+		if end := time.Duration(loadTestUntil * float64(r.Duration)); r.Elapsed < end {
+			progress = float64(r.Elapsed-q.loadFrom) / float64(max(1, end-q.loadFrom))
+		}
+		return float64(q.sentNew+1) <= min(bound, q.loadBase+max(0, progress)*(bound-q.loadBase))
 	case Cutover:
 		if r.Exclusive() || repeated {
 			return true
 		}
-		_, position := math.Modf(all*goldenRatio + q.Draw)
+		_, position := math.Modf(all*goldenRatio + draw)
 		return position < cutoverPart(r)
 	case Completed:
 		return true
@@ -83,16 +118,13 @@
 	return cutoverFrom + (cutoverTo-cutoverFrom)*progress
 }
 
-func (q *Quota) within(calls float64) bool {
-	return float64(q.sentNew+1) <= q.Share*calls+q.Allowance+min(max(0, q.Draw), 1)
-}
-
 // CountSent counts a call that is sent to an engine. Repeated calls, that is retries,
 // migrations, resumed streams and copies of memory, count towards the calls to the new
 // version, but don't raise the bound.
 func (q *Quota) CountSent(newVersion, repeated bool) {
 	if newVersion {
 		q.sentNew++
+		q.credit = max(0, q.credit-1)
 	}
 	if !repeated {
 		q.sentAll++
