--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -17,7 +17,6 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
-	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -483,7 +482,7 @@
 		return nil, serving.NewError(serving.KindEngineFailed, "the engine did not resume the generation").WithRan(serving.RanUnknown)
 	}
 	old := r.ticket
-	r.endAttempt(placement.OK, rollout.Times{Token: r.tokenTime()})
+	r.leaveAttempt()
 	r.detach()
 	r.g.endTicket(old, placement.Abandoned, 0)
 	r.g.board.mu.Lock()
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -212,8 +212,8 @@
 }
 
 // beginAttempt counts a call that is sent to the engine of a ticket in the rollout of its
-// service. repeated is set if the call was sent to an engine before. The caller holds mu of the
-// blackboard.
+// service. Outcomes count for first attempts only; repeated is set for others, which count in
+// the quota. The caller holds mu of the blackboard.
 func (j *job) beginAttempt(t *placement.Ticket, repeated bool) {
 	b := &j.g.board
 	counted := j.counted
@@ -227,13 +227,18 @@
 	if !counted {
 		s.quota.CountSent(isNew, repeated)
 	}
-	key := rollout.Key{Route: j.Route.Name, Slice: s.at(now).Slice()}
+	// What engines have cached of the prompt isn't known for calls whose engine the hub chose.
+	key := rollout.Key{Route: j.Route.Name, Slice: s.at(now).Slice(), Class: rollout.ClassOf(j.PromptTokens)}
 	if isNew {
 		key.Version, key.Engine = s.To, t.Engine
 		rolloutCalls.Add("new", 1)
 	} else {
 		rolloutCalls.Add("old", 1)
 	}
+	if repeated {
+		// Calls that failed at one engine fail more often at the next, whatever its version.
+		return
+	}
 	key = s.countedKey(key, b.pool.Entries())
 	j.record = attemptRecord{s: s, key: key, cold: now < t.ColdUntil}
 	s.evidence.Sent(key)
@@ -300,6 +305,18 @@
 	j.record = attemptRecord{}
 }
 
+// leaveAttempt counts that the call has left the engine before its end, because its stream moved.
+func (j *job) leaveAttempt() {
+	if j.record.s == nil {
+		return
+	}
+	j.g.board.mu.Lock()
+	defer j.g.board.mu.Unlock()
+	j.record.s.evidence.Uncounted(j.record.key)
+	j.record.s.changed[j.record.key] = true
+	j.record = attemptRecord{}
+}
+
 // countOld counts the outcome of a call at another version.
 func (s *serviceRollout) countOld(o placement.Outcome) {
 	switch o {
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -56,7 +56,7 @@
 // sendCall places and sends one call, and returns the version of its engine, empty if no engine
 // may get it. The engine's health does not get to know the outcome.
 func sendCall(g *Gateway, outcome func(rollout.Version) placement.Outcome) rollout.Version {
-	j := &job{g: g, Decision: &routing.Decision{Route: &routing.Route{Name: "r"}, Service: &routing.Service{ID: "s"}}, ctx: context.Background()}
+	j := &job{g: g, Call: &serving.Call{}, Decision: &routing.Decision{Route: &routing.Route{Name: "r"}, Service: &routing.Service{ID: "s"}}, ctx: context.Background()}
 	need := &placement.Need{Service: j.Service}
 	ticket := j.placeInRollout(need, false)
 	if ticket == nil {
--- a/internal/hub/evidence.go
+++ b/internal/hub/evidence.go
@@ -56,7 +56,7 @@
 	m := &schema.RolloutCounts{}
 	// The bytes were encoded here, so they are valid.
 	_ = proto.Unmarshal(c.encoded, m)
-	m.NewVersion, m.Route, m.Engine, m.Slice = key.Version != "", key.Route, string(key.Engine), uint32(key.Slice)
+	m.NewVersion, m.Route, m.Engine, m.Slice, m.Class = key.Version != "", key.Route, string(key.Engine), uint32(key.Slice), uint32(key.Class)
 	return m
 }
 
--- a/internal/hub/rollouts.go
+++ b/internal/hub/rollouts.go
@@ -373,7 +373,7 @@
 func logEvidence(m *schema.Rollout, evidence rollout.Evidence) {
 	sums := rollout.Evidence{}
 	for key, c := range evidence {
-		key.Slice = 0
+		key.Slice, key.Class = 0, 0
 		sums.Add(key).Merge(c)
 		if key.Engine != "" {
 			key.Engine = ""
--- a/internal/hub/rollouts_test.go
+++ b/internal/hub/rollouts_test.go
@@ -302,6 +302,7 @@
 		{"more failures than calls", []*schema.RolloutCounts{count(3, 1), count(5, 9)}, 3, 1},
 		{"negative", []*schema.RolloutCounts{count(3, 1), count(-5, 0)}, 3, 1},
 		{"unknown slice", []*schema.RolloutCounts{count(3, 1), {NewVersion: true, Route: "r", Slice: 1 << 30, Sent: 4}}, 3, 1},
+		{"unknown class", []*schema.RolloutCounts{count(3, 1), {NewVersion: true, Route: "r", Class: 1 << 30, Sent: 4}}, 3, 1},
 		{"too many buckets", []*schema.RolloutCounts{count(3, 1), {NewVersion: true, Route: "q", Sent: 4, First: make([]uint32, 999)}}, 3, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/pkg/serving/rollout/assess.go
+++ b/pkg/serving/rollout/assess.go
@@ -10,7 +10,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
-// The assessment compares two numbers in each slice and route: how many bad calls the new
+// The assessment compares two numbers in each slice, route and class of calls: how many bad calls the new
 // version had, and how many all versions had. If the new version is not worse, each bad call
 // is one of the new version with the probability
 //
@@ -21,7 +21,7 @@
 //
 //	theta^(bad calls of the new version) / (1 + pi (theta-1))^(bad calls of all versions)
 //
-// multiplied over slices and routes, and averaged over several additional shares of bad calls,
+// multiplied over slices, routes and classes of calls, and averaged over several additional shares of bad calls,
 // from which theta follows on each route, and over the slices from which on the version may be
 // bad. It is a test martingale:
 // the probability that it ever exceeds 1/alpha under a good version is at most alpha,
@@ -34,12 +34,14 @@
 const (
 	// falseRevert bounds the probability that a good version is ever reverted.
 	falseRevert = 1.0 / 1000
-	// restEvidence is the evidence, restBad the number of bad calls, and restPart the part of
-	// the excess of all engines that must remain without the worst engines. With these, two
-	// or three failures of other engines by chance don't let a bad engine revert a version.
-	restEvidence = 300
-	restBad      = 5
-	restPart     = 1.0 / 3
+	// restEvidence is the evidence that must remain without the worst engines, restBad the
+	// number of bad calls, and restPart the part of the excess of all engines. From
+	// evenPart on, the engines are about equally bad, and evenEvidence suffices. Otherwise
+	// two or three failures of other engines by chance would let a bad engine revert a
+	// version.
+	restEvidence, evenEvidence = 300, 100
+	restPart, evenPart         = 1.0 / 3, 0.6
+	restBad                    = 5
 	// maxWorst is the largest number of engines that are left out.
 	maxWorst = 3
 	// minBad is the smallest number of bad calls that shows anything.
@@ -104,7 +106,7 @@
 // excesses are the additional shares of bad calls that the tests look for.
 var excesses = [...]float64{0.06, 0.12, 0.25, 0.5, 0.9}
 
-// stratum counts the calls of one route that were sent in one slice.
+// stratum counts the calls of one route and class that were sent in one slice.
 type stratum struct {
 	newCalls, oldCalls float64
 	newBad, oldBad     [kinds]float64
@@ -128,9 +130,10 @@
 	times          [kinds]*Histogram
 }
 
-// routeStrata holds the strata of a route.
+// routeStrata holds the strata of a class of calls of a route.
 type routeStrata struct {
 	name   string
+	class  Class
 	slices [Slices]stratum
 	// rates are the shares of bad calls of the old version.
 	rates [kinds]float64
@@ -139,8 +142,9 @@
 // comparison is the evidence of all routes.
 type comparison struct {
 	routes []*routeStrata
-	// engines are the engines of the new version that got calls.
-	engines map[serving.EngineID]bool
+	// several is set if the new version has more than one engine, so that a bad engine can be
+	// told from a bad version.
+	several bool
 }
 
 // finding is the result of an assessment.
@@ -155,16 +159,21 @@
 }
 
 func compare(r Rollout, e Evidence, fleet Fleet) *comparison {
-	c := &comparison{engines: map[serving.EngineID]bool{}}
-	byName := map[string]*routeStrata{}
+	c := &comparison{several: fleet.New > 1}
+	engines := map[serving.EngineID]bool{}
+	type name struct {
+		route string
+		class Class
+	}
+	byName := map[name]*routeStrata{}
 	for key, n := range e {
 		if !key.Valid(r.To) {
 			continue
 		}
-		route := byName[key.Route]
+		route := byName[name{key.Route, key.Class}]
 		if route == nil {
-			route = &routeStrata{name: key.Route}
-			byName[key.Route] = route
+			route = &routeStrata{name: key.Route, class: key.Class}
+			byName[name{key.Route, key.Class}] = route
 			c.routes = append(c.routes, route)
 		}
 		s := &route.slices[key.Slice]
@@ -180,14 +189,17 @@
 			}
 			continue
 		}
-		c.engines[key.Engine] = true
+		engines[key.Engine] = true
+		c.several = c.several || len(engines) > 1
 		if s.engines == nil {
 			s.engines = map[serving.EngineID]*engineStratum{}
 		}
 		s.engines[key.Engine] = &engineStratum{calls: calls, running: running, bad: [kinds]float64{failed: float64(n.Failed)}, times: times}
 	}
 	// The order of a map is random, and so would be the sums of floating point numbers.
-	slices.SortFunc(c.routes, func(a, b *routeStrata) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(c.routes, func(a, b *routeStrata) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.class, b.class))
+	})
 	loads := c.loadFactors(fleet)
 	c.countSlow(r, loads)
 	c.dropSurges(r.Slice())
@@ -456,11 +468,13 @@
 }
 
 // worst returns the engines of the new version with the most bad calls above what the old
-// version's rates explain: a quarter of them, at least one and at most maxWorst, because of
-// many engines with few calls each, those that have the bad calls are many. It returns none
-// if only one engine is in the test.
+// version's rates explain: a quarter of those in the test, at least one and at most maxWorst,
+// because of many engines with few calls each, those that have the bad calls are many.
 func (c *comparison) worst(routes []*routeStrata, k kind) map[serving.EngineID]bool {
 	excess := map[serving.EngineID]float64{}
+	// expected are the bad calls of each engine if all are equally bad. An engine that
+	// only got calls before the version turned bad is not in the test.
+	expected := map[serving.EngineID]float64{}
 	for _, route := range routes {
 		for i := range route.slices {
 			s := &route.slices[i]
@@ -469,12 +483,10 @@
 			}
 			for id, e := range s.engines {
 				excess[id] += e.bad[k] - e.calls*s.oldBad[k]/s.oldCalls
+				expected[id] += e.calls * s.newBad[k] / s.newCalls
 			}
 		}
 	}
-	if len(c.engines) < 2 {
-		return nil
-	}
 	ids := make([]serving.EngineID, 0, len(excess))
 	for id := range excess {
 		ids = append(ids, id)
@@ -482,8 +494,14 @@
 	slices.SortFunc(ids, func(a, b serving.EngineID) int {
 		return cmp.Or(cmp.Compare(excess[b], excess[a]), cmp.Compare(a, b))
 	})
+	sum, squares := 0.0, 0.0
+	for _, id := range ids {
+		sum += expected[id]
+		squares += expected[id] * expected[id]
+	}
+	inTest := sum * sum / max(squares, math.SmallestNonzeroFloat64)
 	out := map[serving.EngineID]bool{}
-	for _, id := range ids[:min(len(ids), (len(c.engines)+3)/4, maxWorst)] {
+	for _, id := range ids[:min(len(ids), max(1, int(math.Ceil(inTest/4))), maxWorst)] {
 		out[id] = true
 	}
 	return out
@@ -493,11 +511,19 @@
 func assess(r Rollout, e Evidence, fleet Fleet) finding {
 	c := compare(r, e, fleet)
 	f := finding{thin: c.thin()}
+	// byRoute are the classes of each route.
+	var byRoute [][]*routeStrata
+	for i, from := 0, 0; i < len(c.routes); i++ {
+		if i+1 == len(c.routes) || c.routes[i+1].name != c.routes[i].name {
+			byRoute = append(byRoute, c.routes[from:i+1])
+			from = i + 1
+		}
+	}
 	for k := failed; k < kinds; k++ {
 		// Half of the weight is that of all routes together, the rest is divided.
 		c.test(&f, r, c.routes, k, kindWeights[k]/2, "all routes")
-		for i := range c.routes {
-			c.test(&f, r, c.routes[i:i+1], k, kindWeights[k]/2/float64(len(c.routes)), "route "+c.routes[i].name)
+		for _, route := range byRoute {
+			c.test(&f, r, route, k, kindWeights[k]/2/float64(len(byRoute)), "route "+route[0].name)
 		}
 	}
 	return f
@@ -514,12 +540,16 @@
 	if !t.matters() {
 		return
 	}
-	if worst := c.worst(routes, k); worst != nil {
-		c.sum(worst)
+	if c.several {
+		c.sum(c.worst(routes, k))
 		rest, _ := evidence(routes, k)
 		rt := totalsSince(routes, k, from)
 		c.sum(nil)
-		if rest < restEvidence || rt.newBad < restBad || rt.excess() < max(minExcess, restPart*t.excess()) {
+		needed := float64(restEvidence)
+		if rt.excess() >= evenPart*t.excess() {
+			needed = evenEvidence
+		}
+		if rest < needed || rt.newBad < restBad || rt.excess() < max(minExcess, restPart*t.excess()) {
 			return
 		}
 	}
--- a/pkg/serving/rollout/wire.go
+++ b/pkg/serving/rollout/wire.go
@@ -43,7 +43,7 @@
 
 // ToWire converts the counts of a key to their protobuf message.
 func (c *Counts) ToWire(key Key) *schema.RolloutCounts {
-	return &schema.RolloutCounts{NewVersion: key.Version != "", Route: key.Route, Engine: string(key.Engine), Slice: uint32(key.Slice),
+	return &schema.RolloutCounts{NewVersion: key.Version != "", Route: key.Route, Engine: string(key.Engine), Slice: uint32(key.Slice), Class: uint32(key.Class),
 		Sent: c.Sent, Answered: c.Answered, Failed: c.Failed, Uncounted: c.Uncounted,
 		First: c.First.toWire(), Token: c.Token.toWire(), Whole: c.Whole.toWire()}
 }
@@ -51,12 +51,12 @@
 // CountsFromWire converts a protobuf message to the counts of a key in a rollout to a version.
 // It reports whether the message is valid.
 func CountsFromWire(m *schema.RolloutCounts, to Version) (Key, Counts, bool) {
-	key := Key{Route: m.GetRoute(), Engine: serving.EngineID(m.GetEngine()), Slice: Slice(min(m.GetSlice(), Slices))}
+	key := Key{Route: m.GetRoute(), Engine: serving.EngineID(m.GetEngine()), Slice: Slice(min(m.GetSlice(), Slices)), Class: Class(min(m.GetClass(), Classes))}
 	if m.GetNewVersion() {
 		key.Version = to
 	}
 	c := Counts{Sent: m.GetSent(), Answered: m.GetAnswered(), Failed: m.GetFailed(), Uncounted: m.GetUncounted()}
-	valid := len(key.Route) <= maxRouteName && len(key.Engine) <= maxEngineID && key.Slice < Slices && (key.Engine == "" || key.Version != "") &&
+	valid := len(key.Route) <= maxRouteName && len(key.Engine) <= maxEngineID && key.Valid(to) &&
 		c.First.fromWire(m.GetFirst()) && c.Token.fromWire(m.GetToken()) && c.Whole.fromWire(m.GetWhole())
 	return key, c, valid && c.Valid()
 }
