--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -22,6 +22,10 @@
 // The hub chooses the engines of generations, because it sees the choices of all its
 // entries immediately (place.go).
 //
+// While the traffic of a service shifts to engines with another version of their software,
+// the entry decides which version a call gets, within a bound that it keeps on its own, and
+// reports the outcomes to the hub (rollout.go, docs/design/rollouts.md).
+//
 // A call never runs twice unless its route allows it. Once the first byte of a call
 // that isn't idempotent has been sent, the call is retried only if the engine
 // states that it did not run the call.
