--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,9 @@
 	Retries placement.RetryBudget
 	// ScarceMemory means that the settings state that the memory of engines is scarce.
 	ScarceMemory bool
-	Clock        serving.Clock
+	// Exposure enables rollouts.
+	Exposure Exposure
+	Clock    serving.Clock
 
 	board    blackboard
 	upstream *upstream.Pool
@@ -148,6 +150,7 @@
 	}
 	g.board.pool = placement.Pool{ScarceMemory: g.ScarceMemory, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
 	g.heldAnswers, g.heldBodies = newHeldAnswers(), newHeldBodies()
+	g.board.rollouts.exposure, g.board.rollouts.started = g.Exposure, g.Clock.Now()
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, Clock: g.Clock}
 	g.watcher.setup(g)
@@ -239,6 +242,7 @@
 	limitLogged time.Duration
 	suspects    []quarantine.Part
 	waitQueue   waitQueue
+	rollouts    rollouts
 	// streams holds the streams in progress by engine.
 	streams map[serving.EngineID]map[*relay]bool
 	// movePlans holds the plans for engines that are leaving.
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -78,7 +78,12 @@
 // smallest ones are first, because there may not be enough time for all. The caller
 // holds mu of the blackboard.
 func (g *Gateway) moveStreams(id serving.EngineID) {
-	streams := slices.Collect(maps.Keys(g.board.streams[id]))
+	g.moveStreamsIf(id, func(*relay) bool { return true })
+}
+
+// moveStreamsIf is moveStreams for the streams for which include returns true.
+func (g *Gateway) moveStreamsIf(id serving.EngineID, include func(*relay) bool) {
+	streams := slices.DeleteFunc(slices.Collect(maps.Keys(g.board.streams[id])), func(r *relay) bool { return !include(r) })
 	slices.SortFunc(streams, func(a, b *relay) int { return cmp.Compare(a.ticket.Use().Held, b.ticket.Use().Held) })
 	for _, r := range streams {
 		g.startMove(r)
@@ -282,6 +287,7 @@
 			m.reserved, m.sameDC = need.Prompt, sameDC
 		}
 		need.SameDataCentre = sameDC
+		g.board.restrict(now, need)
 		if ticket, err = g.board.pool.Place(now, need); err == nil {
 			return ticket, nil
 		}
@@ -476,8 +482,12 @@
 		return nil, serving.NewError(serving.KindEngineFailed, "the engine did not resume the generation").WithRan(serving.RanUnknown)
 	}
 	old := r.ticket
+	r.leaveAttempt()
 	r.detach()
 	r.g.endTicket(old, placement.Abandoned, 0)
+	r.g.board.mu.Lock()
+	r.beginAttempt(target, true)
+	r.g.board.mu.Unlock()
 	r.engine = target.Engine
 	r.pacedAt, r.steppedAt = 0, 0
 	m.dest = nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,6 +16,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/machine"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -90,10 +91,14 @@
 // stream. It returns false if none does; the call has then been answered.
 func (r *relay) sendToEngine() bool {
 	for {
-		ticket, err := r.g.placeGeneration(r.ctx, r.need(), r.Rank(), r.accountID(), r.Regions, r.streamWait())
-		if err != nil {
-			r.refuse(err)
-			return false
+		need := r.need()
+		ticket := r.placeInRollout(need, len(r.tried) > 0)
+		if ticket == nil {
+			var err error
+			if ticket, err = r.g.placeGeneration(r.ctx, need, r.Rank(), r.accountID(), r.Regions, r.streamWait()); err != nil {
+				r.refuse(err)
+				return false
+			}
 		}
 		if err := r.checkBlocked(); err != nil {
 			// The call was blocked while it waited for an engine.
@@ -107,6 +112,9 @@
 			streamsAtRisk.Add(1)
 		}
 		r.attach(ticket)
+		r.g.board.mu.Lock()
+		r.beginAttempt(ticket, len(r.tried) > 0)
+		r.g.board.mu.Unlock()
 		x, err := r.g.upstream.Send(r.ctx, r.engineRequest(ticket, nil, upstream.SafeIdleTime))
 		if err == nil && x.Status == http.StatusOK && x.Signed && !x.Encoded && !x.NotRun {
 			r.exchange = x
@@ -132,6 +140,7 @@
 	if err != nil {
 		e := serving.AsError(err)
 		outcome := sendFailureOutcome(r.ctx, e)
+		r.endAttempt(outcome, rollout.Times{})
 		r.g.endTicket(t, outcome, 0)
 		if r.ctx.Err() == nil && outcome == placement.Broken {
 			r.recordLost(t)
@@ -140,6 +149,7 @@
 	}
 	res := r.readAnswer(x, t)
 	r.g.recordAnswer(t.Engine, &x.Answer)
+	r.endAttempt(res.engineOutcome(r.ctx), rollout.Times{})
 	r.g.endTicket(t, res.engineOutcome(r.ctx), 0)
 	return res
 }
@@ -395,6 +405,7 @@
 	defer r.g.board.mu.Unlock()
 	if first {
 		r.ticket.FirstEvent()
+		r.record.firstEvent(now - r.sentAt)
 	}
 	if r.events == quarantine.SoundEvents {
 		r.recordSound()
@@ -483,6 +494,7 @@
 		r.g.board.mu.Unlock()
 	}
 	r.exchange.Close(r.outcome == placement.OK)
+	r.endAttempt(r.outcome, rollout.Times{Token: r.tokenTime()})
 	r.g.endTicket(r.ticket, r.outcome, r.tokenTime())
 	r.g.board.mu.Lock()
 	r.observeStream()
--- a/internal/hub/doc.go
+++ b/internal/hub/doc.go
@@ -13,12 +13,19 @@
 //
 // # State
 //
-// The deployment state (routing configuration, data centres out of service) is
+// The deployment state (routing configuration, data centres out of service, rollouts) is
 // replicated through the log and changed by the leader only. The list of engines and
 // their load are soft state: each hub receives the heartbeats and reports of some
 // engines and entries, forwards them to the other hubs, and removes those that aren't
 // refreshed.
 //
+// # Rollouts
+//
+// A rollout shifts the traffic of a service to engines with another version of their
+// software. Every hub collects the reports of all entries, its own directly and the others
+// through other hubs. The leader evaluates them with package rollout, and commits the phases
+// and the counts (rollouts.go, evidence.go, docs/design/rollouts.md).
+//
 // # Membership
 //
 // The hubs that are named at the first start are the initial voters. Every other
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -25,6 +25,9 @@
 	machineChecks = expvar.NewMap("machine_checks")
 	// callsDeferred counts the answers without an engine although engines had room.
 	callsDeferred = expvar.NewInt("calls_deferred")
+	// rolloutPhaseChanges counts the changes that this hub has applied by the new phase.
+	rolloutsInProgress  = expvar.NewInt("rollouts_in_progress")
+	rolloutPhaseChanges = expvar.NewMap("rollout_phase_changes")
 )
 
 // recordMembership updates the metrics of the membership.
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -11,6 +11,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
+	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -55,6 +56,9 @@
 	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
 		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll, MaxPause: time.Duration(max(0, in.GetMaxPauseMs())) * time.Millisecond,
 		FirstEventBy: firstEventBy(now, in), LastAttempt: in.GetLastAttempt(), Home: serving.DataCentreID(in.GetDataCentre())}
+	if in.GetOnlyVersion() != "" || in.GetNotVersion() != "" {
+		need.Software = &placement.Software{Only: rollout.Version(in.GetOnlyVersion()), Not: rollout.Version(in.GetNotVersion())}
+	}
 	if in.GetRestricted() {
 		need.Allows = func(r serving.RegionID) bool { return slices.Contains(in.GetRegions(), string(r)) }
 	}
