--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	Grace time.Duration
 	// Retries limits the retries of calls; Window, Ratio and Allowance must be set.
 	Retries placement.RetryBudget
+	// ScarceMemory means that the settings state that the memory of engines is scarce.
+	ScarceMemory bool
 	// Exposure enables rollouts.
 	Exposure Exposure
 	Clock    serving.Clock
@@ -146,7 +148,7 @@
 	if g.Clock == nil {
 		g.Clock = serving.NewMonotonicClock()
 	}
-	g.board.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
+	g.board.pool = placement.Pool{ScarceMemory: g.ScarceMemory, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
 	g.heldAnswers, g.heldBodies = newHeldAnswers(), newHeldBodies()
 	g.board.rollouts.exposure, g.board.rollouts.started = g.Exposure, g.Clock.Now()
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -43,6 +43,7 @@
 		if hub == nil {
 			return g.place(ctx, need, rank, deadline-g.Clock.Now())
 		}
+		need.LastAttempt = g.Clock.Now()+2*placeInterval >= deadline
 		id, err := g.requestEngine(ctx, hub, need, regions)
 		switch {
 		case err != nil:
@@ -87,7 +88,14 @@
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	in := &schema.PlaceRequest{Service: string(need.Service.ID), PromptTokens: int64(need.Prompt), GrowthTokens: int64(need.Output),
-		Restricted: regions != nil, OutputTokens: int64(need.Length)}
+		Restricted: regions != nil, OutputTokens: int64(need.Length), MaxPauseMs: need.MaxPause.Milliseconds(), LastAttempt: need.LastAttempt}
+	if g.watcher.placesRemotely() {
+		in.DataCentre = string(g.DataCentre)
+	}
+	if need.FirstEventBy > 0 {
+		left := max(1, (need.FirstEventBy - g.Clock.Now()).Milliseconds())
+		in.FirstEventMs = &left
+	}
 	for _, r := range regions {
 		in.Regions = append(in.Regions, string(r))
 	}
@@ -137,6 +145,13 @@
 	return w.placementHub
 }
 
+// placesRemotely reports whether the hub that chooses engines is in another region.
+func (w *watcher) placesRemotely() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.placementRemote
+}
+
 // pausePlacement stops requests for engines to the hub for placeBackoff.
 func (w *watcher) pausePlacement() {
 	w.mu.Lock()
@@ -149,9 +164,9 @@
 func (w *watcher) setPlacementHub(h *hubState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.placementHub = nil
-	if h != nil && h.region == w.g.Region {
-		w.placementHub = h.client
+	w.placementHub, w.placementRemote = nil, false
+	if h != nil && (h.region == w.g.Region || w.g.ScarceMemory) {
+		w.placementHub, w.placementRemote = h.client, h.region != w.g.Region
 	}
 }
 
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -62,6 +62,8 @@
 	// used before placementPausedUntil.
 	placementHub         schema.Hub
 	placementPausedUntil time.Duration
+	// placementRemote is set if placementHub is in another region.
+	placementRemote bool
 }
 
 // hubState is the watcher's state for one hub.
@@ -373,6 +375,11 @@
 		w.removeUnlisted(listed)
 	}
 	b.pool.SetOtherUse(now, withoutOwn(usage.FromWire(res.GetUses()), own), int(res.GetEntries()))
+	b.pool.UpdateSpeeds(now)
+	unevenServices.Set(int64(len(b.pool.Uneven())))
+	for _, m := range res.GetMachines() {
+		b.pool.SetSharing(serving.ServiceID(m.GetService()), float64(m.GetSharedShare()), float64(m.GetSharedRatio()))
+	}
 	b.suspects = quarantine.PartsFromWire(res.GetSuspects())
 	b.placeWaiting(now)
 	for _, id := range leaving {
@@ -413,6 +420,7 @@
 			all[i].Demand = max(0, all[i].Demand-o.Demand)
 			all[i].Calls = max(0, all[i].Calls-o.Calls)
 			all[i].Failures = max(0, all[i].Failures-o.Failures)
+			all[i].Paced = max(0, all[i].Paced-o.Paced)
 		}
 	}
 	return all
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -74,9 +74,13 @@
 	RegionOf map[serving.DataCentreID]serving.RegionID
 	// DecodeConfig decodes a routing configuration document.
 	DecodeConfig func(document []byte) (*routing.Config, error)
+	// Dialect decodes the answers of engines to load checks; nil means that there are none.
+	Dialect serving.Dialect
 	// HeartbeatInterval is the heartbeat interval of engines; 0 means a third of
 	// presence.DefaultSilentAfter.
 	HeartbeatInterval time.Duration
+	// ScarceMemory means that the settings state that the memory of engines is scarce.
+	ScarceMemory bool
 	// ServesRollouts enables rollouts. ContactTime is how long an entry that has gone silent
 	// delays the end of a rollout; 0 means defaultContactTime.
 	ServesRollouts bool
@@ -147,6 +151,7 @@
 	g.Go(func() error { h.managePeers(ctx); return nil })
 	g.Go(func() error { h.manageMembers(ctx); return nil })
 	g.Go(func() error { h.manageBlocks(ctx); return nil })
+	g.Go(func() error { h.checkMachines(ctx); return nil })
 	g.Go(func() error { h.manageRollouts(ctx); return nil })
 	g.Go(func() error { h.keepCheckpoints(ctx); return nil })
 	if h.Metrics != nil && h.MetricsListen != "" {
@@ -184,7 +189,7 @@
 	h.leavingUntil = map[serving.ReplicaID]time.Duration{}
 	h.local, h.remote = usage.NewTable(useTTL), usage.NewTable(useTTL)
 	h.peers = map[string]*peer{}
-	h.placer.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: h.DataCentre, RegionOf: h.RegionOf}
+	h.placer.pool = placement.Pool{ScarceMemory: h.ScarceMemory, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: h.DataCentre, RegionOf: h.RegionOf}
 	h.state = &schema.DeploymentState{}
 	h.changed = make(chan struct{})
 	for _, address := range h.InitialHubs {
--- a/internal/hub/metrics.go
+++ b/internal/hub/metrics.go
@@ -16,10 +16,15 @@
 	replicaReopened   = expvar.NewInt("control_replica_reopened")
 	membershipChanges = expvar.NewMap("control_membership_changes")
 	blockedPrompts    = expvar.NewInt("prompts_blocked")
+	unevenServices    = expvar.NewInt("control_uneven_services")
 	suspectParts      = expvar.NewInt("prompt_parts_suspected")
 	// checkpointsWritten and checkpointsFailed count what is stored for the next start.
 	checkpointsWritten = expvar.NewInt("control_checkpoints_written")
 	checkpointsFailed  = expvar.NewInt("control_checkpoints_failed")
+	// machineChecks counts the load checks of engines by result.
+	machineChecks = expvar.NewMap("machine_checks")
+	// callsDeferred counts the answers without an engine although engines had room.
+	callsDeferred = expvar.NewInt("calls_deferred")
 	// rolloutPhaseChanges counts the changes that this hub has applied by the new phase.
 	rolloutsInProgress  = expvar.NewInt("rollouts_in_progress")
 	rolloutPhaseChanges = expvar.NewMap("rollout_phase_changes")
--- a/internal/hub/place.go
+++ b/internal/hub/place.go
@@ -30,6 +30,10 @@
 	// table is compiled from the configuration that has this version.
 	table   *routing.Table
 	version uint64
+	// speedsAt is when the engines' speeds were last computed for entries.
+	speedsAt time.Duration
+	// uneven lists the services whose engines differ in speed.
+	uneven []serving.ServiceID
 }
 
 // reservation is the load of a call that was placed recently.
@@ -50,7 +54,8 @@
 	h.refreshPool(now)
 	h.placer.pool.CountCall(now, service.ID)
 	need := &placement.Need{Service: service, Prompt: serving.Tokens(in.GetPromptTokens()), Output: serving.Tokens(in.GetGrowthTokens()),
-		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll}
+		Length: serving.Tokens(in.GetOutputTokens()), Compare: placement.CompareAll, MaxPause: time.Duration(max(0, in.GetMaxPauseMs())) * time.Millisecond,
+		FirstEventBy: firstEventBy(now, in), LastAttempt: in.GetLastAttempt(), Home: serving.DataCentreID(in.GetDataCentre())}
 	if in.GetOnlyVersion() != "" || in.GetNotVersion() != "" {
 		need.Software = &placement.Software{Only: rollout.Version(in.GetOnlyVersion()), Not: rollout.Version(in.GetNotVersion())}
 	}
@@ -62,6 +67,9 @@
 	}
 	ticket, err := h.placer.pool.Place(now, need)
 	if err != nil {
+		if serving.AsError(err).Detail == placement.DetailDeferred {
+			callsDeferred.Add(1)
+		}
 		return &schema.PlaceResult{}, nil
 	}
 	// The pool counts the call as a reservation until the entry, which claims the engine
@@ -71,6 +79,33 @@
 	return &schema.PlaceResult{Engine: string(ticket.Engine)}, nil
 }
 
+// firstEventBy returns the time from which on the first event of a call is late; 0 if it never
+// is.
+func firstEventBy(now time.Duration, in *schema.PlaceRequest) time.Duration {
+	if in.FirstEventMs == nil {
+		return 0
+	}
+	return now + time.Duration(max(1, in.GetFirstEventMs()))*time.Millisecond
+}
+
+// speedsInterval is the longest time between two computations of the engines' speeds.
+const speedsInterval = 500 * time.Millisecond
+
+// refreshSpeeds updates the speeds of the engines that entries are told, also of services for
+// which this hub places no calls. The caller holds mu.
+func (h *Hub) refreshSpeeds(now time.Duration) {
+	if p := &h.placer; now-p.speedsAt >= speedsInterval {
+		p.speedsAt = now
+		h.refreshPool(now)
+		p.pool.UpdateSpeeds(now)
+		if uneven := p.pool.Uneven(); !slices.Equal(uneven, p.uneven) {
+			klog.InfoS("Services with engines of different speeds changed", "services", uneven, "before", p.uneven)
+			p.uneven = uneven
+			unevenServices.Set(int64(len(uneven)))
+		}
+	}
+}
+
 // refreshPool updates the pool from the directory, the deployment state and the load.
 // The caller holds mu.
 func (h *Hub) refreshPool(now time.Duration) {
@@ -109,6 +144,7 @@
 			continue
 		}
 		totalUse[id].Add(u)
+		totalUse[id].AddSteps(u.Steps)
 	}
 	return totalUse, n + h.remoteEntries(now)
 }
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
@@ -98,15 +99,24 @@
 	for _, e := range engines {
 		out.Engines = append(out.Engines, e.ToWire(now))
 	}
+	h.refreshSpeeds(now)
 	totalUse, n := h.totalUse(now)
 	for _, u := range totalUse {
 		// Entries place few generations themselves, and leave the pace to the hubs.
-		u.Pace = usage.Pace{}
+		u.Pace, u.Steps, u.Factor = usage.Pace{}, nil, 0
+		if h.placer.pool.IsUneven(u.Engine) {
+			u.Slowness = h.placer.pool.Slowness(u.Engine)
+		} else {
+			u.Paced, u.MaxPause = 0, 0
+		}
 		if u.Failures < minSharedFailures {
 			u.Calls, u.Failures = 0, 0
 		}
 		out.Uses = append(out.Uses, u.ToWire())
 	}
+	h.placer.pool.EachSharing(func(id serving.ServiceID, share, ratio float64) {
+		out.Machines = append(out.Machines, &schema.ServiceMachines{Service: string(id), SharedShare: float32(share), SharedRatio: float32(ratio)})
+	})
 	out.Entries = int32(n)
 	out.Hubs = h.reachableHubs(now)
 	out.Suspects = quarantine.PartsToWire(h.evidence.Suspects(now, h.blocks))
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -107,6 +107,15 @@
 	// Length is the expected length of the whole output; 0 if unknown. It is not set for a
 	// copy: where there is room goes before where it is fast.
 	Length serving.Tokens
+	// MaxPause is the longest pause between two events that the caller needs; 0 if it needs
+	// none.
+	MaxPause time.Duration
+	// FirstEventBy is the time from which on the first event is late; 0 if it never is.
+	FirstEventBy time.Duration
+	// Home is the data centre of the entry that has the call; empty means that of the pool.
+	Home serving.DataCentreID
+	// LastAttempt means that the call can't wait any longer for an engine.
+	LastAttempt bool
 	// Exclude lists engines that must not be chosen, such as those already tried.
 	Exclude []serving.EngineID
 	// CopyFrom is the data centre of the engine from which the memory of a running
@@ -141,12 +150,17 @@
 	if n.CopyFrom != "" {
 		u.Prefill = 0
 	}
+	if n.needsPace() {
+		u.Paced, u.MaxPause = 1, n.MaxPause
+	}
 	return u
 }
 
 // Place chooses an engine for a call and adds the call to its load. The error is of
 // kind no_engine if no engine may run the call, and overloaded if none has room now.
 func (p *Pool) Place(now time.Duration, n *Need) (*Ticket, error) {
+	p.recordBrief(now, n)
+	p.fadeOthers(now, n.Service)
 	fitting, full := p.fitting(now, n)
 	if len(fitting) == 0 && full > 0 {
 		if wait, ok := p.paceWait(now, n); ok {
@@ -158,9 +172,13 @@
 		return nil, serving.NewError(serving.KindNoEngine, "no engine of service "+string(n.Service.ID)+" is in service").WithRetryAfter(time.Second)
 	}
 	if len(fitting) == 0 {
-		return nil, serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
+		err := serving.NewError(serving.KindOverloaded, "all engines of service "+string(n.Service.ID)+" are full").WithRetryAfter(time.Second)
+		if p.deferring > 0 {
+			return nil, err.WithDetail(DetailDeferred)
+		}
+		return nil, err
 	}
-	t := p.admit(now, p.cheapest(now, p.sample(fitting, n), n), n)
+	t := p.admit(now, p.cheapest(now, p.sample(now, fitting, n), n), n)
 	t.Fitting, t.Full = len(fitting), full
 	return t, nil
 }
@@ -174,7 +192,7 @@
 		}
 		e.parts.add(now, n.Parts)
 	}
-	return p.newTicket(e, n)
+	return p.newTicket(now, e, n)
 }
 
 // Claim adds a call to the load of an engine that was chosen elsewhere. It returns
@@ -185,7 +203,7 @@
 		return nil
 	}
 	p.countAdmitted(now, e)
-	return p.newTicket(e, n)
+	return p.newTicket(now, e, n)
 }
 
 // Avoid returns the engines that should not be chosen for a call because they are in
@@ -203,13 +221,19 @@
 }
 
 // fitting returns the engines that can take the call now, and the number of eligible
-// ones that can't.
+// ones that can't. The result is valid until the next call.
 func (p *Pool) fitting(now time.Duration, n *Need) (fitting []*engine, full int) {
+	p.deferring = 0
+	fitting = p.fit[:0]
+	defer func() { p.fit = fitting }()
 	for _, e := range p.engines {
 		switch {
 		case !p.eligible(e, n):
 		case !e.health.available(now) || n.Service.Model != nil && e.others.Broken >= brokenLimit || !p.withinColdRate(now, e, n) || !p.takesCalls(now, e) || !e.fits(now, n):
 			full++
+		case p.defers(now, e, n):
+			full++
+			p.deferring++
 		default:
 			fitting = append(fitting, e)
 		}
@@ -221,14 +245,18 @@
 // weights by their room. The load reported by other entries is a few hundred
 // milliseconds old. If each entry took the best engine of all, all generations that
 // arrive in this time would go to the same one.
-func (p *Pool) sample(fitting []*engine, n *Need) []*engine {
+func (p *Pool) sample(now time.Duration, fitting []*engine, n *Need) []*engine {
 	if n.Compare == CompareAll || n.Service.Model == nil || n.CopyFrom != "" || len(fitting) <= sampleSize {
 		return fitting
 	}
 	weights := make([]float64, len(fitting))
 	sum := 0.0
+	speeds := p.speeds(now, n.Service.ID)
 	for i, e := range fitting {
 		weights[i] = p.sampleWeight(e, n)
+		if speeds.uneven && (p.ScarceMemory || speeds.mostSustain()) {
+			weights[i] *= e.suitability(now, n, speeds)
+		}
 		sum += weights[i]
 	}
 	out := make([]*engine, 0, sampleSize)
@@ -260,6 +288,16 @@
 func (p *Pool) cheapest(now time.Duration, engines []*engine, n *Need) *engine {
 	peers := p.peerMedians(now, n)
 	peers.pace = p.typicalPace(now, n.Service)
+	if n.Service.Model != nil {
+		s := p.speeds(now, n.Service.ID)
+		s.setPerEvent(n)
+		switch {
+		case p.ScarceMemory || s.uneven && s.mostSustain():
+			peers.uneven = s
+		case s.uneven:
+			peers.shared = s
+		}
+	}
 	best, bestCost := engines[0], p.cost(now, engines[0], n, peers)
 	for _, e := range engines[1:] {
 		if cost := p.cost(now, e, n, peers); cost < bestCost {
@@ -317,13 +355,17 @@
 	failures, latency float64
 	// pace is the typical time per token of the engines in seconds, 0 if unknown.
 	pace float64
+	// uneven describes the engines if their speeds differ; nil if not.
+	uneven *serviceSpeeds
+	// shared describes them if the factors of their machines count; nil if not.
+	shared *serviceSpeeds
 }
 
 // peerMedians returns the medians over the eligible engines. Both are lower
 // medians, so that a few failing or slow engines don't raise the level that counts
 // as normal.
 func (p *Pool) peerMedians(now time.Duration, n *Need) medians {
-	var rates, latencies []float64
+	rates, latencies := p.rates[:0], p.latencies[:0]
 	for _, e := range p.engines {
 		if !p.eligible(e, n) || e.health.calls == 0 && e.others.Calls == 0 {
 			continue
@@ -333,6 +375,7 @@
 			latencies = append(latencies, e.health.latency)
 		}
 	}
+	p.rates, p.latencies = rates, latencies
 	return medians{failures: lowerMedian(rates), latency: lowerMedian(latencies)}
 }
 
@@ -352,10 +395,22 @@
 	cost := 0.0
 	if m := n.Service.Model; m != nil {
 		memory := float64(max(m.MemoryTokens, 1))
-		cost += float64(sum.Expected+n.Prompt+n.Output) / memory
-		cost += prefillWeight * float64(sum.Prefill+n.Prompt) / prefillTokensPerSecond
-		if n.CopyFrom == "" {
-			cost += e.paceCost(now, n.Length, peers.pace)
+		full := float64(sum.Expected+n.Prompt+n.Output) / memory
+		if peers.uneven != nil && n.CopyFrom == "" {
+			// Room that isn't needed soon is worth less than a stream on time.
+			full = full * full * full
+		}
+		cost += full
+		switch {
+		case n.CopyFrom != "":
+			cost += prefillWeight*float64(sum.Prefill+n.Prompt)/prefillTokensPerSecond + e.copyPaceCost(now, n, &sum, peers.uneven)
+		case peers.uneven != nil:
+			cost += e.unevenCost(now, n, &sum, peers.uneven)
+		default:
+			cost += prefillWeight*float64(sum.Prefill+n.Prompt)/prefillTokensPerSecond + e.paceCost(now, n.Length, peers.pace)
+			if peers.shared != nil {
+				cost += e.sharedCost(now, &sum, peers.shared)
+			}
 		}
 		if n.Prompt > 0 {
 			cost -= cachedWeight * float64(e.parts.cachedTokens(now, n.Parts)) / float64(n.Prompt)
@@ -390,6 +445,9 @@
 	if n.CopyFrom != "" {
 		home, otherDC, otherRegion, spread = n.CopyFrom, copyOtherDCCost, copyOtherRegionCost, copyJitter
 	}
+	if n.Home != "" && n.CopyFrom == "" {
+		home = n.Home
+	}
 	cost := spread * p.Random.Float64()
 	switch {
 	case e.DataCentre == home:
