Let entries on saturated hosts report that they aren't ready

The load balancer divides connections evenly among the entries of a data centre. Where hosts have 0.144 to 0.48 cores, a wave of callers saturates the smallest ones, and callers there wait while the largest hosts are at a third of their limits.

An entry now measures its processor time, the bytes of its callers' connections and its connections against the limits in its settings. At 0.8 of one of them it sends a claim with its polls. The hub that it polls grants claims, the most saturated first, as long as at most a quarter of the entries that poll it from this data centre are away. The parts of a data centre that poll different hubs have quarters that add up to a quarter of the whole at most, so the hubs need no agreement. A grant ends a second after the poll that it answers; without one the entry is ready.

It takes effect only if the settings name all limits and the hosts of the data centre differ by a third or more. In deployments with hosts of one size an entry sends its size once a second and nothing else changes.

Not measured on a deployment.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
+	"turmericdrum.org/turmericdrum/pkg/serving/saturation"
 )
 
 const (
@@ -72,7 +73,10 @@
 	Grace time.Duration
 	// Retries limits the retries of calls; Window, Ratio and Allowance must be set.
 	Retries placement.RetryBudget
-	Clock   serving.Clock
+	// Capacity holds the limits of the host. Unless all of them are known, the readiness of
+	// this entry does not depend on its load.
+	Capacity saturation.Capacity
+	Clock    serving.Clock
 
 	board    blackboard
 	upstream *upstream.Pool
@@ -81,6 +85,7 @@
 	fairQueue placement.FairQueue
 	watcher   watcher
 	callers   connTracker
+	hostLoad  hostLoad
 	// heldAnswers and heldBodies bound the memory for the answers and bodies of all calls.
 	heldAnswers, heldBodies *heldBytes
 	draining                atomic.Bool
@@ -120,11 +125,12 @@
 		{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
 	var group errgroup.Group
-	group.Go(func() error { return serveOn(servers[0], front) })
+	group.Go(func() error { return serveOn(servers[0], g.hostLoad.count(front)) })
 	group.Go(func() error { return serveOn(servers[1], ready) })
 	g.serveMetrics()
 	go g.watcher.run(background)
 	go g.upstream.Run(background)
+	go g.hostLoad.run(background)
 	ended := make(chan error, 1)
 	go func() { ended <- group.Wait() }()
 	select {
@@ -148,6 +154,7 @@
 	g.heldAnswers, g.heldBodies = newHeldAnswers(), newHeldBodies()
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, Clock: g.Clock}
+	g.hostLoad.setup(g)
 	g.watcher.setup(g)
 }
 
@@ -172,7 +179,7 @@
 
 // ready answers readiness checks: whether this entry accepts new connections.
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if g.draining.Load() || g.board.view.Load() == nil {
+	if g.draining.Load() || g.board.view.Load() == nil || g.hostLoad.away(g.Clock.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -190,6 +197,7 @@
 	t := time.AfterFunc(untilEnd, end)
 	defer t.Stop()
 	g.draining.Store(true)
+	g.hostLoad.setLeaving()
 	klog.InfoS("Entry shutting down", "host", g.Host, "in_progress", inProgress.Value(), "grace", g.Grace)
 	time.Sleep(min(drainNotice, g.Grace/2))
 	g.noticed.Store(true)
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -11,6 +11,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/deployment"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
+	"turmericdrum.org/turmericdrum/pkg/serving/saturation"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -18,6 +19,7 @@
 func TestMalformedAnswersOfHubLeaveEntryUsable(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		g := &Gateway{Host: "10.0.0.1", DataCentre: "a", Region: "a", Hubs: []string{"http://10.0.0.1:80"},
+			Capacity:     saturation.Capacity{Cores: 1, LinkMbps: 1, Descriptors: 1},
 			DecodeConfig: func([]byte) (*routing.Config, error) { return &routing.Config{}, nil }}
 		g.setup()
 		w := &g.watcher
@@ -25,6 +27,7 @@
 			res := &schema.WatchResult{}
 			schematest.Draw(rt, res)
 			w.applyState(res)
+			g.hostLoad.apply(0, res.GetSaturation())
 			w.applyEngines(res, w.hubs[0], []usage.Use{{Engine: "a", Running: 1}})
 			for _, a := range res.GetHubs() {
 				w.addHub(a)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,11 @@
 	pausesAsked         = expvar.NewInt("engine_pauses_asked")
 	limitsUnreadable    = expvar.NewInt("engine_limits_unreadable")
 	panics              = expvar.NewInt("panics_recovered")
+	hostProcessorLevel  = expvar.NewFloat("host_processor_level")
+	hostLinkLevel       = expvar.NewFloat("host_link_level")
+	hostDescriptorLevel = expvar.NewFloat("host_descriptor_level")
+	hostAway            = expvar.NewInt("host_away")
+	hostPhaseChanges    = expvar.NewMap("host_phase_changes")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -211,11 +211,14 @@
 		in.Uses = append(in.Uses, own[i].ToWire())
 	}
 	in.LostCalls, in.SoundParts = w.ownOutcomes()
+	sentAt := w.g.Clock.Now()
+	in.Saturation = w.g.hostLoad.report(sentAt, h != w.current)
 	res, err := h.client.Watch(ctx, in)
 	if err != nil {
 		return serving.WrapError(err, serving.KindNoQuorum, "poll the hub")
 	}
 	hubPolls.Add(1)
+	w.g.hostLoad.apply(sentAt, res.GetSaturation())
 	w.applyState(res)
 	w.applyEngines(res, h, own)
 	for _, a := range res.GetHubs() {
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -20,6 +20,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
+	"turmericdrum.org/turmericdrum/pkg/serving/saturation"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -93,8 +94,11 @@
 	// local is the load from entries that poll this hub, remote from all others.
 	local  *usage.Table
 	remote *usage.Table
-	peers  map[string]*peer
-	placer placer
+	// saturation decides which of the entries that poll this hub may report that they aren't
+	// ready because of their load.
+	saturation saturation.Table
+	peers      map[string]*peer
+	placer     placer
 	// evidence holds the calls that were lost with their engines.
 	evidence quarantine.Evidence
 	// blocks are the blocked prompts of state.
--- a/internal/hub/watch.go
+++ b/internal/hub/watch.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"turmericdrum.org/turmericdrum/pkg/schema"
+	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/presence"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
+	"turmericdrum.org/turmericdrum/pkg/serving/saturation"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
@@ -41,6 +43,7 @@
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
 	h.local.Report(now, in.GetEntry(), usage.FromWire(in.GetUses()))
+	h.saturation.Poll(now, serving.HostID(in.GetEntry()), in.GetIncarnation(), saturation.StateFromWire(in.GetSaturation()))
 	h.collect(now, in.GetLostCalls(), in.GetSoundParts(), true)
 	if h.hasUpdates(in) {
 		return nil
@@ -107,6 +110,9 @@
 	out.Entries = int32(n)
 	out.Hubs = h.reachableHubs(now)
 	out.Suspects = quarantine.PartsToWire(h.evidence.Suspects(now, h.blocks))
+	if a, ok := h.saturation.Answer(now, serving.HostID(in.GetEntry())); ok {
+		out.Saturation = a.ToWire()
+	}
 	return out
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -227,6 +227,17 @@
 	}
 }
 
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() { p.closeIdle(math.MaxInt64) }
 
