Add check-config, which finds doubtful parts of a routing configuration

Operators learned from a hub's answer only the first reason why a document is rejected, without its line. A document that is accepted but does not do what it seems to say (a path prefix that no request has, accounts without a region of a route, an objective after the timeout, a body limit above what entries hold, a version that is not higher) showed only in the answers to callers.

turmericdrum check-config decodes and compiles a document with the functions that hubs use, then runs package routing/audit over it and compares it with a file or with the version in force. Findings name the line and the key of the document. Errors of routing.Compile and DecodeConfig now have the element in their detail, from which the line is found.

Tests: tables for each finding, each exit status and a redirecting server.

--- a/cmd/turmericdrum/main.go
+++ b/cmd/turmericdrum/main.go
@@ -6,6 +6,7 @@
 //	turmericdrum control --settings control.yaml
 //	turmericdrum admin --server 10.0.0.1:7200 --key KEY list model
 //	turmericdrum check FILE...
+//	turmericdrum check-config FILE --server 10.0.0.1:8748
 //	turmericdrum timeline FILE...
 //	turmericdrum load --entry 10.0.0.1:7111 --account NAME:KEY --model guide --rate 20
 //	turmericdrum demo
@@ -18,7 +19,8 @@
 // process on a platform with its own protocols. The option --help describes the other
 // subcommands.
 //
-// The exit status is 0 on success, 1 on failure and 2 on a wrong command line.
+// The exit status is 0 on success, 1 on failure and 2 on a wrong command line; that of
+// check-config is explained at platform.CheckResult.
 package main
 
 import (
@@ -48,6 +50,7 @@
 	Control    *controlCommand         `arg:"subcommand:control" help:"run a control replica, or work on its data folder"`
 	Admin      *admin.Command          `arg:"subcommand:admin" help:"operate the system"`
 	Check      *checkCommand           `arg:"subcommand:check" help:"check settings files without starting"`
+	CheckConf  *platform.CheckCommand  `arg:"subcommand:check-config" help:"check a routing configuration of the users' platform and compare it with the one in force"`
 	Timeline   *timelines.Command      `arg:"subcommand:timeline" help:"merge event logs into one time line"`
 	Load       *load.Command           `arg:"subcommand:load" help:"send load to running entries and measure as callers would"`
 	Experiment *load.ExperimentCommand `arg:"subcommand:experiment" help:"compare placement policies in virtual time"`
@@ -82,6 +85,10 @@
 	}
 	err := run(&args)
 	klog.Flush()
+	var result platform.CheckResult
+	if errors.As(err, &result) {
+		os.Exit(int(result))
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -98,6 +105,8 @@
 		return platform.RunEntry(args.Gateway.Options)
 	case args.Hub != nil:
 		return platform.RunHub(args.Hub.Options)
+	case args.CheckConf != nil:
+		return args.CheckConf.Run(context.Background(), os.Stdout)
 	case args.Soak != nil:
 		return args.Soak.Run(context.Background(), os.Stdout)
 	case args.Admin != nil:
--- a/pkg/serving/routing/config.go
+++ b/pkg/serving/routing/config.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -113,25 +114,26 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
-// Validate returns an error of kind invalid if the configuration can't be applied.
+// Validate returns an error of kind invalid if the configuration can't be applied. Its detail
+// names the element, as in "Routes/3".
 func (c *Config) Validate() error {
 	services := map[serving.ServiceID]bool{}
 	for i := range c.Services {
 		id := c.Services[i].ID
 		if id == "" || services[id] {
-			return invalid("service " + string(id) + " has no name or stands twice")
+			return invalidAt("Services", i, "service "+string(id)+" has no name or stands twice")
 		}
 		services[id] = true
 	}
 	patterns := make(map[string]string, len(c.Routes))
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if err := r.validate(services); err != nil {
-			return err
+		if message := r.fault(services); message != "" {
+			return invalidAt("Routes", i, message)
 		}
 		pattern := normalizeHost(r.Host) + r.PathPrefix
 		if other, ok := patterns[pattern]; ok {
-			return invalid("routes " + other + " and " + r.Name + " share the host and path prefix " + pattern)
+			return invalidAt("Routes", i, "routes "+other+" and "+r.Name+" share the host and path prefix "+pattern)
 		}
 		patterns[pattern] = r.Name
 	}
@@ -144,7 +146,7 @@
 		a := &c.Accounts[i]
 		for _, key := range a.Keys {
 			if owner, ok := owners[key]; ok && owner != a.ID {
-				return invalid("accounts " + string(owner) + " and " + string(a.ID) + " share a key")
+				return invalidAt("Accounts", i, "accounts "+string(owner)+" and "+string(a.ID)+" share a key")
 			}
 			owners[key] = a.ID
 		}
@@ -152,29 +154,34 @@
 	return nil
 }
 
-func (r *Route) validate(services map[serving.ServiceID]bool) error {
+// fault returns why the route can't be applied, "" if it can.
+func (r *Route) fault(services map[serving.ServiceID]bool) string {
 	sum := 0.0
 	for _, t := range r.Targets {
 		if !services[t.Service] {
-			return invalid("route " + r.Name + " names the unknown service " + string(t.Service))
+			return "route " + r.Name + " names the unknown service " + string(t.Service)
 		}
 		if t.Weight < 0 {
-			return invalid("route " + r.Name + " has a negative weight")
+			return "route " + r.Name + " has a negative weight"
 		}
 		sum += t.Weight
 	}
 	switch {
 	case sum <= 0:
-		return invalid("the weights of route " + r.Name + " add up to 0")
+		return "the weights of route " + r.Name + " add up to 0"
 	case r.Timeout <= 0:
-		return invalid("route " + r.Name + " has no timeout")
+		return "route " + r.Name + " has no timeout"
 	case r.Host == "" || !strings.HasPrefix(r.PathPrefix, "/"):
-		return invalid("route " + r.Name + " needs a host and a path prefix that begins with a slash")
+		return "route " + r.Name + " needs a host and a path prefix that begins with a slash"
 	}
-	return nil
+	return ""
 }
 
-func invalid(message string) error { return serving.NewError(serving.KindInvalid, message) }
+// invalidAt returns an error about one element of a list of the configuration. Its detail names
+// the field of Config and the index, as in "Routes/3".
+func invalidAt(section string, index int, message string) error {
+	return serving.NewError(serving.KindInvalid, message).WithDetail(section + "/" + strconv.Itoa(index))
+}
 
 // normalizeHost returns a host name in lower case and without the port.
 func normalizeHost(host string) string {
