--- a/pkg/serving/saturation/state.go
+++ b/pkg/serving/saturation/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -31,6 +32,9 @@
 // Level is the use of a host's scarcest resource as a share of its limit.
 type Level float64
 
+// String returns the level with three decimals.
+func (l Level) String() string { return strconv.FormatFloat(float64(l), 'f', 3, 64) }
+
 // MaxAway returns how many of n entries may be away at the same time.
 func MaxAway(n int) int { return n / 4 }
 
