--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
+	"turmericdrum.org/turmericdrum/pkg/serving/saturation"
 )
 
 const (
@@ -76,6 +77,9 @@
 	ScarceMemory bool
 	// Exposure enables rollouts.
 	Exposure Exposure
+	// Capacity holds the limits of the host. Unless all of them are known, the readiness of
+	// this entry does not depend on its load.
+	Capacity saturation.Capacity
 	Clock    serving.Clock
 
 	board    blackboard
@@ -85,6 +89,7 @@
 	fairQueue placement.FairQueue
 	watcher   watcher
 	callers   connTracker
+	hostLoad  hostLoad
 	// heldAnswers and heldBodies bound the memory for the answers and bodies of all calls.
 	heldAnswers, heldBodies *heldBytes
 	draining                atomic.Bool
@@ -124,11 +129,12 @@
 		{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
 	var group errgroup.Group
-	group.Go(func() error { return serveOn(servers[0], front) })
+	group.Go(func() error { return serveOn(servers[0], g.hostLoad.count(front)) })
 	group.Go(func() error { return serveOn(servers[1], ready) })
 	g.serveMetrics()
 	go g.watcher.run(background)
 	go g.upstream.Run(background)
+	go g.hostLoad.run(background)
 	ended := make(chan error, 1)
 	go func() { ended <- group.Wait() }()
 	select {
@@ -153,6 +159,7 @@
 	g.board.rollouts.exposure, g.board.rollouts.started = g.Exposure, g.Clock.Now()
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, Clock: g.Clock}
+	g.hostLoad.setup(g)
 	g.watcher.setup(g)
 }
 
@@ -177,7 +184,7 @@
 
 // ready answers readiness checks: whether this entry accepts new connections.
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if g.draining.Load() || g.board.view.Load() == nil {
+	if g.draining.Load() || g.board.view.Load() == nil || g.hostLoad.away(g.Clock.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -195,6 +202,7 @@
 	t := time.AfterFunc(untilEnd, end)
 	defer t.Stop()
 	g.draining.Store(true)
+	g.hostLoad.setLeaving()
 	klog.InfoS("Entry shutting down", "host", g.Host, "in_progress", inProgress.Value(), "grace", g.Grace)
 	time.Sleep(min(drainNotice, g.Grace/2))
 	g.noticed.Store(true)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,6 +45,11 @@
 	// from the new version.
 	rolloutCalls         = expvar.NewMap("rollout_calls")
 	rolloutCallsWithheld = expvar.NewInt("rollout_calls_withheld")
+	hostProcessorLevel   = expvar.NewFloat("host_processor_level")
+	hostLinkLevel        = expvar.NewFloat("host_link_level")
+	hostDescriptorLevel  = expvar.NewFloat("host_descriptor_level")
+	hostAway             = expvar.NewInt("host_away")
+	hostPhaseChanges     = expvar.NewMap("host_phase_changes")
 )
 
 // histogram is a latency histogram in milliseconds.
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -219,12 +219,14 @@
 		in.RolloutsRevision = b.rolloutsRevision()
 		in.Rollouts, reported = b.reportRollouts(asked, h.incarnation)
 	}
+	in.Saturation = w.g.hostLoad.report(asked, h != w.current)
 	res, err := h.client.Watch(ctx, in)
 	reported(err == nil)
 	if err != nil {
 		return serving.WrapError(err, serving.KindNoQuorum, "poll the hub")
 	}
 	hubPolls.Add(1)
+	w.g.hostLoad.apply(asked, res.GetSaturation())
 	w.applyState(res)
 	w.applyEngines(res, h, own)
 	w.g.board.applyRollouts(w.g.Clock.Now(), asked, res)
