Find ports that are free on all loopback addresses in tests

Tests of platform and hub failed now and then with "listen tcp 127.0.8.2:35467: bind: address already in use" while the tests of other packages or trees ran. A port was taken as free if 127.0.0.1 had it free, but the tests listen on other loopback addresses, where processes of other tests may have it. The port is now looked for on all addresses.

--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -44,13 +44,13 @@
 // usedPorts holds the ports that freePort has returned.
 var usedPorts sync.Map
 
-// freePort returns a port that is free on 127.0.0.1 and therefore most likely also on
-// the addresses of the test hubs. It returns each port only once, because tests that run
-// in parallel use the same addresses.
+// freePort returns a port that is not in use. It returns each port only once, because tests
+// that run in parallel use the same addresses.
 func freePort(t *testing.T) int {
 	t.Helper()
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// On all addresses, because the tests listen on several loopback addresses.
+		l, err := net.Listen("tcp", ":0")
 		assert.NilError(t, err)
 		port := l.Addr().(*net.TCPAddr).Port
 		_ = l.Close()
