Limit what clients may use of an entry or a hub

Callers could see an entry or a hub end for want of memory or descriptors: nothing bounded connections, header fields, bodies up to 32 KiB each, bodies at paths without a route, or the servers of a hub.

internal/ingress bounds connections and charges headers, bodies and held answers to one budget. Bodies are read once the route and the key are known. Connections without progress are closed first, in the order of pkg/serving/shedding.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/ingress"
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
@@ -24,14 +25,6 @@
 )
 
 const (
-	// headerTimeout bounds the time that a caller takes to send a request header. It
-	// is above the limits in current configurations, with which callers comply.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is above the idle limit in current configurations, so the entry
-	// never closes a connection while a request is on its way.
-	idleTimeout = 60 * time.Second
-	// maxHeader bounds the header of a request in bytes, before its route is known.
-	maxHeader = 64 << 10
 	// defaultBodyTimeout is enough for the largest body at a megabit per second.
 	defaultBodyTimeout = 70 * time.Second
 	// writeGrace is how long after the deadline of a call its caller may take to read the
@@ -68,6 +61,10 @@
 	// BodyTimeout bounds the time that a caller takes to send a body; 0 means
 	// defaultBodyTimeout.
 	BodyTimeout time.Duration
+	// Budget bounds the memory that callers use; nil means no bound. CallerLimits and
+	// ReadinessLimits are the limits of the two addresses.
+	Budget                        *ingress.Budget
+	CallerLimits, ReadinessLimits ingress.Limits
 	// Grace is the time from the stop signal until the process is killed.
 	Grace time.Duration
 	// Retries limits the retries of calls; Window, Ratio and Allowance must be set.
@@ -100,13 +97,13 @@
 // grace period is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.setup()
-	front, err := net.Listen("tcp", g.Frontend)
-	if err != nil {
-		return serving.WrapError(err, serving.KindInvalid, "listen on "+g.Frontend)
+	front := &ingress.Listener{Name: "callers", Budget: g.Budget, Limits: g.CallerLimits}
+	if err := front.Listen(g.Frontend); err != nil {
+		return err
 	}
-	ready, err := net.Listen("tcp", g.Readiness)
-	if err != nil {
-		return serving.WrapError(err, serving.KindInvalid, "listen on "+g.Readiness)
+	ready := &ingress.Listener{Name: "readiness", Budget: g.Budget, Limits: g.ReadinessLimits}
+	if err := ready.Listen(g.Readiness); err != nil {
+		return err
 	}
 	klog.InfoS("Entry started", "host", g.Host, "data_centre", g.DataCentre, "frontend", g.Frontend, "readiness", g.Readiness, "hubs", g.Hubs)
 	background, stop := context.WithCancel(context.Background())
@@ -116,8 +113,8 @@
 	defer end()
 	g.ending = ending
 	servers := []*http.Server{
-		{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: g.callers.observe},
-		{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		front.Server(http.HandlerFunc(g.serve), g.callers.observe),
+		ready.Server(ready.Guard(http.HandlerFunc(g.ready)), nil),
 	}
 	var group errgroup.Group
 	group.Go(func() error { return serveOn(servers[0], front) })
@@ -141,11 +138,15 @@
 	if g.BodyTimeout <= 0 {
 		g.BodyTimeout = defaultBodyTimeout
 	}
+	if g.Budget == nil {
+		g.Budget = &ingress.Budget{}
+	}
+	g.CallerLimits.BodyTime = g.BodyTimeout
 	if g.Clock == nil {
 		g.Clock = serving.NewMonotonicClock()
 	}
 	g.board.pool = placement.Pool{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), DataCentre: g.DataCentre, RegionOf: g.RegionOf}
-	g.heldAnswers, g.heldBodies = newHeldAnswers(), newHeldBodies()
+	g.heldAnswers, g.heldBodies = newHeldAnswers(g.Budget.Bytes), newHeldBodies(g.Budget.Bytes)
 	g.board.streams = map[serving.EngineID]map[*relay]bool{}
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, Clock: g.Clock}
 	g.watcher.setup(g)
@@ -167,7 +168,9 @@
 		klog.ErrorS(err, "Failed to listen for metrics requests", "listen", g.MetricsListen)
 		return
 	}
-	go func() { _ = http.Serve(l, g.Metrics) }()
+	// The address is an operator's, and takes no more connections than readiness checks.
+	limited := &ingress.Listener{Listener: l, Name: "metrics", Budget: g.Budget, Limits: g.ReadinessLimits}
+	go func() { _ = limited.Server(limited.Guard(g.Metrics), nil).Serve(limited) }()
 }
 
 // ready answers readiness checks: whether this entry accepts new connections.
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -5,6 +5,8 @@
 	"expvar"
 	"io"
 	"sync/atomic"
+
+	"turmericdrum.org/turmericdrum/internal/ingress"
 )
 
 const (
@@ -20,6 +22,11 @@
 	// minHeldStep is the size in bytes of the first part of a body that is held. Each
 	// further part is as long as all before it.
 	minHeldStep = int64(4 << 10)
+	// firstStated is the size of the first part of a body with a stated length. A caller that
+	// states a length and sends nothing takes no more.
+	firstStated = int64(32 << 10)
+	// heldShare is the part of the process's budget that bodies, or answers, may take.
+	heldShare = 2
 )
 
 var (
@@ -39,12 +46,21 @@
 	held, refused *expvar.Int
 }
 
-func newHeldAnswers() *heldBytes {
-	return &heldBytes{max: maxHeldAnswers, held: answerBytesHeld, refused: answerHoldsRefused}
+// newHeldAnswers and newHeldBodies return the bounds of a process with a budget for what its
+// clients use; 0 means no bound.
+func newHeldAnswers(budget int64) *heldBytes {
+	return &heldBytes{max: boundHeld(maxHeldAnswers, budget), held: answerBytesHeld, refused: answerHoldsRefused}
+}
+
+func newHeldBodies(budget int64) *heldBytes {
+	return &heldBytes{max: boundHeld(maxHeldBodies, budget), held: bodyBytesHeld, refused: bodyHoldsRefused}
 }
 
-func newHeldBodies() *heldBytes {
-	return &heldBytes{max: maxHeldBodies, held: bodyBytesHeld, refused: bodyHoldsRefused}
+func boundHeld(most, budget int64) int64 {
+	if budget <= 0 {
+		return most
+	}
+	return min(most, budget/heldShare)
 }
 
 // reserve reports whether n more bytes may be held.
@@ -58,6 +74,15 @@
 	return true
 }
 
+// fits reports whether n more bytes could be held now.
+func (h *heldBytes) fits(n int64) bool {
+	if n <= 0 || h.total.Load()+n <= h.max {
+		return true
+	}
+	h.refused.Add(1)
+	return false
+}
+
 func (h *heldBytes) release(n int64) {
 	h.total.Add(-n)
 	h.held.Add(-n)
@@ -70,10 +95,22 @@
 	// refused because of those with long ones.
 	free  int64
 	bytes int64
+	// conn is the caller's connection, to which all bytes are charged, and reserve one of its
+	// methods. charged is what is charged so far. conn is nil if the bytes aren't charged.
+	conn    *ingress.Conn
+	reserve func(n int64) bool
+	charged int64
 }
 
 // extend reports whether the call may hold n bytes in all.
 func (h *hold) extend(n int64) bool {
+	if h.conn != nil && n > max(h.charged, ingress.FreeBytes) {
+		if !h.reserve(n - h.charged) {
+			h.of.refused.Add(1)
+			return false
+		}
+		h.charged = n
+	}
 	if n -= h.free; n <= h.bytes {
 		return true
 	}
@@ -90,17 +127,24 @@
 		h.of.release(h.bytes)
 		h.bytes = 0
 	}
+	if h.charged > 0 {
+		h.conn.Release(h.charged)
+		h.charged = 0
+	}
 }
 
 // read reads up to limit bytes of a body, or fewer if no more may be held. length is the stated
 // length of the body, negative if it has none; a body that is too long to be held as a whole is
-// not begun. The error is that of the body, nil if there may be more of it.
+// not begun. What is held grows with what has been received, also if the length is stated. The
+// error is that of the body, nil if there may be more of it.
 func (h *hold) read(body io.Reader, length, limit int64) ([]byte, error) {
 	size := minHeldStep
 	if length >= 0 && length < limit {
 		// One more byte finds the end.
 		limit = length + 1
-		size = limit
+		if size = min(limit, firstStated); !h.of.fits(limit - h.free) {
+			return nil, nil
+		}
 	}
 	var b bytes.Buffer
 	for ; h.extend(size); size = min(2*size, limit) {
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -39,7 +39,7 @@
 		{"room for a part, no length", 9000, -1, 0, longest - 10<<10, 8 << 10, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			all := newHeldBodies()
+			all := newHeldBodies(0)
 			all.max = longest
 			assert.Assert(t, all.reserve(tc.other))
 			h := hold{of: all, free: tc.free}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,20 +11,19 @@
 
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/ingress"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/pacing"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
+	"turmericdrum.org/turmericdrum/pkg/serving/shedding"
 )
 
 const (
 	// maxBody bounds a request body in bytes before its route is known. It is above the
 	// limits in current configurations.
 	maxBody = 8 << 20
-	// dropBodyTimeout bounds the time in which the rest of a body is dropped that can't be
-	// held.
-	dropBodyTimeout = time.Second
 	// bodyRetryAfter is the Retry-After of a call whose body can't be held. Callers connect to
 	// another entry.
 	bodyRetryAfter = 100 * time.Millisecond
@@ -49,9 +48,11 @@
 	// possibleRuns counts the engines that may have run the call.
 	possibleRuns int
 	// crashes counts the engines whose process ended while they had the call.
-	crashes       int
-	retries       int
-	revision      uint64
+	crashes  int
+	retries  int
+	revision uint64
+	// limits are those of the configuration.
+	limits        routing.Limits
 	engine        serving.EngineID
 	headerWritten bool
 	// held counts the bytes of answers that are held for the call.
@@ -69,28 +70,29 @@
 	control := http.NewResponseController(w)
 	// The deadline of an earlier call on the connection is over.
 	_ = control.SetWriteDeadline(time.Now().Add(g.BodyTimeout + defaultCallerTimeout))
-	held := hold{of: g.heldBodies, free: freeBody}
-	defer held.end()
-	body, err := g.readBody(w, r, &held)
+	conn := ingress.FromContext(r.Context())
+	call, err := g.Dialect.DecodeCall(r, nil)
 	if err != nil {
-		if serving.KindOf(err) == serving.KindDeadline {
-			callersStalled.Add(1)
-			klog.InfoS("Caller did not send its body in time", "caller", r.RemoteAddr, "method", r.Method, "took", g.Clock.Now()-arrivedAt)
-		}
-		g.Dialect.Refuse(w, nil, serving.AsError(err))
+		ingress.Drop(w, r, func() { g.Dialect.Refuse(w, nil, serving.AsError(err)) })
 		return
 	}
-	call, err := g.Dialect.DecodeCall(r, body)
-	if err != nil {
-		g.Dialect.Refuse(w, nil, serving.AsError(err))
+	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context(), held: hold{of: g.heldAnswers, conn: conn, reserve: conn.ReserveAnswer}}
+	defer j.held.end()
+	if err := j.admit(conn, r); err != nil {
+		ingress.Drop(w, r, func() { j.refuse(err) })
 		return
 	}
-	j := &job{g: g, w: w, Call: call, arrivedAt: arrivedAt, ctx: r.Context(), held: hold{of: g.heldAnswers}}
-	defer j.held.end()
-	if err := j.decide(); err != nil {
-		j.refuse(err)
+	held := hold{of: g.heldBodies, free: freeBody, conn: conn, reserve: conn.Reserve}
+	defer held.end()
+	if call.Body, err = g.readBody(w, r, &held, j.bodyLimit()); err != nil {
+		if serving.KindOf(err) == serving.KindDeadline {
+			callersStalled.Add(1)
+			klog.InfoS("Caller did not send its body in time", "caller", r.RemoteAddr, "method", r.Method, "took", g.Clock.Now()-arrivedAt)
+		}
+		ingress.Drop(w, r, func() { g.Dialect.Refuse(w, call, serving.AsError(err)) })
 		return
 	}
+	conn.Vouch()
 	j.parts = append(quarantine.Shareable(call.Parts), quarantine.HashCall(j.accountID(), call.Method, call.Host, call.Target, call.Body))
 	if err := j.checkBlocked(); err != nil {
 		j.refuse(err)
@@ -138,41 +140,63 @@
 	viewRetryAfter = 500 * time.Millisecond
 )
 
+// admit decides the route of the call before its body is read.
+func (j *job) admit(conn *ingress.Conn, r *http.Request) error {
+	if err := conn.Begin(r); err != nil {
+		return err
+	}
+	if err := j.decide(); err != nil {
+		return err
+	}
+	if r.ContentLength > j.bodyLimit() {
+		return errBodyTooLarge()
+	}
+	return nil
+}
+
+func errBodyTooLarge() error {
+	return serving.NewError(serving.KindTooLarge, "the body is larger than the limit")
+}
+
+// bodyLimit returns the limit of the body of a call whose route is known.
+func (j *job) bodyLimit() int64 {
+	if limit := int64(j.limits.BodyBytes); limit > 0 {
+		return min(limit, maxBody)
+	}
+	return maxBody
+}
+
 // readBody reads a body within BodyTimeout, however slowly its bytes come.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, held *hold) ([]byte, error) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, held *hold, most int64) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	if r.ContentLength > maxBody {
-		return nil, serving.NewError(serving.KindTooLarge, "the body is larger than the limit")
-	}
+	conn := ingress.FromContext(r.Context())
+	conn.Phase(shedding.Body)
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(g.BodyTimeout))
-	limited := http.MaxBytesReader(w, r.Body, maxBody)
 	// The limit is above that of the body, so that its end is always found.
-	b, err := held.read(limited, r.ContentLength, 2*maxBody)
-	var tooLarge *http.MaxBytesError
+	b, err := held.read(io.LimitReader(r.Body, most+1), r.ContentLength, 2*maxBody)
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, serving.NewError(serving.KindTooLarge, "the body is larger than the limit")
+	case int64(len(b)) > most:
+		return nil, errBodyTooLarge()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The deadline stays, so that the server doesn't wait for the rest of the body.
-		return nil, serving.NewError(serving.KindDeadline, "the body was not received within "+g.BodyTimeout.String())
+		return nil, serving.NewError(serving.KindDeadline, "the body was not received in time, within "+g.BodyTimeout.String()+" or without a pause")
 	case err == nil:
-		// The rest is dropped, as callers read no answer before they have sent it.
 		read := len(b)
 		held.end()
-		_ = control.SetReadDeadline(time.Now().Add(dropBodyTimeout))
-		if _, err := io.Copy(io.Discard, limited); err == nil {
-			_ = control.SetReadDeadline(time.Time{})
-		}
-		klog.InfoS("Body refused, the bodies of other calls take the memory", "caller", r.RemoteAddr, "length", r.ContentLength, "read", read, "limit", maxHeldBodies)
+		klog.InfoS("Body refused, the bodies of other calls take the memory", "caller", r.RemoteAddr, "length", r.ContentLength, "read", read, "limit", held.of.max)
 		return nil, serving.NewError(serving.KindOverloaded, "the bodies of other calls take the memory for bodies").WithRetryAfter(pacing.Spread(bodyRetryAfter, rand.Float64()))
 	case !errors.Is(err, io.EOF):
 		return nil, serving.WrapError(err, serving.KindInvalid, "read the body")
+	case !conn.EndBody():
+		return nil, serving.NewError(serving.KindDeadline, "the body was not received in time")
 	}
 	// A read deadline that is left would end the call when it expires.
 	_ = control.SetReadDeadline(time.Time{})
+	// Trailer fields are not passed on, and may be many.
+	r.Trailer = nil
 	return b, nil
 }
 
@@ -182,7 +206,7 @@
 	if v == nil {
 		return serving.NewError(serving.KindViewExpired, "no configuration is known yet").WithRetryAfter(viewRetryAfter)
 	}
-	j.revision = v.revision
+	j.revision, j.limits = v.revision, v.table.Config.Limits
 	d, err := v.table.Decide(j.Call, rand.Float64())
 	if err != nil {
 		return err
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/ingress"
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -35,10 +36,8 @@
 	// completeIntervals is the number of heartbeat intervals after which a new process
 	// reports that its list of engines is complete. One heartbeat per engine may be lost.
 	completeIntervals = 2.5
-	// headerTimeout bounds the time that a client of the hub takes to send a header.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is longer than the interval of engines' heartbeats.
-	idleTimeout = 30 * time.Second
+	// metricsConnections bounds the connections to the metrics.
+	metricsConnections = 16
 	// shutdownTimeout bounds the wait for requests in progress at shutdown.
 	shutdownTimeout = 500 * time.Millisecond
 )
@@ -77,7 +76,11 @@
 	// HeartbeatInterval is the heartbeat interval of engines; 0 means a third of
 	// presence.DefaultSilentAfter.
 	HeartbeatInterval time.Duration
-	Clock             serving.Clock
+	// Budget bounds the memory that clients use; nil means no bound. ControlLimits and
+	// InternalLimits are the limits of the two addresses.
+	Budget                        *ingress.Budget
+	ControlLimits, InternalLimits ingress.Limits
+	Clock                         serving.Clock
 
 	once sync.Once
 	// incarnation is a random number, never 0, that identifies this run of the hub.
@@ -117,13 +120,13 @@
 // Run serves until ctx ends and this hub has handed over its vote, if there is a successor.
 func (h *Hub) Run(ctx context.Context) error {
 	h.once.Do(h.setup)
-	internal, err := net.Listen("tcp", h.Listen)
-	if err != nil {
-		return serving.WrapError(err, serving.KindInvalid, "listen on "+h.Listen)
+	internal := &ingress.Listener{Name: "internal", Budget: h.Budget, Limits: h.InternalLimits}
+	if err := internal.Listen(h.Listen); err != nil {
+		return err
 	}
-	control, err := net.Listen("tcp", h.ControlAddress)
-	if err != nil {
-		return serving.WrapError(err, serving.KindInvalid, "listen on "+h.ControlAddress)
+	control := &ingress.Listener{Name: "control", Budget: h.Budget, Limits: h.ControlLimits}
+	if err := control.Listen(h.ControlAddress); err != nil {
+		return err
 	}
 	klog.InfoS("Hub started", "host", h.Host, "data_centre", h.DataCentre, "address", h.Address, "control", h.ControlAddress, "bootstrap", h.Bootstrap)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -148,15 +151,19 @@
 		if err != nil {
 			klog.ErrorS(err, "Failed to listen for metrics requests", "listen", h.MetricsListen)
 		} else {
-			g.Go(func() error { return serve(ctx, l, h.Metrics) })
+			limited := &ingress.Listener{Listener: l, Name: "metrics", Budget: h.Budget, Limits: ingress.Limits{Connections: metricsConnections, BodyBytes: -1}}
+			g.Go(func() error { return serve(ctx, limited, h.Metrics) })
 		}
 	}
-	err = g.Wait()
+	err := g.Wait()
 	klog.InfoS("Hub stopped", "host", h.Host, "err", err)
 	return err
 }
 
 func (h *Hub) setup() {
+	if h.Budget == nil {
+		h.Budget = &ingress.Budget{}
+	}
 	if h.Clock == nil {
 		h.Clock = serving.NewMonotonicClock()
 	}
@@ -203,8 +210,8 @@
 
 // serve serves until ctx is canceled, and then waits up to shutdownTimeout for the
 // requests in progress.
-func serve(ctx context.Context, l net.Listener, handler http.Handler) error {
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+func serve(ctx context.Context, l *ingress.Listener, handler http.Handler) error {
+	s := l.Server(l.Guard(handler), nil)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	select {
