Count what decoded bodies take, and the bytes in kernel buffers

A hub that was sent 4 MiB of empty JSON objects or protobuf messages held 190 MiB and 123 MiB of 112 MiB: each byte of such a body takes up to 90 bytes when it is decoded. Guard now reads the body of a request and charges what decoding it takes before the handler runs.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -57,10 +57,10 @@
 	// is none.
 	writing atomic.Int64
 	valid   atomic.Bool
-	// held is what is charged for the connection beyond ConnectionBytes. unread is the part of
-	// it for bytes that have arrived and were not read, at the last check.
+	// held is what is charged for the connection beyond ConnectionBytes. queued is the part of
+	// it for bytes in the kernel's buffers at the last check.
 	held   atomic.Int64
-	unread int64
+	queued int64
 	closed atomic.Bool
 	once   sync.Once
 
@@ -373,10 +373,11 @@
 	freeInterval = 2 * time.Millisecond
 )
 
-// chargeUnread sets the charge for unread bytes. The caller holds mu of the listener.
-func (c *Conn) chargeUnread(n int64) {
-	if delta := n - c.unread; delta != 0 {
-		c.unread = n
+// chargeQueued sets the charge for bytes in the kernel's buffers. The caller holds mu of the
+// listener.
+func (c *Conn) chargeQueued(n int64) {
+	if delta := n - c.queued; delta != 0 {
+		c.queued = n
 		c.held.Add(delta)
 		c.l.Budget.charge(delta)
 	}
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -1,9 +1,11 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -11,52 +13,81 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/shedding"
 )
 
-// dropAtOnce is the length up to which the rest of a body is read before the answer to its
-// request, so that the connection can be kept, and dropAtOnceTime bounds the time for that.
 const (
+	// dropAtOnce is the length up to which the rest of a body is read before the answer to its
+	// request, so that the connection can be kept, and dropAtOnceTime bounds the time for that.
 	dropAtOnce     = 64 << 10
 	dropAtOnceTime = time.Second
+	// firstRead is the size of the first part of a body. Each further part is as long as all
+	// before it, so that a stated length alone takes no memory.
+	firstRead = 4 << 10
 )
 
-// Guard returns a handler that accounts for the header and the body of a request and passes it
-// on. A body over the limit gets 413 and a request without memory 503, before anything runs.
+// Guard returns a handler that reads the body of a request, accounts for it and for the header,
+// and passes the request on. A body over the limit gets 413, one that makes no progress 408, and
+// a request without memory 503, before anything runs.
 func (l *Listener) Guard(next http.Handler) http.Handler {
 	limits := l.Limits.withDefaults()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
-		if c.Begin(r) != nil {
-			w.Header().Set("Retry-After", strconv.FormatFloat(memoryRetryAfter.Seconds(), 'f', -1, 64))
-			Drop(w, r, func() { w.WriteHeader(http.StatusServiceUnavailable) })
+		if err := c.Begin(r); err != nil {
+			Drop(w, r, func() { refuse(w, err) })
 			return
 		}
 		recorder := &statusRecorder{ResponseWriter: w}
-		var body *countedBody
-		switch {
-		case r.Body == nil || r.Body == http.NoBody:
-		case limits.BodyBytes < 0:
-			// The answer doesn't depend on the body, which is not read.
-			r.Body, r.ContentLength = http.NoBody, 0
-			w.Header().Set("Connection", "close")
-		case r.ContentLength > limits.BodyBytes:
-			c.noteRefused(causeBodyBytes)
-			Drop(w, r, func() { w.WriteHeader(http.StatusRequestEntityTooLarge) })
-			return
-		default:
-			c.Phase(shedding.Body)
-			body = &countedBody{ReadCloser: r.Body, c: c, limit: limits.BodyBytes, factor: limits.BodyFactor}
-			r.Body = body
+		if r.Body != nil && r.Body != http.NoBody {
+			limit := limits.BodyBytes
+			if limits.BodyOf != nil {
+				limit = limits.BodyOf(r)
+			}
+			if limit <= 0 {
+				Drop(w, r, func() { next.ServeHTTP(recorder, withBody(r, nil)) })
+				return
+			}
+			body := countedBody{c: c, body: r.Body, limit: limit, factor: limits.BodyFactor, cost: limits.DecodeCost}
 			defer body.release()
+			raw, err := body.readAll(r.ContentLength)
+			if err != nil {
+				Drop(w, r, func() { refuse(w, err) })
+				return
+			}
+			r = withBody(r, raw)
 		}
 		next.ServeHTTP(recorder, r)
-		if body != nil && !body.ended {
-			body.drop(w, limits)
-		}
 		if recorder.status < http.StatusBadRequest {
 			c.Vouch()
 		}
 	})
 }
 
+// withBody returns the request with another body and without trailer fields.
+func withBody(r *http.Request, body []byte) *http.Request {
+	out := *r
+	out.Body, out.ContentLength, out.TransferEncoding, out.Trailer = http.NoBody, int64(len(body)), nil, nil
+	if len(body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	return &out
+}
+
+// refuse answers a request that is not passed on.
+func refuse(w http.ResponseWriter, err error) {
+	e := serving.AsError(err)
+	status := http.StatusServiceUnavailable
+	switch e.Kind {
+	case serving.KindTooLarge:
+		status = http.StatusRequestEntityTooLarge
+	case serving.KindDeadline:
+		status = http.StatusRequestTimeout
+	case serving.KindInvalid:
+		status = http.StatusBadRequest
+	}
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+	http.Error(w, e.Error(), status)
+}
+
 func (c *Conn) noteRefused(cause string) {
 	if c != nil {
 		c.l.note(refusals, cause, c)
@@ -65,51 +96,81 @@
 
 // countedBody is a body whose bytes are charged to its connection until the request ends.
 type countedBody struct {
-	io.ReadCloser
 	c             *Conn
+	body          io.Reader
 	limit, factor int64
-	read, held    int64
-	ended         bool
+	cost          func(body []byte) int64
+	held          int64
 }
 
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.read += int64(n)
-	if b.read > b.limit {
-		b.c.noteRefused(causeBodyBytes)
-		return n, serving.NewError(serving.KindTooLarge, "the body is larger than the limit of "+strconv.FormatInt(b.limit, 10)+" bytes")
-	}
-	if need := b.read*b.factor - FreeBytes; need > b.held {
-		// Charged in steps, because a client may send single bytes.
-		step := max(need-b.held, int64(serverBuffer))
-		if !b.c.Reserve(step) {
-			b.c.noteRefused(causeMemory)
-			return n, errNoMemory()
-		}
-		b.held += step
+// readAll reads the body. length is its stated length, negative if it has none.
+func (b *countedBody) readAll(length int64) ([]byte, error) {
+	if length > b.limit {
+		return nil, b.tooLarge()
 	}
-	if errors.Is(err, io.EOF) && !b.ended {
-		b.ended = true
-		if !b.c.EndBody() {
-			return n, errNoMemory()
+	b.c.Phase(shedding.Body)
+	var out bytes.Buffer
+	size := int64(firstRead)
+	for {
+		if length >= 0 {
+			size = min(size, length+1)
+		}
+		if !b.hold(size*b.factor - FreeBytes) {
+			return nil, b.noMemory()
 		}
+		out.Grow(int(size) - out.Len() + bytes.MinRead)
+		_, err := io.CopyN(&out, b.body, size-int64(out.Len()))
+		switch {
+		case int64(out.Len()) > b.limit:
+			return nil, b.tooLarge()
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.EOF) && !b.c.EndBody():
+			return nil, serving.NewError(serving.KindDeadline, "the body was not received in time")
+		case errors.Is(err, io.EOF):
+			return out.Bytes(), b.decodable(out.Bytes())
+		case err != nil:
+			return nil, serving.WrapError(err, serving.KindInvalid, "read the body")
+		}
+		size = min(2*size, b.limit+1)
 	}
-	return n, err
 }
 
-// drop reads the rest of a body that the handler has not read.
-func (b *countedBody) drop(w http.ResponseWriter, limits Limits) {
-	control := http.NewResponseController(w)
-	if b.c == nil || b.c.phase.CompareAndSwap(int32(shedding.Body), int32(shedding.Refused)) {
-		_ = control.SetReadDeadline(time.Now().Add(limits.DropTime))
-		if _, err := io.CopyN(io.Discard, b.ReadCloser, limits.DropBytes); errors.Is(err, io.EOF) {
-			_ = control.SetReadDeadline(time.Time{})
-			return
-		}
+// decodable charges what the decoded body takes.
+func (b *countedBody) decodable(raw []byte) error {
+	if b.cost == nil {
+		return nil
 	}
-	// The server must not wait for more of the body.
-	_ = control.SetReadDeadline(time.Now())
+	cost := b.cost(raw)
+	if c := b.c; c != nil && c.l.Budget.Bytes > 0 && cost > c.l.Budget.Bytes/100*requestShare {
+		return b.tooLarge()
+	}
+	if !b.hold(int64(len(raw))*b.factor + cost - FreeBytes) {
+		return b.noMemory()
+	}
+	return nil
+}
+
+// hold charges n bytes in all.
+func (b *countedBody) hold(n int64) bool {
+	if n <= b.held {
+		return true
+	}
+	if !b.c.Reserve(n - b.held) {
+		return false
+	}
+	b.held = n
+	return true
+}
+
+func (b *countedBody) tooLarge() error {
+	b.c.noteRefused(causeBodyBytes)
+	return serving.NewError(serving.KindTooLarge, "the body is larger than the limit of "+strconv.FormatInt(b.limit, 10)+" bytes, or takes too much memory")
+}
+
+// noMemory releases what the body holds, because its rest is dropped.
+func (b *countedBody) noMemory() error {
+	b.release()
+	b.c.noteRefused(causeMemory)
+	return errNoMemory()
 }
 
 func (b *countedBody) release() {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -20,15 +20,13 @@
 const (
 	// tick is the resolution of the listener's clock and the interval of its checks.
 	tick = 100 * time.Millisecond
-	// unreadTicks is the number of ticks between two checks for unread bytes, each of which takes
+	// queuedTicks is the number of ticks between two checks of the kernel's buffers, each of which takes
 	// about a microsecond for each request in progress.
-	unreadTicks = 5
+	queuedTicks = 5
 	// logInterval is the interval between two log lines for the same cause.
 	logInterval = 5 * time.Second
 	// descriptorPause is the pause after an accept that failed for want of a descriptor.
 	descriptorPause = 10 * time.Millisecond
-	// maxWriteBuffer is the size of the kernel's send buffer of a connection.
-	maxWriteBuffer = 256 << 10
 )
 
 // Listener accepts the connections of clients within limits.
@@ -69,13 +67,17 @@
 		// send more than that.
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, limits.ReadBuffer)
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, maxWriteBuffer)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, limits.WriteBuffer)
 		})
 	}}
 	inner, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return serving.WrapError(err, serving.KindInvalid, "listen on "+address)
 	}
+	// Connections that wait to be accepted hold bytes, too.
+	if raw, err := inner.(*net.TCPListener).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), limits.Backlog) })
+	}
 	l.Listener = inner
 	return nil
 }
@@ -140,7 +142,7 @@
 		return
 	}
 	delete(l.conns, c)
-	c.chargeUnread(0)
+	c.chargeQueued(0)
 	l.Budget.charge(-ConnectionBytes)
 	connectionsInUse.Add(-1)
 }
@@ -219,8 +221,8 @@
 		<-t.C
 		now := max(1, int64(time.Since(l.started)))
 		l.now.Store(now)
-		if n%unreadTicks == 0 {
-			l.countUnread(now)
+		if n%queuedTicks == 0 {
+			l.countQueued(now)
 		}
 		if l.closeStalled(now) {
 			select {
@@ -232,16 +234,17 @@
 	}
 }
 
-// countUnread charges the bytes that have arrived behind requests in progress.
-func (l *Listener) countUnread(now int64) {
+// countQueued charges the bytes in the kernel's buffers of requests in progress: what has arrived
+// behind them, and what the clients have not taken.
+func (l *Listener) countQueued(now int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		n := int64(0)
-		if shedding.Phase(c.phase.Load()) == shedding.Serving && now-c.since.Load() > int64(tick) {
-			n = unread(c.Conn)
+		if h := c.holding(now); h.Age > tick && (h.Phase == shedding.Serving || h.Phase == shedding.Writing) {
+			n = queued(c.Conn)
 		}
-		c.chargeUnread(n)
+		c.chargeQueued(n)
 	}
 }
 
