Send long bodies to engines without a copy

Each call held its body twice while it was sent: once as received, once behind the header of the request to the engine. Bodies over 16 KiB are now sent from where they are. A batch of events counts as held above 2 KiB, and the room for a long event is released after it was written.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,6 +29,8 @@
 	// flushBytes is the size at which a batch of events is written to the caller even
 	// if more events are buffered.
 	flushBytes = 16 << 10
+	// freeBatch is the part of a batch that doesn't count as held.
+	freeBatch = 2 << 10
 )
 
 // relay forwards the events of one generation to a caller.
@@ -274,7 +276,7 @@
 			if r.recordEvent(event) {
 				batch = append(batch, event...)
 			}
-			if events.Buffered() && len(batch) < flushBytes {
+			if events.Buffered() && len(batch) < flushBytes && r.mayBatch(len(batch)) {
 				continue
 			}
 		} else {
@@ -291,7 +293,10 @@
 			if err := control.Flush(); err != nil {
 				return err
 			}
-			batch = batch[:0]
+			if batch = batch[:0]; cap(batch) > flushBytes {
+				// The room for a long event is not kept for the rest of the stream.
+				batch = nil
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -302,6 +307,9 @@
 	}
 }
 
+// mayBatch reports whether n bytes of events may be held until more events are read.
+func (r *relay) mayBatch(n int) bool { return n <= freeBatch || r.held.extend(int64(n)) }
+
 // classifyEnd distinguishes the end of a complete answer from its truncation, which is
 // io.ErrUnexpectedEOF. rest holds the bytes after the last event, waitedFrom is when the
 // relay began to wait for the next one, and arrivals has the events before.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -111,7 +112,7 @@
 		r.Connected(c.reused)
 	}
 	x.SentAt = p.Clock.Now()
-	if _, err := c.Write(encode(&r)); err != nil {
+	if err := c.send(&r); err != nil {
 		x.Close(false)
 		return nil, sendError(ctx, err, "send to the engine")
 	}
@@ -132,10 +133,27 @@
 	return serving.WrapError(err, serving.KindEngineFailed, message).WithRan(serving.RanUnknown)
 }
 
-// encode returns the bytes of a request with a body of known length.
+// maxCopiedBody is the length up to which a body is copied behind the header of its request. A
+// longer one is sent from where it is, because a copy would double the memory of a call.
+const maxCopiedBody = 16 << 10
+
+// send sends a request with a body of known length.
+func (c *conn) send(r *Request) error {
+	head := encode(r)
+	if len(r.Body) <= maxCopiedBody {
+		_, err := c.Write(append(head, r.Body...))
+		return err
+	}
+	parts := net.Buffers{head, r.Body}
+	_, err := parts.WriteTo(c.Conn)
+	return err
+}
+
+// encode returns the header of a request with a body of known length, with room for a short
+// body.
 func encode(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxCopiedBody))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writing to a buffer can't fail.
 	_ = r.Header.Write(&b)
@@ -143,7 +161,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
