--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -49,6 +49,8 @@
 	Fields string
 	// Large, if set, is the path of a long answer.
 	Large string
+	// Content is the body of a request whose answer members wait for.
+	Content string
 }
 
 // head returns a request's header without the empty line at its end.
@@ -64,12 +66,15 @@
 	return t.head(i, fmt.Sprintf("Content-Length: %d\r\n\r\n", n))
 }
 
-// large returns the target with the path of a long answer, if it has one.
-func (t Target) large() Target {
+// complete returns a complete request.
+func (t Target) complete(i int) string { return t.request(i, len(t.Content)) + t.Content }
+
+// large returns a complete request for a long answer, if the target has one.
+func (t Target) large(i int) string {
 	if t.Large != "" {
 		t.Path = t.Large
 	}
-	return t
+	return t.complete(i)
 }
 
 // fields returns a body of the largest legal size that consists of very many short fields.
@@ -280,7 +285,7 @@
 			}
 		}},
 		{Name: "pipelined requests", Size: size(16), Play: func(c *Conn, t Target, i int) {
-			one := []byte(t.request(i, 0))
+			one := []byte(t.complete(i))
 			for range 64 {
 				if _, err := c.Write(bytes.Repeat(one, 128)); err != nil {
 					return
@@ -296,7 +301,7 @@
 			c.drip(strings.Repeat("x", 64))
 		}},
 		{Name: "slow readers", Size: size(manyMembers / 2), Play: func(c *Conn, t Target, i int) {
-			c.send(t.large().request(i, 0))
+			c.send(t.large(i))
 			c.sip()
 		}},
 		{Name: "stopping partway", Size: size(tooManyMembers), Play: func(c *Conn, t Target, i int) {
@@ -307,10 +312,10 @@
 			case 1: // In the body.
 				c.send(s + "xxx")
 			case 2: // Between two requests.
-				c.send(t.request(i, 0))
+				c.send(t.complete(i))
 				_, _ = c.Read(make([]byte, 4<<10))
 			case 3: // In the answer.
-				c.send(t.large().request(i, 0))
+				c.send(t.large(i))
 				_, _ = c.Read(make([]byte, 1))
 			}
 		}},
