--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -24,7 +24,10 @@
 	minHeldStep = int64(4 << 10)
 	// firstStated is the size of the first part of a body with a stated length. A caller that
 	// states a length and sends nothing takes no more.
-	firstStated = int64(32 << 10)
+	// Each further part is up to statedGrowth times as long as what was received, which copies
+	// less than doubling does.
+	firstStated  = int64(64 << 10)
+	statedGrowth = 4
 	// heldShare is the part of the process's budget that bodies, or answers, may take.
 	heldShare = 2
 )
@@ -138,16 +141,17 @@
 // not begun. What is held grows with what has been received, also if the length is stated. The
 // error is that of the body, nil if there may be more of it.
 func (h *hold) read(body io.Reader, length, limit int64) ([]byte, error) {
-	size := minHeldStep
+	size, growth := minHeldStep, int64(2)
 	if length >= 0 && length < limit {
 		// One more byte finds the end.
 		limit = length + 1
+		growth = statedGrowth
 		if size = min(limit, firstStated); !h.of.fits(limit - h.free) {
 			return nil, nil
 		}
 	}
 	var b bytes.Buffer
-	for ; h.extend(size); size = min(2*size, limit) {
+	for ; h.extend(size); size = min(growth*size, limit) {
 		b.Grow(int(size) - b.Len() + bytes.MinRead)
 		if _, err := io.CopyN(&b, body, size-int64(b.Len())); err != nil || size == limit {
 			return b.Bytes(), err
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -30,7 +30,8 @@
 	// DropBytes and DropTime bound the part of a body that is read and dropped after a refusal.
 	DropBytes int64
 	DropTime  time.Duration
-	// ReadBuffer and WriteBuffer are the sizes of the kernel's buffers of a connection.
+	// ReadBuffer and WriteBuffer are the sizes of the kernel's buffers of a connection; 0 means
+	// that the kernel chooses them.
 	ReadBuffer, WriteBuffer int
 	// Normal are the times that ordinary clients stay below.
 	Normal shedding.Limits
@@ -54,9 +55,7 @@
 	defaultStallTime = 10 * time.Second
 	defaultDropBytes = 8 << 20
 	// defaultDropTime is enough for the largest legal body on the slowest link of an entry host.
-	defaultDropTime    = 5 * time.Second
-	defaultReadBuffer  = 64 << 10
-	defaultWriteBuffer = 256 << 10
+	defaultDropTime = 5 * time.Second
 	// Normal clients send a header within 3 s and keep connections idle for up to four fifths
 	// of 15 s.
 	normalHeader = 3 * time.Second
@@ -83,8 +82,6 @@
 	l.StallTime = or(l.StallTime, defaultStallTime)
 	l.DropBytes = or(l.DropBytes, defaultDropBytes)
 	l.DropTime = or(l.DropTime, defaultDropTime)
-	l.ReadBuffer = or(l.ReadBuffer, defaultReadBuffer)
-	l.WriteBuffer = or(l.WriteBuffer, defaultWriteBuffer)
 	l.Normal.Header = or(l.Normal.Header, normalHeader)
 	l.Normal.Idle = or(l.Normal.Idle, normalIdle)
 	l.Normal.Quiet = or(l.Normal.Quiet, normalQuiet)
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -66,8 +66,12 @@
 		// Accepted connections inherit the sizes. A client whose request is not read can't
 		// send more than that.
 		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, limits.ReadBuffer)
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, limits.WriteBuffer)
+			if limits.ReadBuffer > 0 {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, limits.ReadBuffer)
+			}
+			if limits.WriteBuffer > 0 {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, limits.WriteBuffer)
+			}
 		})
 	}}
 	inner, err := cfg.Listen(context.Background(), "tcp", address)
