--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -20,6 +20,8 @@
 const (
 	// tick is the resolution of the listener's clock and the interval of its checks.
 	tick = 100 * time.Millisecond
+	// maxStep bounds the time by which the clock moves at once.
+	maxStep = 2 * tick
 	// queuedTicks is the number of ticks between two checks of the kernel's buffers, each of which takes
 	// about a microsecond for each request in progress.
 	queuedTicks = 5
@@ -43,9 +45,8 @@
 	limits Limits
 	once   sync.Once
 	stop   chan struct{}
-	// now is the time since started, at the last tick. It is never 0.
-	now     atomic.Int64
-	started time.Time
+	// now is the time of the listener's clock at the last tick. It is never 0.
+	now atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
@@ -93,7 +94,6 @@
 	}
 	l.conns, l.logged = map[*Conn]bool{}, map[string]*logState{}
 	l.stop = make(chan struct{})
-	l.started = time.Now()
 	l.now.Store(1)
 	go l.watch()
 }
@@ -221,10 +221,12 @@
 func (l *Listener) watch() {
 	t := time.NewTicker(tick)
 	defer t.Stop()
+	last := time.Now()
 	for n := 0; ; n++ {
 		<-t.C
-		now := max(1, int64(time.Since(l.started)))
-		l.now.Store(now)
+		at := time.Now()
+		now := l.advance(at.Sub(last))
+		last = at
 		if n%queuedTicks == 0 {
 			l.countQueued(now)
 		}
@@ -238,6 +240,12 @@
 	}
 }
 
+// advance moves the clock after some time and returns the new time. The time for which the process
+// was suspended doesn't count: the bytes that clients sent meanwhile were not read.
+func (l *Listener) advance(elapsed time.Duration) int64 {
+	return l.now.Add(int64(min(elapsed, maxStep)))
+}
+
 // countQueued charges the bytes in the kernel's buffers of requests in progress: what has arrived
 // behind them, and what the clients have not taken.
 func (l *Listener) countQueued(now int64) {
--- a/internal/ingress/listener_test.go
+++ b/internal/ingress/listener_test.go
@@ -224,6 +224,25 @@
 	s.eventually(s.empty)
 }
 
+// Guards against closing the connections of ordinary clients after a process was suspended: what
+// they sent meanwhile was not read.
+func TestSuspensionClosesNoConnections(t *testing.T) {
+	s := newTestServer(t, 0, Limits{StallTime: time.Second}, nil)
+	c := s.dial()
+	_, err := io.WriteString(c, fmt.Sprintf(post, 5)+"hel")
+	assert.NilError(t, err)
+	s.eventually(func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			return shedding.Phase(c.phase.Load()) == shedding.Body
+		}
+		return false
+	})
+	s.closeStalled(s.advance(time.Hour))
+	assert.Equal(t, request(c, "lo"), http.StatusOK)
+}
+
 // Guards against a crowd of incomplete bodies that keeps ordinary ones out until it leaves.
 func TestStalledBodiesMakeRoom(t *testing.T) {
 	limits := Limits{BodyFactor: 1, Normal: shedding.Limits{Quiet: 200 * time.Millisecond}}
