Limit what clients may use of the own interface's processes

What callers could see: an entry or a control process of the own interface could run out of memory beside clients outside the limits: 438 MiB on a host of 112 MiB in the crowd tests.

Cause: neither bounded connections, headers and incomplete bodies together, and bodies were read by the server also where no route or key took them.

Change: both serve through internal/ingress. The new settings limits.memory_mb and limits.max_fds give the memory and the descriptors of the host; what clients may use is derived from them in internal/settings. Bodies are read only at paths that take one and with a known key; the cluster key is checked before a message between processes is read. Refusals keep the formats of each process (Listener.Refuse).

Why it works: the budget, the kernel's buffers of all accepted connections and the connections together are within the host's memory also when a crowd reaches all of them.

The tests' engine has an equal step time for large batches, so that it is free soon after a crowd; not measured yet.

--- a/cmd/turmericdrum/processes.go
+++ b/cmd/turmericdrum/processes.go
@@ -49,6 +49,7 @@
 	if s.Entry == nil {
 		return missingSectionError("entry", c.Settings)
 	}
+	s.Limits.LimitRuntime()
 	e := entry.Construct(s)
 	return e.Run(signalContext())
 }
@@ -74,6 +75,7 @@
 	if c.Data != "" {
 		s.Control.Data = c.Data
 	}
+	s.Limits.LimitRuntime()
 	p := control.Construct(s, control.Bootstrap(c.Bootstrap))
 	return p.Run(signalContext())
 }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"time"
 
@@ -56,9 +55,9 @@
 	if err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", string(p.Settings.Listen))
-	if err != nil {
-		return serving.WrapError(err, serving.KindInvalid, "listen on "+string(p.Settings.Listen))
+	l := p.Settings.Limits.Listener("control")
+	if err := l.Listen(string(p.Settings.Listen)); err != nil {
+		return err
 	}
 	klog.InfoS("Control started", "host", p.Settings.Host, "listen", p.Settings.Listen)
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -6,12 +6,14 @@
 	"expvar"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
+	"turmericdrum.org/turmericdrum/internal/ingress"
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -24,6 +26,9 @@
 	maxBodyBytes = 1 << 20
 	// maxMessagesBytes bounds a batch of log messages from another replica.
 	maxMessagesBytes = 16 << 20
+	// bodyFactor is what a byte of a body takes: the buffer in which it is received, the copy of
+	// its handler, which is up to a quarter longer, and the decoded bytes.
+	bodyFactor = 3
 	// Time limits after which the connection of a slow or idle caller is closed.
 	readTimeout  = 10 * time.Second
 	writeTimeout = 60 * time.Second
@@ -101,14 +106,16 @@
 }
 
 // Run serves until the context ends, then lets calls in progress finish.
-func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	srv := &http.Server{
-		Handler:           s.events.handler(s.Handler()),
-		ReadHeaderTimeout: readTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	l, ok := listener.(*ingress.Listener)
+	if !ok {
+		l = &ingress.Listener{Listener: listener, Name: "control"}
 	}
+	l.Limits.HeaderTime, l.Limits.IdleTime = readTimeout, idleTimeout
+	l.Limits.BodyOf, l.Limits.BodyFactor, l.Limits.DecodeCost = s.bodyLimit, bodyFactor, ingress.ProtoCost
+	l.Refuse = func(w http.ResponseWriter, err error) { _ = twirp.WriteError(w, rpc.ToTwirp(serving.AsError(err))) }
+	srv := l.Server(l.Guard(s.events.handler(s.Handler())), nil)
+	srv.ReadTimeout, srv.WriteTimeout = readTimeout, writeTimeout
 	background, stop := context.WithCancel(ctx)
 	defer stop()
 	go s.maintainEntries(background)
@@ -127,6 +134,23 @@
 	return nil
 }
 
+// bodyLimit returns the limit of the body of a request, 0 if the body is not read. Keys of
+// operators are checked later, because this replica may not have the newest ones.
+func (s *Server) bodyLimit(r *http.Request) int64 {
+	path, key := r.URL.Path, rpc.BearerKey(r)
+	switch {
+	case strings.HasPrefix(path, schema.OperatorsPathPrefix) && key != "":
+		return maxBodyBytes
+	case rpc.HashKey(key) != s.ClusterKey:
+		return 0
+	case strings.HasPrefix(path, schema.LogPathPrefix):
+		return maxMessagesBytes
+	case strings.HasPrefix(path, schema.ViewsPathPrefix), strings.HasPrefix(path, schema.ClaimsPathPrefix):
+		return maxBodyBytes
+	}
+	return 0
+}
+
 // propose commits a command to the log and returns its result.
 func (s *Server) propose(ctx context.Context, cmd *schema.Command) (*schema.CommandResult, error) {
 	cmd.NowMs = s.WallClock().UnixMilli()
--- a/internal/crowd/own_test.go
+++ b/internal/crowd/own_test.go
@@ -48,7 +48,8 @@
 }
 
 func (d *ownDeployment) settings(name, address string) *settings.Settings {
-	return &settings.Settings{Host: serving.HostID(name), DataCentre: "dc-a", Region: "region-a", Listen: settings.Address(address), ClusterKey: clusterKey}
+	return &settings.Settings{Host: serving.HostID(name), DataCentre: "dc-a", Region: "region-a", Listen: settings.Address(address), ClusterKey: clusterKey,
+		Limits: settings.Limits{MemoryMB: memoryMB, MaxFDs: maxDescriptors}}
 }
 
 // startControl starts a control process with a data folder of its own and puts what the entry
@@ -81,6 +82,8 @@
 	t.Helper()
 	s := d.settings("entry", d.entry)
 	s.Entry = &settings.Entry{Control: []settings.Address{settings.Address(d.control)}}
+	// The requests of a crowd end soon after it.
+	s.Entry.QueueTimeout.Duration = time.Second
 	// A new entry waits until the slots and views of the one before have expired.
 	s.Entry.ViewLease.Duration, s.Entry.ViewPoll.Duration, s.Entry.SlotTTL.Duration = 500*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
 	return startOwn(t, s, "entry")
@@ -131,7 +134,7 @@
 	d := newOwnDeployment(234)
 	d.startControl(t)
 	startProgram(t, nil, "standin-engine", "--name", "engine-1", "--data-centre", "dc-a", "--listen", d.engine, "--entry", d.entry, "--cluster-key", clusterKey,
-		"--model", "guide@1", "--cold-for", "-1s", "--step-base", "1ms", "--grace", "100ms", "--max-running", "256")
+		"--model", "guide@1", "--cold-for", "-1s", "--step-base", "1ms", "--step-sequence", "1us", "--grace", "100ms", "--max-running", "1024", "--memory-blocks", "100000")
 	target := func(name, method, path, key string) crowd.Target {
 		return ownTarget(name, d.entry, method, path, key, "application/json")
 	}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -76,6 +76,10 @@
 
 // readBody reads a request body of at most limit bytes within timeout.
 func readBody(w http.ResponseWriter, r *http.Request, limit serving.Bytes, timeout time.Duration) ([]byte, error) {
+	if isUnread(r) {
+		// The key became known after the body was dropped.
+		return nil, serving.NewError(serving.KindViewExpired, "the body was not read, because the key was not known yet").WithRetryAfter(time.Second)
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/ingress"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -30,6 +30,7 @@
 	Clock    serving.Clock
 	*Clients
 
+	listener *ingress.Listener
 	board    *board
 	eventLog *EventLog
 	signer   *generation.Signer
@@ -70,6 +71,7 @@
 	}
 	e.dispatcher = newDispatcher(e, self.Incarnation)
 	e.scheduler = e.dispatcher
+	e.listener = e.newListener()
 	e.prompts.clock = clock
 	return e
 }
@@ -77,9 +79,8 @@
 // Run serves until ctx ends, then drains: the entry reports that it is not ready,
 // refuses new requests, and returns once every request in progress has ended.
 func (e *Entry) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", string(e.Settings.Listen))
-	if err != nil {
-		failed := serving.WrapError(err, serving.KindInvalid, "listen on "+string(e.Settings.Listen))
+	if err := e.listener.Listen(string(e.Settings.Listen)); err != nil {
+		failed := serving.AsError(err)
 		failed.Remedy = "free the address, or change listen in the settings"
 		return failed
 	}
@@ -100,7 +101,7 @@
 
 	server := e.newServer()
 	g.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,10 +27,7 @@
 // timeout, because the length of an answer is not known. Handlers set a deadline for
 // reading the body and for each write.
 func (e *Entry) newServer() *http.Server {
-	return &http.Server{
-		Addr: string(e.Settings.Listen), Handler: e.handler(),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	return e.listener.Server(e.markUnread(e.listener.Guard(e.handler())), nil)
 }
 
 // handler returns the handler for all paths of the process.
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -28,6 +28,10 @@
 // a request without memory 503, before anything runs.
 func (l *Listener) Guard(next http.Handler) http.Handler {
 	limits := l.Limits.withDefaults()
+	refuse := refuse
+	if l.Refuse != nil {
+		refuse = l.Refuse
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
 		if err := c.Begin(r); err != nil {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -41,6 +41,9 @@
 	Budget *Budget
 	// Limits are those of the listener.
 	Limits Limits
+	// Refuse, if set, writes the answer of Guard to a request that is not passed on. The error
+	// is one of pkg/serving.
+	Refuse func(w http.ResponseWriter, err error)
 
 	limits Limits
 	once   sync.Once
--- a/internal/rpc/auth.go
+++ b/internal/rpc/auth.go
@@ -38,8 +38,8 @@
 // authorized is left to the next handler.
 func ReadKey(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-		if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		key := BearerKey(r)
+		if key == "" {
 			writeUnauthenticated(w, "the call has no bearer key")
 			return
 		}
@@ -47,6 +47,15 @@
 	})
 }
 
+// BearerKey returns the bearer key of a request, or "" if there is none.
+func BearerKey(r *http.Request) string {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return key
+}
+
 // RequireKey rejects calls whose bearer key does not have the hash want.
 func RequireKey(want KeyHash, next http.Handler) http.Handler {
 	return ReadKey(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -48,6 +48,9 @@
 	if (s.Entry == nil) == (s.Control == nil) {
 		return keyError("entry", "and control are both present or both missing", "keep the one section that this process needs")
 	}
+	if err := s.Limits.check(); err != nil {
+		return err
+	}
 	if s.Entry != nil {
 		return s.Entry.check()
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,7 @@
 	// ClusterKey authenticates the processes of the system and the engines to each other.
 	ClusterKey string   `yaml:"cluster_key"`
 	EventLog   EventLog `yaml:"event_log,omitempty"`
+	Limits     Limits   `yaml:"limits,omitempty"`
 	Entry      *Entry   `yaml:"entry,omitempty"`
 	Control    *Control `yaml:"control,omitempty"`
 }
