--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -193,7 +193,7 @@
 func (c *Conn) refuseHeader(answer, cause string) {
 	c.l.note(refusals, cause, c)
 	c.setPhase(shedding.Refused)
-	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	_ = c.SetDeadline(time.Now().Add(lingerTime))
 	if _, err := io.WriteString(c.Conn, answer); err == nil {
 		if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 			// A close with unread bytes would reset the connection, and the answer with it.
