--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -18,6 +18,9 @@
 	// writeStep is the part of an answer that is written at once. A client that reads at a
 	// megabit per second takes half a second for it.
 	writeStep = 64 << 10
+	// solidBytes is the part of a request that counts as progress when memory or connections are
+	// short. A client that sends single bytes would otherwise keep what it holds.
+	solidBytes = 1 << 10
 	// serverBuffer is the size of the read buffer of the HTTP server, which may hold the
 	// beginning of the next request.
 	serverBuffer = 4 << 10
@@ -49,10 +52,11 @@
 	l *Listener
 	// seq orders connections by their acceptance.
 	seq uint64
-	// phase, since and moved describe the progress: the phase, the time at which it began, and
-	// the time at which bytes were last moved. Times are those of the listener's clock.
-	phase        atomic.Int32
-	since, moved atomic.Int64
+	// phase, since, moved and solid describe the progress: the phase, the time at which it began,
+	// and the times at which bytes, and solidBytes of them, were last moved. Times are those of
+	// the listener's clock.
+	phase               atomic.Int32
+	since, moved, solid atomic.Int64
 	// writing is the time at which the write in progress began or last moved bytes, 0 if there
 	// is none.
 	writing atomic.Int64
@@ -68,6 +72,8 @@
 
 	// The fields below belong to the goroutine that reads.
 
+	// pending is the number of bytes that were read since solid.
+	pending int
 	// size, lines and tail describe the header that is being read: its bytes and lines so far,
 	// and the last three bytes, in which its end may begin.
 	size, lines int
@@ -94,7 +100,12 @@
 	if n == 0 {
 		return n, err
 	}
-	c.moved.Store(c.l.now.Load())
+	now := c.l.now.Load()
+	c.moved.Store(now)
+	if c.pending += n; c.pending >= solidBytes {
+		c.pending = 0
+		c.solid.Store(now)
+	}
 	switch {
 	case len(p) == 1:
 		// The server reads a byte while it serves a request, which replaces none in its buffer.
@@ -265,13 +276,14 @@
 	now := c.l.now.Load()
 	c.since.Store(now)
 	c.moved.Store(now)
+	c.solid.Store(now)
 	c.phase.Store(int32(p))
 }
 
 // holding returns the state of the connection.
 func (c *Conn) holding(now int64) shedding.Holding {
 	h := shedding.Holding{Phase: shedding.Phase(c.phase.Load()), Valid: c.valid.Load(), Bytes: ConnectionBytes + c.held.Load(),
-		Age: time.Duration(now - c.since.Load()), Quiet: time.Duration(now - c.moved.Load())}
+		Age: time.Duration(now - c.since.Load()), Quiet: time.Duration(now - c.solid.Load())}
 	if at := c.writing.Load(); at != 0 {
 		h.Quiet = time.Duration(now - at)
 		h.Phase = shedding.Writing
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -273,7 +273,7 @@
 		h := c.holding(now)
 		// The deadlines of the HTTP server and of the call bound the other phases.
 		switch {
-		case h.Phase == shedding.Body && (h.Quiet > l.limits.StallTime || h.Age > l.limits.BodyTime):
+		case h.Phase == shedding.Body && (now-c.moved.Load() > int64(l.limits.StallTime) || h.Age > l.limits.BodyTime):
 			found = append(found, stalled{c, causeStalledBody})
 		case h.Phase == shedding.Writing && h.Quiet > l.limits.StallTime:
 			found = append(found, stalled{c, causeSlowReader})
--- a/internal/ingress/listener_test.go
+++ b/internal/ingress/listener_test.go
@@ -146,6 +146,7 @@
 		res, err := http.ReadResponse(answers, nil)
 		assert.NilError(t, err, "answer %d", i)
 		b, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
 		assert.NilError(t, err)
 		assert.Equal(t, string(b), want)
 	}
@@ -263,14 +264,36 @@
 
 // Guards against a crowd of incomplete bodies that keeps ordinary ones out until it leaves.
 func TestStalledBodiesMakeRoom(t *testing.T) {
-	limits := Limits{BodyFactor: 1, Normal: shedding.Limits{Quiet: 200 * time.Millisecond}}
-	s := newTestServer(t, 2<<20, limits, nil)
-	for range 20 {
-		_, err := io.WriteString(s.dial(), fmt.Sprintf(post, 512<<10)+strings.Repeat("x", 512<<10-1))
-		assert.NilError(t, err)
+	const size = 512 << 10
+	for _, tc := range []struct {
+		name string
+		// drips is set if the crowd goes on to send single bytes.
+		drips bool
+	}{
+		{"one byte short", false},
+		{"a byte now and then", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTestServer(t, 2<<20, Limits{Normal: shedding.Limits{Quiet: 200 * time.Millisecond}}, nil)
+			var crowd []net.Conn
+			for range 20 {
+				c := s.dial()
+				crowd = append(crowd, c)
+				_, err := io.WriteString(c, fmt.Sprintf(post, size)+strings.Repeat("x", size-10_000))
+				assert.NilError(t, err)
+			}
+			body := fmt.Sprintf(post, size) + strings.Repeat("x", size)
+			s.eventually(func() bool {
+				for _, c := range crowd {
+					if tc.drips {
+						// An error means that the connection was closed, which is the purpose.
+						_, _ = c.Write([]byte("x"))
+					}
+				}
+				return request(s.dial(), body) == http.StatusOK
+			})
+		})
 	}
-	body := fmt.Sprintf(post, 512<<10) + strings.Repeat("x", 512<<10)
-	s.eventually(func() bool { return request(s.dial(), body) == http.StatusOK })
 }
 
 // Guards against a header whose end is not found because of the places at which it arrives in
--- a/pkg/serving/shedding/shedding.go
+++ b/pkg/serving/shedding/shedding.go
@@ -75,7 +75,8 @@
 	Valid bool
 	// Bytes is the memory that is charged to the connection.
 	Bytes int64
-	// Age is the time since the phase began, Quiet the time since bytes were last moved.
+	// Age is the time since the phase began, Quiet the time since it last made progress worth
+	// counting.
 	Age, Quiet time.Duration
 }
 
