--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -2,8 +2,6 @@
 
 import (
 	"expvar"
-	"runtime/debug"
-	"sync"
 	"sync/atomic"
 )
 
@@ -34,15 +32,8 @@
 type Budget struct {
 	// Bytes bounds the memory; 0 means no bound.
 	Bytes int64
-	// MemoryLimit is the soft memory limit of the Go runtime, 0 if it has none. It is lowered
-	// while clients keep many bytes in the kernel's buffers, which count towards the memory of
-	// the process as well.
-	MemoryLimit int64
 
-	used, queued atomic.Int64
-	mu           sync.Mutex
-	// lowered is the number of bytes by which the runtime's limit is lowered.
-	lowered int64
+	used atomic.Int64
 }
 
 // Used returns the bytes that are charged.
@@ -63,32 +54,3 @@
 	b.used.Add(n)
 	bytesInUse.Add(n)
 }
-
-const (
-	// freeQueued is the part of MemoryLimit for bytes in the kernel's buffers that does not lower
-	// it. maxLowered bounds the part by which it is lowered; a lower limit would leave the
-	// collector no room.
-	freeQueued, maxLowered = 8, 3
-	// limitStep is the least change of the limit.
-	limitStep = 1 << 20
-)
-
-// adjustLimit sets the runtime's limit by the bytes in the kernel's buffers.
-func (b *Budget) adjustLimit() {
-	if b.MemoryLimit <= 0 {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	lowered := b.lowering()
-	if change := lowered - b.lowered; change > -limitStep && change < limitStep {
-		return
-	}
-	b.lowered = lowered
-	debug.SetMemoryLimit(b.MemoryLimit - lowered)
-}
-
-func (b *Budget) lowering() int64 {
-	n := min(max(0, b.queued.Load()-b.MemoryLimit/freeQueued), b.MemoryLimit/maxLowered)
-	return n / limitStep * limitStep
-}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -403,7 +403,6 @@
 		c.queued = n
 		c.held.Add(delta)
 		c.l.Budget.charge(delta)
-		c.l.Budget.queued.Add(delta)
 	}
 }
 
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -247,19 +247,18 @@
 	return l.now.Add(int64(min(elapsed, maxStep)))
 }
 
-// countQueued charges the bytes in the kernel's buffers: what has arrived behind a request in
-// progress or was not read yet, and what the clients have not taken.
+// countQueued charges the bytes in the kernel's buffers of requests in progress: what has arrived
+// behind them, and what the clients have not taken.
 func (l *Listener) countQueued(now int64) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for c := range l.conns {
 		n := int64(0)
-		if h := c.holding(now); h.Age > tick && h.Phase != shedding.Idle {
+		if h := c.holding(now); h.Age > tick && (h.Phase == shedding.Serving || h.Phase == shedding.Writing) {
 			n = queued(c.Conn)
 		}
 		c.chargeQueued(n)
 	}
-	l.mu.Unlock()
-	l.Budget.adjustLimit()
 }
 
 // closeStalled closes the connections without progress. It reports whether there are none left.
