--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -18,6 +18,9 @@
 	// writeStep is the part of an answer that is written at once. A client that reads at a
 	// megabit per second takes half a second for it.
 	writeStep = 64 << 10
+	// solidBytes is the part of a request that counts as progress when memory or connections are
+	// short. A client that sends single bytes would otherwise keep what it holds.
+	solidBytes = 1 << 10
 	// serverBuffer is the size of the read buffer of the HTTP server, which may hold the
 	// beginning of the next request.
 	serverBuffer = 4 << 10
@@ -49,10 +52,11 @@
 	l *Listener
 	// seq orders connections by their acceptance.
 	seq uint64
-	// phase, since and moved describe the progress: the phase, the time at which it began, and
-	// the time at which bytes were last moved. Times are those of the listener's clock.
-	phase        atomic.Int32
-	since, moved atomic.Int64
+	// phase, since, moved and solid describe the progress: the phase, the time at which it began,
+	// and the times at which bytes, and solidBytes of them, were last moved. Times are those of
+	// the listener's clock.
+	phase               atomic.Int32
+	since, moved, solid atomic.Int64
 	// writing is the time at which the write in progress began or last moved bytes, 0 if there
 	// is none.
 	writing atomic.Int64
@@ -63,10 +67,14 @@
 	queued int64
 	closed atomic.Bool
 	once   sync.Once
+	// inHeader is set until the header of a request is complete.
+	inHeader atomic.Bool
 
 	// The fields below belong to the goroutine that reads.
-	inHeader bool
-	// size, lines and ended describe the header that is being read: its bytes and lines so far,
+
+	// pending is the number of bytes that were read since solid.
+	pending int
+	// size, lines and tail describe the header that is being read: its bytes and lines so far,
 	// and the last three bytes, in which its end may begin.
 	size, lines int
 	tail        [3]byte
@@ -92,15 +100,20 @@
 	if n == 0 {
 		return n, err
 	}
-	c.moved.Store(c.l.now.Load())
+	now := c.l.now.Load()
+	c.moved.Store(now)
+	if c.pending += n; c.pending >= solidBytes {
+		c.pending = 0
+		c.solid.Store(now)
+	}
 	switch {
-	case c.inHeader:
-		if !c.scan(p[:n]) {
-			return 0, io.EOF
-		}
 	case len(p) == 1:
 		// The server reads a byte while it serves a request, which replaces none in its buffer.
 		c.ahead += bytes.Count(p[:n], newline)
+	case c.inHeader.Load():
+		if !c.scan(p[:n]) {
+			return 0, io.EOF
+		}
 	case len(p) <= serverBuffer:
 		c.ahead = bytes.Count(p[:n], newline)
 	}
@@ -118,7 +131,10 @@
 	head := p
 	if end >= 0 {
 		head = p[:end]
-		c.inHeader = false
+		c.inHeader.Store(false)
+	}
+	ahead := c.ahead
+	if end >= 0 {
 		c.ahead = bytes.Count(p[end:], newline)
 	}
 	c.size += len(head)
@@ -130,7 +146,7 @@
 	case c.size > c.l.limits.HeaderBytes+serverBuffer:
 		c.refuseHeader(answerTooManyFields, causeHeaderBytes)
 		return false
-	case !c.holdHeader(2*int64(c.size) + fieldBytes*int64(c.lines)):
+	case !c.holdHeader(2*int64(c.size) + fieldBytes*int64(c.lines+ahead)):
 		c.refuseHeader(answerNoMemory, causeMemory)
 		return false
 	}
@@ -193,7 +209,7 @@
 func (c *Conn) refuseHeader(answer, cause string) {
 	c.l.note(refusals, cause, c)
 	c.setPhase(shedding.Refused)
-	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	_ = c.SetDeadline(time.Now().Add(lingerTime))
 	if _, err := io.WriteString(c.Conn, answer); err == nil {
 		if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 			// A close with unread bytes would reset the connection, and the answer with it.
@@ -260,13 +276,14 @@
 	now := c.l.now.Load()
 	c.since.Store(now)
 	c.moved.Store(now)
+	c.solid.Store(now)
 	c.phase.Store(int32(p))
 }
 
 // holding returns the state of the connection.
 func (c *Conn) holding(now int64) shedding.Holding {
 	h := shedding.Holding{Phase: shedding.Phase(c.phase.Load()), Valid: c.valid.Load(), Bytes: ConnectionBytes + c.held.Load(),
-		Age: time.Duration(now - c.since.Load()), Quiet: time.Duration(now - c.moved.Load())}
+		Age: time.Duration(now - c.since.Load()), Quiet: time.Duration(now - c.solid.Load())}
 	if at := c.writing.Load(); at != 0 {
 		h.Quiet = time.Duration(now - at)
 		h.Phase = shedding.Writing
@@ -278,11 +295,12 @@
 func (c *Conn) observe(s http.ConnState) {
 	switch s {
 	case http.StateActive:
+		c.inHeader.Store(false)
 		c.setPhase(shedding.Serving)
 	case http.StateIdle:
 		c.holdHeader(0)
-		c.inHeader, c.size, c.lines, c.tail = true, 0, c.ahead, [3]byte{}
-		c.ahead = 0
+		c.size, c.lines, c.tail = 0, 0, [3]byte{}
+		c.inHeader.Store(true)
 		c.setPhase(shedding.Idle)
 	case http.StateClosed, http.StateHijacked:
 		c.holdHeader(0)
@@ -296,6 +314,11 @@
 	if c == nil {
 		return nil
 	}
+	if p := shedding.Phase(c.phase.Load()); p != shedding.Serving {
+		// The server reports no state for a request that was wholly in its buffer.
+		c.inHeader.Store(false)
+		c.setPhase(shedding.Serving)
+	}
 	if !c.holdHeader(headerCost(r.Header)) {
 		c.l.note(refusals, causeMemory, c)
 		return errNoMemory()
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -123,7 +123,8 @@
 
 // add returns the connection with limits, or nil if there is no room for it.
 func (l *Listener) add(inner net.Conn) *Conn {
-	c := &Conn{Conn: inner, l: l, inHeader: true}
+	c := &Conn{Conn: inner, l: l}
+	c.inHeader.Store(true)
 	c.setPhase(shedding.Opening)
 	l.mu.Lock()
 	full := len(l.conns) >= l.limits.Connections
@@ -275,7 +276,7 @@
 		h := c.holding(now)
 		// The deadlines of the HTTP server and of the call bound the other phases.
 		switch {
-		case h.Phase == shedding.Body && (h.Quiet > l.limits.StallTime || h.Age > l.limits.BodyTime):
+		case h.Phase == shedding.Body && (now-c.moved.Load() > int64(l.limits.StallTime) || h.Age > l.limits.BodyTime):
 			found = append(found, stalled{c, causeStalledBody})
 		case h.Phase == shedding.Writing && h.Quiet > l.limits.StallTime:
 			found = append(found, stalled{c, causeSlowReader})
