--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -1,8 +1,13 @@
 package gateway
 
-import "turmericdrum.org/turmericdrum/pkg/serving/routing/audit"
+import (
+	"turmericdrum.org/turmericdrum/internal/ingress"
+	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/routing/audit"
+)
 
 // Bounds returns what an entry accepts from callers whatever the configuration says.
 func Bounds() audit.Bounds {
-	return audit.Bounds{Header: maxHeader, Body: maxHeldBodies, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	limits := ingress.Defaults()
+	return audit.Bounds{Header: serving.Bytes(limits.HeaderBytes), Body: maxBody, HeaderTimeout: limits.HeaderTime, IdleTimeout: limits.IdleTime}
 }
