Don't cut callers that read an answer slowly but steadily

An answer was ended after 10 s in which a part of 64 KiB made no progress. The kernel takes more of an answer only when a third of its buffer is free, so a caller that read a large buffer at a few kilobytes a second seemed to make no progress and lost a sound stream.

--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -25,8 +25,9 @@
 	DecodeCost func(body []byte) int64
 	// BodyTime bounds the time for a whole body.
 	BodyTime time.Duration
-	// StallTime bounds the time without progress of a body or of an answer.
-	StallTime time.Duration
+	// StallTime bounds the time without progress of a body, AnswerStallTime that of a part of an
+	// answer.
+	StallTime, AnswerStallTime time.Duration
 	// DropBytes and DropTime bound the part of a body that is read and dropped after a refusal.
 	DropBytes int64
 	DropTime  time.Duration
@@ -53,7 +54,11 @@
 	defaultBodyTime = 70 * time.Second
 	// defaultStallTime is above the pauses of connections that lose packets for some seconds.
 	defaultStallTime = 10 * time.Second
-	defaultDropBytes = 8 << 20
+	// defaultAnswerStallTime is enough for a part of an answer at 1 KB/s. The kernel takes more
+	// of an answer only when a third of its buffer is free, so that a slow reader seems to make
+	// no progress for long; where memory is short, it is closed sooner.
+	defaultAnswerStallTime = 70 * time.Second
+	defaultDropBytes       = 8 << 20
 	// defaultDropTime is enough for the largest legal body on the slowest link of an entry host.
 	defaultDropTime = 5 * time.Second
 	// Normal clients send a header within 3 s and keep connections idle for up to four fifths
@@ -83,6 +88,7 @@
 	l.BodyFactor = or(l.BodyFactor, 1)
 	l.BodyTime = or(l.BodyTime, defaultBodyTime)
 	l.StallTime = or(l.StallTime, defaultStallTime)
+	l.AnswerStallTime = or(l.AnswerStallTime, defaultAnswerStallTime)
 	l.DropBytes = or(l.DropBytes, defaultDropBytes)
 	l.DropTime = or(l.DropTime, defaultDropTime)
 	l.Normal.Header = or(l.Normal.Header, normalHeader)
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -278,7 +278,7 @@
 		switch {
 		case h.Phase == shedding.Body && (now-c.moved.Load() > int64(l.limits.StallTime) || h.Age > l.limits.BodyTime):
 			found = append(found, stalled{c, causeStalledBody})
-		case h.Phase == shedding.Writing && h.Quiet > l.limits.StallTime:
+		case h.Phase == shedding.Writing && h.Quiet > l.limits.AnswerStallTime:
 			found = append(found, stalled{c, causeSlowReader})
 		}
 	}
