--- a/pkg/serving/placement/deferral.go
+++ b/pkg/serving/placement/deferral.go
@@ -35,16 +35,19 @@
 // service's engines while no report of them arrives. Engines that had room in the last report
 // would otherwise get the calls of all entries that have the same old report.
 func (p *Pool) fadeOthers(now time.Duration, s *routing.Service) {
-	if !p.ScarceMemory || s.Model == nil || now-p.othersAt < fadeAfter || now-p.fadedAt < fadeInterval {
+	fadedAt := p.fadedAt[s.ID]
+	if !p.ScarceMemory || s.Model == nil || now-p.othersAt < fadeAfter || now-fadedAt < fadeInterval {
 		return
 	}
-	share := min(1, float64(now-max(p.fadedAt, p.othersAt+fadeAfter))/float64(fadeTime))
-	p.fadedAt = now
+	share := min(1, float64(now-max(fadedAt, p.othersAt+fadeAfter))/float64(fadeTime))
+	if p.fadedAt == nil {
+		p.fadedAt = map[serving.ServiceID]time.Duration{}
+	}
+	p.fadedAt[s.ID] = now
 	var sum usage.Use
 	n := 0
 	for _, e := range p.engines {
 		if e.Service == s.ID && e.Usable() {
-			sum.Running += e.others.Running
 			sum.Held += e.others.Held
 			sum.Expected += e.others.Expected
 			sum.Prefill += e.others.Prefill
@@ -88,7 +91,7 @@
 
 // recordBrief updates the averages over brief calls.
 func (p *Pool) recordBrief(now time.Duration, n *Need) {
-	if !p.ScarceMemory || !n.defersTo() || !n.brief() {
+	if !p.ScarceMemory || !n.mayDefer() || !n.brief() {
 		return
 	}
 	b := p.brief[n.Service.ID]
@@ -104,8 +107,9 @@
 	b.at = now
 }
 
-// defersTo reports whether a call starts from its prompt and has a time for its first event.
-func (n *Need) defersTo() bool {
+// mayDefer reports whether a call can be told to wait: a hub places it, it starts from its prompt,
+// and there is a time from which on its first event is late.
+func (n *Need) mayDefer() bool {
 	return n.Service.Model != nil && n.CopyFrom == "" && n.FirstEventBy > 0 && n.Compare == CompareAll
 }
 
@@ -117,7 +121,7 @@
 // defers reports whether a call should rather wait than go to an engine with a load, because it
 // would be late there, or because calls that can't wait need the room.
 func (p *Pool) defers(now time.Duration, e *engine, n *Need) bool {
-	if !p.ScarceMemory || n.LastAttempt || !n.defersTo() {
+	if !p.ScarceMemory || n.LastAttempt || !n.mayDefer() {
 		return false
 	}
 	sum := e.total()
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -33,9 +33,10 @@
 	brief        map[serving.ServiceID]*briefCalls
 	// deferring counts the engines that had room for the last call but were left to others.
 	deferring int
-	// othersAt is when the load of the other entries was last set, and fadedAt when it was last
-	// changed because no report had arrived.
-	othersAt, fadedAt time.Duration
+	// othersAt is when the load of the other entries was last set, and fadedAt when that at the
+	// engines of a service was last changed because no report had arrived.
+	othersAt time.Duration
+	fadedAt  map[serving.ServiceID]time.Duration
 	// fit, rates and latencies are reused by each choice.
 	fit              []*engine
 	rates, latencies []float64
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -12,11 +12,11 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
-// Where the engines of a service differ in speed or state that their machines are shared, a call is placed by whether the engine can
-// sustain what its caller needs: the time to the first event, and the pause between events
-// also while prompts are read beside it and the machine is shared. A call whose prompt would
-// make streams of others late is kept from their engine. The design notes engine-estimates.md
-// and long-prompts.md give the reasons.
+// Where the engines of a service differ in speed, or state that their machines are shared, and
+// most of them sustain what callers need, a call is placed by whether its engine does: the time
+// to the first event, and the pause between events also while prompts are read beside it and the
+// machine is shared. A call whose prompt would make streams of others late is kept from their
+// engine. The design notes engine-estimates.md and long-prompts.md give the reasons.
 const (
 	// unevenSpread is the ratio of the slowness of slow engines to that of fast ones, the
 	// quantiles slowQuantile and fastQuantile, from which a service has uneven engines, and
