--- a/internal/ingress/decode.go
+++ b/internal/ingress/decode.go
@@ -13,8 +13,9 @@
 	jsonObjectBytes = 512
 	jsonItemBytes   = 48
 	// protoMessageBytes and protoScalarBytes bound what a nested message, string or byte slice,
-	// and what a number, of a protobuf message takes when it is decoded.
-	protoMessageBytes = 192
+	// and what a number, of a protobuf message takes when it is decoded: EngineUse, the largest
+	// repeated message of a poll, takes 201 bytes.
+	protoMessageBytes = 256
 	protoScalarBytes  = 16
 	// maxNesting bounds the depth to which nested messages are counted. No message of the
 	// schema is nested deeper.
