Take engines for slow only where they state how long work takes

TestBusyEnginesAreNotSlow fails without the change. TestUnevenPlacement and others about speeds alone set Pool.SpeedsAlone; their checks are unchanged.

--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -24,6 +24,11 @@
 	// scarce. Calls that can wait then leave it to others.
 	ScarceMemory bool
 
+	// SpeedsAlone means that engines also count as different in speed if they never state how long
+	// work takes on their machines. Under high load, prompts make equal engines seem different for
+	// seconds.
+	SpeedsAlone bool
+
 	engines      map[serving.EngineID]*engine
 	outOfService map[serving.DataCentreID]bool
 	entries      int
--- a/pkg/serving/placement/shared_test.go
+++ b/pkg/serving/placement/shared_test.go
@@ -99,3 +99,38 @@
 	even.SetOtherUse(now, []usage.Use{{Engine: "e", Running: 2, Paced: 2, MaxPause: 180 * time.Millisecond, Steps: &machine.Steps{}}}, 70)
 	assert.Equal(t, len(even.SharedMachines(now, "a-1")), 0, "no factor was ever stated")
 }
+
+// Load pattern: a burst keeps some engines of equal speed reading prompts for seconds, so that the
+// times between their events are 1.8 times those of the others. Guards against taking them for
+// slow: in such a deployment, plays of a day with bursts lost up to a tenth of their value.
+func TestBusyEnginesAreNotSlow(t *testing.T) {
+	tests := []struct {
+		name    string
+		factors int
+		uneven  bool
+	}{
+		{name: "engines that never state a factor"},
+		{name: "engines that state factors", factors: 40, uneven: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const now = 100 * time.Second
+			p := newPool(1, "a-1")
+			var uses []usage.Use
+			for i := range 12 {
+				name, slowness := fmt.Sprint("e", i), 1.0
+				if i < 6 {
+					slowness = 1.8
+				}
+				p.SetEngine(engine(name, "model", "a-1"))
+				uses = append(uses, usage.Use{Engine: serving.EngineID(name), Running: 4, Steps: mixedSteps(slowness)})
+			}
+			for i := range tt.factors {
+				p.SetFactor(time.Duration(i)*time.Second, "e0", 100)
+			}
+			p.SetOtherUse(now, uses, 70)
+			p.UpdateSpeeds(now)
+			assert.Equal(t, p.IsUneven("e0"), tt.uneven)
+		})
+	}
+}
--- a/pkg/serving/placement/uneven.go
+++ b/pkg/serving/placement/uneven.go
@@ -307,7 +307,8 @@
 	if s.uneven {
 		limit = evenSpread
 	}
-	s.uneven = s.sharing.Shared() || quantile(s.known, slowQuantile) >= limit*s.fast
+	differ := quantile(s.known, slowQuantile) >= limit*s.fast
+	s.uneven = s.sharing.Shared() || differ && (p.SpeedsAlone || s.sharing.Known())
 	if len(s.ratios) >= minMeasured {
 		s.sharing.SetRatio(lowerMedian(s.ratios))
 	}
--- a/pkg/serving/placement/uneven_test.go
+++ b/pkg/serving/placement/uneven_test.go
@@ -45,6 +45,7 @@
 // are the loads of the engines that other entries report.
 func newUnevenPool(seed uint64, fast, slow usage.Use) *placement.Pool {
 	p := newPool(seed, "a-1")
+	p.SpeedsAlone = true
 	uses := make([]usage.Use, 0, unevenEngines)
 	for i := range unevenEngines {
 		use, slowness := fast, 1/1.2
