--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -61,8 +61,14 @@
 	err      error
 }
 
-// send sends a request and reads the answer.
+// send sends a request, reads the answer and records both.
 func (c *client) send(method, path, body string, deadline time.Duration, header map[string]string, onEvent func(string)) *result {
+	out := c.exchange(method, path, body, deadline, header, onEvent)
+	c.note("client: %s %s %s, kept connection %v, sent %v: status %d, sealed %v, whole %v, %v", out.id, method, path, out.kept, out.sent, out.status, out.sealed, out.complete, out.err)
+	return out
+}
+
+func (c *client) exchange(method, path, body string, deadline time.Duration, header map[string]string, onEvent func(string)) *result {
 	out := &result{id: newID()}
 	if out.err = c.connect(); out.err != nil {
 		return out
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -33,45 +33,25 @@
 	// streaming requests have no length and end with their connection.
 	padding  int
 	unframed bool
-	// fleet is set if the engine copies memory.
-	fleet *fleet
-	// intercept, if set, may answer a request in place of the engine. It returns nil if it does
-	// not.
-	intercept func(c *engineConn, r *http.Request, body []byte) *reply
-	// beforeServe, if set, returns bytes that are sent before a request is served, and afterReply
-	// is called with each answered request.
-	beforeServe func(c *engineConn, r *http.Request, body []byte) []byte
-	afterReply  func(c *engineConn, r *http.Request, body []byte)
+	// orderWork, if not 0, is the time that an order takes, and onOrder, if set, is called with
+	// the id of each that has run to its end.
+	orderWork time.Duration
+	onOrder   func(id string)
 
 	listener net.Listener
 	ended    chan struct{}
 	once     sync.Once
 
-	mu       sync.Mutex
-	sequence int
-	state    string
-	// drainAckedAt is when a check-in with the state draining was first acknowledged.
-	drainAckedAt time.Duration
-	streams      map[string]*stream
-	conns        map[net.Conn]bool
-}
-
-// stream is a run of a streaming request.
-type stream struct {
-	id      string
-	events  int
-	stopped chan struct{}
-	once    sync.Once
+	mu sync.Mutex
+	// streams counts the streams in progress.
+	streams int
+	conns   map[net.Conn]bool
 }
 
 // engineConn is a connection to an engine.
 type engineConn struct {
 	net.Conn
 	reader *bufio.Reader
-	number int
-	// requests counts the requests on the connection, last is the last answer to one of them.
-	requests int
-	last     []byte
 }
 
 // reply is an answer with a length.
@@ -98,7 +78,7 @@
 // startAs is newEngine with an id.
 func (d *deployment) startAs(id string, number int, service, zone string) (*engine, error) {
 	e := &engine{record: d.record, d: d, id: id, service: service, zone: zone, address: d.address(engineHost+number, enginePort),
-		born: time.Now().UnixMilli(), slots: 24, work: 20 * time.Millisecond, step: 40 * time.Millisecond, state: "ready", streams: map[string]*stream{}, conns: map[net.Conn]bool{},
+		born: time.Now().UnixMilli(), slots: 24, work: 20 * time.Millisecond, step: 40 * time.Millisecond, conns: map[net.Conn]bool{},
 		ended: make(chan struct{})}
 	l, err := net.Listen("tcp", e.address)
 	if err != nil {
@@ -132,36 +112,19 @@
 
 // checkIn sends a check-in at each interval, to the next hub after a failure.
 func (e *engine) checkIn() {
-	hub := 0
+	hub, sequence := 0, 0
 	for {
-		e.mu.Lock()
-		e.sequence++
-		state := e.state
-		in := map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state, "cold_remaining_ms": 0,
-			"sequence": e.sequence, "born": e.born}
+		sequence++
+		in := map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready", "cold_remaining_ms": 0,
+			"sequence": sequence, "born": e.born}
 		if e.service == modelService {
 			in["phase"], in["models"] = "combined", []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}
 		}
-		e.mu.Unlock()
 		b, _ := json.Marshal(in)
 		status, _, err := e.d.call(hub, http.MethodPut, "/-/instances/"+e.id, b)
 		wait := 1200 * time.Millisecond
-		switch {
-		case err != nil || status/100 != 2:
+		if err != nil || status/100 != 2 {
 			hub, wait = (hub+1)%e.d.hubs, 50*time.Millisecond
-		case state == "draining":
-			e.mu.Lock()
-			if e.drainAckedAt == 0 {
-				e.drainAckedAt = e.since()
-				e.note("engine %s: draining acknowledged by hub %d", e.id, hub)
-			}
-			e.mu.Unlock()
-		}
-		e.mu.Lock()
-		changed := e.state != state
-		e.mu.Unlock()
-		if changed {
-			continue
 		}
 		select {
 		case <-e.ended:
@@ -171,15 +134,8 @@
 	}
 }
 
-// drain makes the engine say that it is draining, from the next check-in on.
-func (e *engine) drain() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.state = "draining"
-}
-
 func (e *engine) accept() {
-	for n := 1; ; n++ {
+	for {
 		c, err := e.listener.Accept()
 		if err != nil {
 			return
@@ -187,7 +143,7 @@
 		e.mu.Lock()
 		e.conns[c] = true
 		e.mu.Unlock()
-		go e.serveConn(&engineConn{Conn: c, reader: bufio.NewReader(c), number: n})
+		go e.serveConn(&engineConn{Conn: c, reader: bufio.NewReader(c)})
 	}
 }
 
@@ -203,62 +159,46 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		c.requests++
-		if !e.serve(c, r, body) {
+		if !e.serve(c, r) {
 			return
 		}
 	}
 }
 
 // serve answers one request. It returns false if the connection is to be closed.
-func (e *engine) serve(c *engineConn, r *http.Request, body []byte) bool {
-	if e.beforeServe != nil {
-		if extra := e.beforeServe(c, r, body); extra != nil {
-			if _, err := c.Write(extra); err != nil {
-				return false
-			}
-		}
-	}
-	if e.intercept != nil {
-		if a := e.intercept(c, r, body); a != nil {
-			return e.send(c, r, body, a)
-		}
-	}
+func (e *engine) serve(c *engineConn, r *http.Request) bool {
 	id := r.Header.Get("X-Turmericdrum-Attempt-Id")
 	switch {
 	case r.URL.Path == "/-/report":
 		b, _ := json.Marshal(map[string]any{"phase": "combined", "models": []any{}, "busy": false, "born": e.born})
-		return e.send(c, r, body, &reply{status: http.StatusOK, header: http.Header{"Content-Type": {"application/json"}}, body: b})
+		return e.send(c, &reply{status: http.StatusOK, header: http.Header{"Content-Type": {"application/json"}}, body: b})
 	case r.URL.Path == "/healthz":
-		return e.send(c, r, body, &reply{status: http.StatusOK, header: http.Header{"X-Turmericdrum-Instance-Id": {e.id}}})
+		return e.send(c, &reply{status: http.StatusOK, header: http.Header{"X-Turmericdrum-Instance-Id": {e.id}}})
 	case strings.HasPrefix(r.URL.Path, "/-/"):
-		return e.send(c, r, body, &reply{status: http.StatusNotFound, header: http.Header{}})
+		return e.send(c, &reply{status: http.StatusNotFound, header: http.Header{}})
 	case r.Header.Get("X-Turmericdrum-Expect-Instance") != e.id:
-		return e.send(c, r, body, &reply{status: http.StatusMisdirectedRequest, header: http.Header{"X-Turmericdrum-Attempt-Id": {id}, "X-Turmericdrum-Not-Executed": {"1"}}})
+		return e.send(c, &reply{status: http.StatusMisdirectedRequest, header: http.Header{"X-Turmericdrum-Attempt-Id": {id}, "X-Turmericdrum-Not-Executed": {"1"}}})
 	case e.service == modelService:
-		if e.fleet != nil {
-			if handled, open := e.fleet.resume(e, c, r); handled {
-				return open
-			}
-		}
-		open := e.runStream(c, id, id, 0, outputEvents(r))
-		if open && e.afterReply != nil {
-			e.afterReply(c, r, body)
-		}
-		return open
+		return e.runStream(c, id, outputEvents(r))
+	}
+	work := e.work
+	if r.Method == http.MethodPost && e.orderWork > 0 {
+		work = e.orderWork
 	}
 	e.note("engine %s runs %s", e.id, id)
 	select {
 	case <-e.ended:
 		return false
-	case <-time.After(e.work):
+	case <-time.After(work):
 	}
 	e.note("engine %s has run %s to its end", e.id, id)
-	return e.send(c, r, body, answerTo(id))
+	if r.Method == http.MethodPost && e.onOrder != nil {
+		e.onOrder(id)
+	}
+	return e.send(c, answerTo(id))
 }
 
 // answerTo returns the answer of an engine to a plain request.
@@ -273,18 +213,14 @@
 	return fmt.Sprintf("3e1b.07.%08x", h.Sum32())
 }
 
-func (e *engine) send(c *engineConn, r *http.Request, body []byte, a *reply) bool {
-	c.last = a.encode()
-	_, err := c.Write(c.last)
-	if e.afterReply != nil {
-		e.afterReply(c, r, body)
-	}
+func (e *engine) send(c *engineConn, a *reply) bool {
+	_, err := c.Write(a.encode())
 	return err == nil
 }
 
-// event returns an event of a stream. memory is the request from whose memory it was made.
-func (e *engine) event(memory string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s/%d%s\n\n", n, memory, n, strings.Repeat(" ", e.padding))
+// event returns an event of a stream.
+func (e *engine) event(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d%s\n\n", n, id, n, strings.Repeat(" ", e.padding))
 }
 
 // outputEvents returns the number of events that a request asks for.
@@ -294,20 +230,17 @@
 	return out / 4
 }
 
-// runStream makes the events of a stream after the first sent ones, from the memory of a request.
-func (e *engine) runStream(c *engineConn, id, memory string, sent, total int) bool {
-	s := &stream{id: id, events: sent, stopped: make(chan struct{})}
+// runStream answers a streaming request.
+func (e *engine) runStream(c *engineConn, id string, total int) bool {
 	e.mu.Lock()
-	e.streams[id] = s
+	e.streams++
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if e.streams[id] == s {
-			delete(e.streams, id)
-		}
+		e.streams--
 	}()
-	e.note("engine %s runs %s from the memory of %s after event %d", e.id, id, memory, sent)
+	e.note("engine %s runs %s", e.id, id)
 	framing, end := "Transfer-Encoding: chunked", "0\r\n\r\n"
 	if e.unframed {
 		framing, end = "Connection: close", ""
@@ -317,26 +250,21 @@
 	if _, err := io.WriteString(c, header); err != nil {
 		return false
 	}
-	for n := sent + 1; n <= total; n++ {
+	for n := 1; n <= total; n++ {
 		select {
 		case <-e.ended:
-			return false
-		case <-s.stopped:
-			e.note("engine %s stops %s after event %d", e.id, id, n-1)
+			e.note("engine %s has made %d events of %s", e.id, n-1, id)
 			return false
 		case <-time.After(e.step):
 		}
-		text := e.event(memory, n)
+		text := e.event(id, n)
 		if !e.unframed {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
 		if _, err := io.WriteString(c, text); err != nil {
-			e.note("engine %s: the connection of %s has ended", e.id, id)
+			e.note("engine %s: the connection of %s has ended after event %d", e.id, id, n-1)
 			return false
 		}
-		e.mu.Lock()
-		s.events = n
-		e.mu.Unlock()
 	}
 	e.note("engine %s has run %s to its end", e.id, id)
 	_, err := io.WriteString(c, end)
--- a/review/standin2/long_headers.go
+++ b/review/standin2/long_headers.go
@@ -38,13 +38,13 @@
 	if err := t.startAll(manifest(7)); err != nil {
 		return nil, err
 	}
-	ran := &runs{record: t.record, ids: map[string]bool{}}
+	ran := &runs{ids: map[string]bool{}}
 	for i := range 6 {
 		e, err := t.newEngine(i, plainService, zones[i%3])
 		if err != nil {
 			return nil, err
 		}
-		e.intercept = ran.serveOrder
+		e.orderWork, e.onOrder = orderWork, ran.add
 		e.start()
 	}
 	time.Sleep(5 * time.Second)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -120,9 +120,6 @@
 	r.lines = append(r.lines, line{time.Since(r.start), fmt.Sprintf(format, args...)})
 }
 
-// since returns the time since the start.
-func (r *record) since() time.Duration { return time.Since(r.start) }
-
 func (r *record) tail(n int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standin2/many_users.go
+++ b/review/standin2/many_users.go
@@ -38,13 +38,13 @@
 	if err := t.startAll(manifest(7)); err != nil {
 		return nil, err
 	}
-	ran := &runs{record: t.record, ids: map[string]bool{}}
+	ran := &runs{ids: map[string]bool{}}
 	for i := range 6 {
 		e, err := t.newEngine(i, plainService, zones[i%3])
 		if err != nil {
 			return nil, err
 		}
-		e.intercept = ran.serveOrder
+		e.orderWork, e.onOrder = orderWork, ran.add
 		e.start()
 	}
 	time.Sleep(4 * time.Second)
@@ -128,7 +128,6 @@
 
 // runs holds the ids of the orders that engines have run to their end.
 type runs struct {
-	*record
 	mu  sync.Mutex
 	ids map[string]bool
 }
@@ -139,19 +138,11 @@
 	return r.ids[id]
 }
 
-// serveOrder runs an order, which takes longer than a lookup.
-func (r *runs) serveOrder(_ *engineConn, in *http.Request, _ []byte) *reply {
-	if in.Method != http.MethodPost || in.URL.Path != orderPath {
-		return nil
-	}
-	id := in.Header.Get("X-Turmericdrum-Attempt-Id")
-	r.note("an engine runs %s", id)
-	time.Sleep(orderWork)
-	r.note("the engine has run %s to its end", id)
+// add adds the id of an order.
+func (r *runs) add(id string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.ids[id] = true
-	r.mu.Unlock()
-	return answerTo(id)
 }
 
 // wait waits for d. It returns false if end is closed first.
--- a/review/standin2/slow_reader.go
+++ b/review/standin2/slow_reader.go
@@ -18,8 +18,9 @@
 // Figures of the case. The streams are of the longest kind on the sheets, with 559 events of an
 // event for each 28 ms, which is a step of 7 ms for each of its four tokens.
 const (
-	longEvents = 559
-	eventStep  = 28 * time.Millisecond
+	promptTokens = 3079
+	longEvents   = 559
+	eventStep    = 28 * time.Millisecond
 	// eventPadding makes events as long as those of engines whose events are JSON objects.
 	eventPadding = 960
 	// slowRead and slowPause are how a client reads: some bytes, and then a pause.
@@ -50,7 +51,7 @@
 	var wg sync.WaitGroup
 	results := make([]slowResult, slowClients)
 	for i := range results {
-		wg.Go(func() { results[i] = readSlowly(t.frontend(0)) })
+		wg.Go(func() { results[i] = readSlowly(t.record, t.frontend(0)) })
 	}
 	time.Sleep(crashAfter)
 	if t.trouble {
@@ -96,7 +97,7 @@
 	victim, most := 0, 0
 	for i, e := range f.running {
 		e.mu.Lock()
-		if n := len(e.streams); n > most {
+		if n := e.streams; n > most {
 			victim, most = i, n
 		}
 		e.mu.Unlock()
@@ -121,8 +122,9 @@
 }
 
 // readSlowly sends a streaming request and reads the answer slowly.
-func readSlowly(address string) (out slowResult) {
+func readSlowly(r *record, address string) (out slowResult) {
 	out.id = newID()
+	r.note("client: %s POST %s for %d events", out.id, streamPath, longEvents)
 	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
 	}}
