Review, case 8: a rate that the link of the host bears

The requests of the earlier figures took more than the 7.5 Mbit/s of the host, so that the choked link could have excused the entry.

--- a/review/standin2/long_headers.go
+++ b/review/standin2/long_headers.go
@@ -17,21 +17,21 @@
 // Figures of the case. Lookups come at usualRate, each on a new connection, and at burstRate
 // times that in the burst.
 const (
-	usualRate = 60
-	usualTime = 26 * time.Second
+	usualRate = 22
+	usualTime = 78 * time.Second
 	burstRate = 2.5
-	burstFrom = 7 * time.Second
+	burstFrom = 20 * time.Second
 	burstFor  = 10 * time.Second
 	// keptUsers send orders on connections that they keep.
-	keptUsers = 60
+	keptUsers = 20
 	// cookieBytes is the length of a header field, within max_header_bytes (16,384).
-	cookieBytes = 15000
+	cookieBytes = 15800
 )
 
 // longHeaders lets a burst of requests come on new connections, with headers inside the limits of
 // the manifest, and looks for requests of kept connections that got no answer.
 func longHeaders(t *trial) ([]string, error) {
-	t.limits = map[string]any{"cpu_share": 0.144, "cores": 1, "memory_mb": 120, "max_fds": 3075, "link_mbps": 7.5, "disk_mb": 0}
+	t.limits = map[string]any{"cpu_share": 0.192, "cores": 1, "memory_mb": 112, "max_fds": 4100, "link_mbps": 10.0, "disk_mb": 0}
 	if err := raiseDescriptors(4096); err != nil {
 		return nil, err
 	}
@@ -102,7 +102,7 @@
 		time.Sleep(time.Duration(float64(time.Second) / rate))
 		if time.Since(start) > nextReport {
 			report()
-			nextReport += 2 * time.Second
+			nextReport += 4 * time.Second
 		}
 	}
 	close(end)
