Take a field whose name holds a blank for a malformed answer

What callers saw: an engine in trouble sent a field whose name held a blank, and the answer passed without that line. Where it was "Content- Length : 8" or "Transfer-Encoding : chunked", the body ended with the connection: the caller waited until the deadline, or got the chunks' framing as the body. In an interim answer, in an answer to another call or in a trailer it changed nothing at all, and a stream with such a trailer ended as complete. A refusal with such a field was believed, and the order sent to a second engine.

Cause: net/http takes a blank in a name on purpose (it only rejects the other bytes that no token has) and leaves such a name as it is, so that it is not found under the one it resembles. Trailers are merged when the body has ended, and nobody looked at them.

The rule in internal/answer now asks that each name is a token, of the fields of every header, also of interim answers, and of trailers when the body ends: such a body ends with an error instead of io.EOF. A refusal with a malformed body is none. Errors of malformed chunks and trailers lose the bytes that net/http quotes in them.

Control bytes, zero bytes, tabs, bytes above ASCII, separators and empty names were given up before; their cases stay. Sound but unusual answers pass with their seal (TestUnusualAnswers).

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -40,6 +40,7 @@
 	if err := Check(res); err != nil {
 		return nil, err
 	}
+	res.Body = newBody(res, readError)
 	return res, nil
 }
 
@@ -55,9 +56,27 @@
 	case strings.ContainsFunc(res.Status, isControl):
 		return &Error{"the reason in the status line has a control character"}
 	}
+	return checkNames("field", res.Header)
+}
+
+// checkNames returns an *Error if a field has a name that no field may have. kind names the fields.
+func checkNames(kind string, h http.Header) error {
+	for name, values := range h {
+		// A trailer field that was announced and not sent has no values.
+		if len(values) > 0 && !isToken(name) {
+			return &Error{fmt.Sprintf("the name of a %s, of %d bytes, is empty or has a character that no name may have", kind, len(name))}
+		}
+	}
 	return nil
 }
 
+// isToken reports whether s is a token, the syntax of a field name.
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(c rune) bool {
+		return (c < '0' || c > '9') && (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+	})
+}
+
 // isControl reports whether no text of an answer may have a character.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -35,6 +35,12 @@
 		{"unknown transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + secret, "malformed answer: unsupported transfer encoding", 0},
 		{"control byte in a value", "HTTP/1.1 200 OK\r\nX: " + secret + "\x01", "malformed answer: malformed MIME header line", 0},
 		{"line without a colon", "HTTP/1.1 200 OK\r\n" + secret, "malformed answer: malformed MIME header: missing colon", 0},
+		{"blank in a name", "HTTP/1.1 200 OK\r\n" + secret + " X: y", "malformed answer: the name of a field, of 5 bytes, is empty or has a character that no name may have", 0},
+		{"blank behind a name", "HTTP/1.1 200 OK\r\nContent-Length : 2", "malformed answer: the name of a field, of 15 bytes, is empty or has a character that no name may have", 0},
+		{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Y: z", "malformed answer: the name of a field, of 3 bytes, is empty or has a character that no name may have", 0},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\n" + secret + "\x01X: y", "malformed answer: malformed MIME header line", 0},
+		{"separator in a name", "HTTP/1.1 200 OK\r\n" + secret + "(X): y", "malformed answer: malformed MIME header line", 0},
+		{"empty name", "HTTP/1.1 200 OK\r\n: " + secret, "malformed answer: malformed MIME header line", 0},
 
 		{"unknown status", "HTTP/1.1 299 Fine", "", 299},
 		{"highest status", "HTTP/1.1 599 Fine", "", 599},
@@ -45,6 +51,7 @@
 		{"reason with a tab", "HTTP/1.1 200 O\tK", "", 200},
 		{"HTTP/1.0", "HTTP/1.0 200 OK", "", 200},
 		{"value with bytes above ASCII", "HTTP/1.1 200 OK\r\nX: \xe9", "", 200},
+		{"all characters of a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: v", "", 200},
 		{"folded field", "HTTP/1.1 200 OK\r\nX: a\r\n b", "", 200},
 		{"empty value", "HTTP/1.1 200 OK\r\nX:", "", 200},
 		{"length twice", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2", "", 200},
@@ -64,6 +71,35 @@
 	}
 }
 
+// Guards against an answer with a malformed body or trailer that ends as whole, and against errors
+// with bytes of the answer.
+func TestBody(t *testing.T) {
+	const secret = "zq7"
+	for _, tc := range []struct{ name, chunks, reason string }{
+		{"no trailer", "2\r\nok\r\n0\r\n\r\n", ""},
+		{"trailer", "2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", ""},
+		{"announced and not sent", "2\r\nok\r\n0\r\n\r\n", ""},
+		{"blank in a name", "2\r\nok\r\n0\r\n" + secret + " X: y\r\n\r\n", "malformed answer: the name of a trailer field, of 5 bytes, is empty or has a character that no name may have"},
+		{"control byte in a name", "2\r\nok\r\n0\r\n" + secret + "\x01: y\r\n\r\n", "malformed answer: malformed MIME header line"},
+		{"control byte in a value", "2\r\nok\r\n0\r\nX: " + secret + "\x01\r\n\r\n", "malformed answer: malformed MIME header line"},
+		{"length of a chunk", "2\r\nok\r\n" + secret + "\r\n", "malformed answer: invalid byte in chunk length"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			res, err := answer.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nTrailer: X Y\r\nTransfer-Encoding: chunked\r\n\r\n"+tc.chunks)), &http.Request{Method: http.MethodGet})
+			assert.NilError(t, err)
+			defer res.Body.Close()
+			b, err := io.ReadAll(res.Body)
+			assert.Equal(t, string(b), "ok")
+			if tc.reason == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Error(t, err, tc.reason)
+			assert.Assert(t, answer.IsMalformed(err))
+		})
+	}
+}
+
 // Guards against a connection that ended, which is taken for a malformed answer of a live server.
 func TestReadCutShort(t *testing.T) {
 	for _, head := range []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: y"} {
--- a/internal/answer/doc.go
+++ b/internal/answer/doc.go
@@ -18,8 +18,9 @@
 //
 // The status line and the fields must have the syntax of RFC 9110 and RFC 9112: the version is
 // HTTP/1.x, the status is between 100 and 599, and 101 only answers a request to change the protocol,
-// which is never sent. The same holds for interim answers. Everything else that the standard library
-// accepts is an answer, such as an unknown status, a missing reason or folded fields.
+// which is never sent. The name of a field is a token. The same holds for interim answers, and for
+// the fields behind a body, with which the answer ends as broken. Everything else that the standard
+// library accepts is an answer, such as an unknown status, a missing reason or folded fields.
 //
 // The package net/http alone accepts more, because it leaves these checks to its users.
 package answer
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -23,8 +23,12 @@
 	maxFaultTime = 3 * time.Second
 )
 
-// rawAnswer is what an engine sends in place of an answer.
-type rawAnswer struct{ name, bytes string }
+// rawAnswer is what an engine sends in place of an answer. begins is set if a completion begins with
+// it, which is then resumed.
+type rawAnswer struct {
+	name, bytes string
+	begins      bool
+}
 
 // rawAnswers sends a rawAnswer to the first requests and leaves their connections open.
 type rawAnswers struct {
@@ -226,6 +230,10 @@
 	}
 	raw.set(maxAttempts)
 	got = call()
+	if tc.begins {
+		assert.Equal(t, got.status, http.StatusOK)
+		return
+	}
 	assert.Equal(t, got.status, http.StatusBadGateway)
 	assert.Equal(t, got.err.Error.Ran, serving.RanUnknown)
 	assert.Assert(t, !strings.Contains(got.err.Error.Message, foreign), got.err.Error.Message)
@@ -253,10 +261,27 @@
 	}
 	notRun := `{"error":{"kind":"overloaded","ran":"not_run"}}`
 	checkMalformed(t, []rawAnswer{
-		{"000", whole("HTTP/1.1 000 Unknown")},
-		{"000 before an answer", "HTTP/1.1 000 \r\n\r\n" + whole("HTTP/1.1 200 OK")},
-		{"101 before an answer", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + whole("HTTP/1.1 200 OK")},
-		{"600", whole("HTTP/1.1 600 Unknown")},
-		{"999 that says it has not run", fmt.Sprintf("HTTP/1.1 999 \r\nContent-Length: %d\r\n\r\n%s", len(notRun), notRun)},
+		{"000", whole("HTTP/1.1 000 Unknown"), false},
+		{"000 before an answer", "HTTP/1.1 000 \r\n\r\n" + whole("HTTP/1.1 200 OK"), false},
+		{"101 before an answer", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + whole("HTTP/1.1 200 OK"), false},
+		{"600", whole("HTTP/1.1 600 Unknown"), false},
+		{"999 that says it has not run", fmt.Sprintf("HTTP/1.1 999 \r\nContent-Length: %d\r\n\r\n%s", len(notRun), notRun), false},
+	})
+}
+
+// Guards against a field whose name no field may have: its answer is passed on without it, with a
+// body that ends elsewhere than the engine meant, or as a refusal that nobody has stated.
+func TestMalformedFields(t *testing.T) {
+	const chunk = "8\r\n" + foreign + "\r\n0\r\n"
+	notRun := `{"error":{"kind":"overloaded","ran":"not_run"}}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(foreign), foreign)
+	checkMalformed(t, []rawAnswer{
+		{"blank in the name", "HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 8\r\n\r\n" + foreign, false},
+		{"blank behind the name of the transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n" + chunk + "\r\n", false},
+		{"control byte in the name", "HTTP/1.1 200 OK\r\nX\x01Bad: v\r\nContent-Length: 8\r\n\r\n" + foreign, false},
+		{"in an interim answer", "HTTP/1.1 103 Early Hints\r\nX Bad: v\r\n\r\n" + whole, false},
+		{"in a refusal", fmt.Sprintf("HTTP/1.1 503 No\r\nX Bad: v\r\nContent-Length: %d\r\n\r\n%s", len(notRun), notRun), false},
+		{"in the trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "X Bad: v\r\n\r\n", true},
+		{"in the trailer of a refusal", fmt.Sprintf("HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Bad: v\r\n\r\n", len(notRun), notRun), false},
 	})
 }
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
@@ -101,7 +102,10 @@
 // startRefusal returns the error for an engine's refusal to start a generation.
 func startRefusal(res *http.Response) error {
 	var body errorAnswer
-	b, _ := io.ReadAll(io.LimitReader(res.Body, maxRefusal))
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxRefusal))
+	if answer.IsMalformed(err) {
+		return serving.WrapError(err, serving.KindEngineFailed, "read the engine's refusal").WithRan(serving.RanUnknown)
+	}
 	_ = json.Unmarshal(b, &body)
 	message := fmt.Sprintf("the engine answered %d %s", res.StatusCode, body.Error.Message)
 	switch res.StatusCode {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/completion"
@@ -183,7 +184,8 @@
 	case err == nil:
 		res.remainder = body
 	case !errors.Is(err, io.EOF):
-		res.brokenOff = true
+		// A malformed answer says nothing about the call, whatever its header states.
+		res.brokenOff, res.notRun = true, res.notRun && !answer.IsMalformed(err)
 		res.err = serving.WrapError(err, serving.KindEngineFailed, "the engine broke off its answer").WithRan(serving.DidRun)
 		x.Close(false)
 	default:
