Refuse malformed answers in all clients of the standard library

What callers saw: answers of the system's own processes were read with net/http alone. An entry applied the deployment state in an answer whose field name held a blank, a change of the members that was answered with status 000 or 999 and "not_run" was sent again although it may have run, and the rollout command took such an answer for an accepted order. After a 101 the body is the connection, which no deadline of the request ends: a poll of a hub, a report to one or a call to a control replica waited for as long as the other end left it open.

Cause: http.Transport returns whatever status its reader takes, leaves a name with a blank in the header, and passes 101 on as an answer.

It checks header, interim answers (in the trace, so that net/http gives the connection up) and trailer by the same rule, quotes no bytes, and closes the connection, which net/http regards as idle before the rule is checked if the answer has no body.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -40,7 +40,7 @@
 	if err := Check(res); err != nil {
 		return nil, err
 	}
-	res.Body = newBody(res, readError)
+	res.Body = newBody(res, readError, nil)
 	return res, nil
 }
 
--- a/internal/answer/body.go
+++ b/internal/answer/body.go
@@ -10,16 +10,19 @@
 type body struct {
 	io.ReadCloser
 	answer *http.Response
-	// clean returns an error without bytes of the answer.
-	clean func(error) error
+	// check returns an error of reading the body without bytes of the answer, as an *Error if the
+	// body broke the rule.
+	check func(error) error
+	// malformed, if set, is called if the trailer breaks the rule.
+	malformed func()
 }
 
 // newBody returns the body of an answer whose header has been read.
-func newBody(res *http.Response, clean func(error) error) io.ReadCloser {
+func newBody(res *http.Response, check func(error) error, malformed func()) io.ReadCloser {
 	if res.Body == nil || res.Body == http.NoBody {
 		return res.Body
 	}
-	return &body{ReadCloser: res.Body, answer: res, clean: clean}
+	return &body{ReadCloser: res.Body, answer: res, check: check, malformed: malformed}
 }
 
 // Read implements io.Reader.
@@ -28,11 +31,14 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
-		if malformed := checkNames("trailer field", b.answer.Trailer); malformed != nil {
-			return n, malformed
+		if wrong := checkNames("trailer field", b.answer.Trailer); wrong != nil {
+			if b.malformed != nil {
+				b.malformed()
+			}
+			return n, wrong
 		}
 	default:
-		err = b.clean(err)
+		err = b.check(err)
 	}
 	return n, err
 }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/replica"
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/internal/settings"
@@ -81,7 +82,7 @@
 
 func (p *Process) node(disk journal.Disk, machine *registry.Machine, ev events) *replica.Node {
 	c := p.Settings.Control
-	peers := &http.Transport{MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: time.Minute}
+	peers := &answer.Transport{Next: &http.Transport{MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: time.Minute}}
 	client := rpc.HTTPClient(p.Settings.ClusterKey, ev.transport(peers))
 	transport := replica.NewHTTPTransport()
 	transport.Client = client
@@ -128,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	base := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	base := &answer.Transport{Next: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
 	transport := server.events.transport(base)
 	return &engineOrders{
 		server:       server,
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"turmericdrum.org/turmericdrum/internal/admin"
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/timelines"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/generation"
@@ -177,7 +178,8 @@
 	if key != "" {
 		r.Header.Set("Idempotency-Key", key)
 	}
-	return http.DefaultClient.Do(r)
+	client := &http.Client{Transport: &answer.Transport{Next: http.DefaultTransport}}
+	return client.Do(r)
 }
 
 // stream requests a streamed answer and checks that it is complete.
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/wire"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/internal/settings"
 	"turmericdrum.org/turmericdrum/internal/upstream"
@@ -35,17 +36,17 @@
 	orderUpstream *http.Client
 	// cluster calls other processes of the system with the cluster key.
 	cluster   *http.Client
-	transport *http.Transport
+	transport http.RoundTripper
 	// enginePool has the connections of upstream and orderUpstream.
 	enginePool *upstream.Pool
 }
 
 // NewClients returns the clients of an entry.
 func NewClients(s *settings.Settings, eventLog *EventLog) *Clients {
-	t := &http.Transport{
+	t := &answer.Transport{Next: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-	}
+	}}
 	enginePool := &upstream.Pool{Dialect: engineAnswers{}, Clock: serving.NewMonotonicClock(), IdleTimeout: idleConnTimeout}
 	client := func(t http.RoundTripper) *http.Client {
 		return &http.Client{Transport: eventLog.transport(t), CheckRedirect: noRedirect}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -13,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"turmericdrum.org/turmericdrum/internal/answer/answertest"
+	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
@@ -285,3 +287,21 @@
 		{"in the trailer of a refusal", fmt.Sprintf("HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Bad: v\r\n\r\n", len(notRun), notRun), false},
 	})
 }
+
+// Guards against an entry that takes a malformed answer of a control replica or of another entry, and
+// keeps its connection.
+func TestClientsOfEntryRefuseMalformedAnswers(t *testing.T) {
+	e := newEntry(testSettings(t))
+	claims, ok := e.claims.(*rpc.Client)
+	assert.Assert(t, ok)
+	for _, tc := range []struct {
+		name   string
+		client *http.Client
+	}{
+		{"entries and views", e.cluster},
+		{"claims", rpc.HTTPClient(claims.Key, claims.Transport)},
+		{"engines", e.upstream},
+	} {
+		t.Run(tc.name, func(t *testing.T) { answertest.CheckClient(t, tc.client) })
+	}
+}
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/checkpoint"
@@ -84,7 +85,7 @@
 	w.g, w.incarnation, w.started = g, rand.Uint64()>>1|1, g.Clock.Now()
 	dialer := &net.Dialer{Timeout: 400 * time.Millisecond,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}}
-	w.client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}
+	w.client = &http.Client{Transport: &answer.Transport{Next: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}}
 	w.directory = presence.NewDirectory()
 	for _, address := range g.Hubs {
 		w.addHub(&schema.HubAddress{Address: address})
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/ingress"
 	"turmericdrum.org/turmericdrum/internal/rpc"
 	"turmericdrum.org/turmericdrum/pkg/schema"
@@ -190,9 +191,9 @@
 	}
 	h.incarnation = rand.Uint64()>>1 | 1
 	h.started = h.Clock.Now()
-	h.client = &http.Client{Transport: &http.Transport{
+	h.client = &http.Client{Transport: &answer.Transport{Next: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
-	}}
+	}}}
 	h.directory = presence.NewDirectory()
 	// As for presence.DefaultSilentAfter, a little over three heartbeat intervals.
 	h.directory.SilentAfter = max(h.directory.SilentAfter, 3*h.HeartbeatInterval+h.HeartbeatInterval/3)
--- a/internal/hub/replica_runner.go
+++ b/internal/hub/replica_runner.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/replica"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
@@ -111,9 +112,9 @@
 }
 
 func (r *replicaRunner) newNode(h *Hub, disk journal.Disk) *replica.Node {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: &answer.Transport{Next: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: time.Minute, DisableCompression: true,
-	}}
+	}}}
 	transport := replica.NewHTTPTransport()
 	transport.Client = client
 	n := &replica.Node{
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/internal/standin"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -31,7 +32,7 @@
 }
 
 func newGenerator(c *Command, p *plan) *generator {
-	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute}
+	transport := &answer.Transport{Next: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute}}
 	return &generator{Command: c, plan: p, client: &http.Client{Transport: transport}}
 }
 
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/journal"
@@ -59,15 +60,19 @@
 func (n *Node) seenBy(ctx context.Context, address string, id serving.ReplicaID) bool {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapProbeTimeout)
 	defer cancel()
-	httpClient := n.Client
-	if httpClient == nil {
-		httpClient = http.DefaultClient
-	}
-	client := schema.NewLogProtobufClient(address, httpClient)
+	client := schema.NewLogProtobufClient(address, n.client())
 	res, err := client.Deliver(ctx, &schema.LogMessages{})
 	return err == nil && slices.Contains(res.GetSeen(), id.String())
 }
 
+// client returns the client that queries the initial members.
+func (n *Node) client() *http.Client {
+	if n.Client == nil {
+		return &http.Client{Transport: &answer.Transport{Next: http.DefaultTransport}}
+	}
+	return n.Client
+}
+
 // Recover makes the replica on disk the only voter, under a new incarnation, after
 // a majority was lost permanently. Its report describes the replica before the
 // recovery.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -66,8 +66,8 @@
 	SegmentSize int
 	Clock       serving.Clock
 	Transport   Transport
-	// Client queries the initial members during bootstrap; nil means
-	// http.DefaultClient.
+	// Client queries the initial members during bootstrap; nil means a client with
+	// http.DefaultTransport.
 	Client *http.Client
 
 	once     sync.Once
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 )
 
@@ -53,7 +54,7 @@
 // NewHTTPTransport returns a transport with the default client and queue limit.
 func NewHTTPTransport() *HTTPTransport {
 	return &HTTPTransport{
-		Client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callsPerPeer, IdleConnTimeout: time.Minute}},
+		Client:     &http.Client{Transport: &answer.Transport{Next: &http.Transport{MaxIdleConnsPerHost: callsPerPeer, IdleConnTimeout: time.Minute}}},
 		QueueLimit: defaultQueueLimit, peers: map[string]*peer{},
 	}
 }
--- a/internal/rpc/auth.go
+++ b/internal/rpc/auth.go
@@ -12,6 +12,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
@@ -93,11 +94,11 @@
 
 // defaultTransport connects to the replicas directly, because a proxy configured in
 // the environment would see the keys.
-var defaultTransport = &http.Transport{
+var defaultTransport = &answer.Transport{Next: &http.Transport{
 	DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 	MaxIdleConnsPerHost: 16,
 	IdleConnTimeout:     time.Minute,
-}
+}}
 
 // HTTPClient returns a client that sends the key with each call. It does not follow
 // redirects, because they could send the key to another server. A nil transport
--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/platform/standin"
 )
 
@@ -310,7 +311,7 @@
 // callKeepAlive sends lookups over a connection that is reused until the process at its other
 // end closes it.
 func (t *trial) callKeepAlive(ctx context.Context, entry int) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 5 * time.Second}
+	client := &http.Client{Transport: &answer.Transport{Next: &http.Transport{MaxIdleConnsPerHost: 1}}, Timeout: 5 * time.Second}
 	defer client.CloseIdleConnections()
 	c := t.caller(entry)
 	for n := 0; ctx.Err() == nil; n++ {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -34,6 +34,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	httpanswer "turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
 	"turmericdrum.org/turmericdrum/pkg/serving/timeline"
@@ -230,7 +231,7 @@
 	e.mu.Lock()
 	e.cancelRun = cancelRun
 	e.mu.Unlock()
-	handler, transport := e.handler(), &http.Transport{}
+	handler, transport := e.handler(), &httpanswer.Transport{Next: &http.Transport{}}
 	defer transport.CloseIdleConnections()
 	e.client = &http.Client{Transport: transport}
 	if e.Clock != nil {
