Don't take a malformed answer for an engine that crashed with its call

What callers saw: after engines had answered a call or a prompt with malformed bytes and were replaced, sound requests with the same content were refused for ten minutes with 503 and Retry-After 60, "engines crashed with the call or prompt parts". At the own interface the same, also without a replacement, where no announcement came in between.

Cause: a malformed answer ended an attempt as a broken connection does, so that the call counted as lost with its engine. A heartbeat at least 500 ms later takes that back, but not from an engine that an operator replaces because it is in trouble.

A call whose answer was malformed now counts as lost only if the process at the engine's address has ended, which is looked for as before. The engine is blamed as before: its outcome is broken, it gets fewer calls, and a repeat counts against the budget of retries.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -108,7 +108,7 @@
 			return nil
 		}
 		s.recordFailure(a, err)
-		mayRestart := !a.lostEngine(ctx, err) || e.recordLostAttempt(ctx, a)
+		mayRestart := !a.lostEngine(ctx, err) || e.recordLostAttempt(ctx, a, err)
 		if !out.canResume() {
 			e.cancelInBackground(a)
 		}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -305,3 +305,35 @@
 		t.Run(tc.name, func(t *testing.T) { answertest.CheckClient(t, tc.client) })
 	}
 }
+
+// Guards against calls and prompts that are blocked as crashing engines because engines answered them
+// with malformed bytes.
+func TestMalformedAnswersBlockNoCall(t *testing.T) {
+	raw := &rawAnswers{answer: rawAnswer{bytes: "HTTP/1.1 000 \r\n\r\n"}}
+	var engines []*Engine
+	for i := range 6 {
+		s := newFakeService(t, fmt.Sprint("stylus-", i), func(w http.ResponseWriter, r *http.Request) {
+			if !raw.take(w, r) {
+				answerOK(w, r)
+			}
+		})
+		n := rawScript(t, raw)
+		n.Engine.Engine = serving.EngineID(fmt.Sprint("engine-", i))
+		engines = append(engines, s.Engine, n.Engine)
+	}
+	e, _ := newOrderEntry(t, "")
+	e.setBoard(t, serviceConfig(""), engines...)
+	go e.prompts.run(t.Context(), func() map[serving.EngineID]*Engine { return nil })
+	for i := range 6 {
+		raw.set(maxAttempts)
+		assert.Equal(t, e.order(t, testKey, fmt.Sprint("k-", i), "the same call").status, http.StatusBadGateway)
+		raw.set(maxAttempts)
+		assert.Equal(t, e.stream(t).status, http.StatusBadGateway)
+		time.Sleep(300 * time.Millisecond)
+	}
+	raw.set(0)
+	// Evidence settles within this time.
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, e.order(t, testKey, "k", "the same call").status, http.StatusOK)
+	assert.Equal(t, e.stream(t).status, http.StatusOK)
+}
--- a/internal/entry/prompts.go
+++ b/internal/entry/prompts.go
@@ -9,8 +9,10 @@
 
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
 )
 
@@ -85,20 +87,24 @@
 
 // recordLostAttempt records that an attempt lost its engine before the answer had begun. It
 // reports whether the request may be sent to another engine.
-func (e *Entry) recordLostAttempt(ctx context.Context, a *attempt) (mayRestart bool) {
+func (e *Entry) recordLostAttempt(ctx context.Context, a *attempt, cause error) (mayRestart bool) {
 	at := e.prompts.clock.Now()
 	if a.failing {
 		at = a.failedAt
 	}
-	return e.recordLost(ctx, a.request.ID, a.engine, requestParts(a.request), at)
+	return e.recordLost(ctx, a.request.ID, a.engine, requestParts(a.request), at, cause)
 }
 
-// recordLost records that a call lost its engine at a time, before the answer had begun. It
-// reports whether the call may be sent to another engine.
-func (e *Entry) recordLost(ctx context.Context, id serving.RequestID, n *Engine, parts []quarantine.Part, at time.Duration) (mayRetry bool) {
+// recordLost records that a call lost its engine at a time, before the answer had begun. cause is the
+// error with which it ended. An engine that lives and answered malformed bytes has not lost the call.
+// It reports whether the call may be sent to another engine.
+func (e *Entry) recordLost(ctx context.Context, id serving.RequestID, n *Engine, parts []quarantine.Part, at time.Duration, cause error) (mayRetry bool) {
 	ctx, cancel := context.WithTimeout(ctx, lossCheckTimeout)
 	defer cancel()
 	process := e.enginePool.CheckProcess(ctx, n.Address, maxIdlePerHost)
+	if answer.IsMalformed(cause) && process != completion.Ended {
+		return true
+	}
 	klog.InfoS("Engine ended before the answer began", "request", id, "engine", n.Engine, "engine_started", uint64(n.Incarnation), "process", process)
 	return e.prompts.recordLost(quarantine.LostCall{Request: id, Engine: n.Engine, EngineStarted: int64(n.Incarnation), Parts: parts, At: at, Process: process})
 }
--- a/internal/entry/servicecall.go
+++ b/internal/entry/servicecall.go
@@ -84,13 +84,13 @@
 	}
 	res, err := client.Do(r)
 	if err != nil {
-		return &callResult{err: err, sent: sent.Load(), mayRetry: !sent.Load() || e.mayRetryLost(ctx, n, c)}
+		return &callResult{err: err, sent: sent.Load(), mayRetry: !sent.Load() || e.mayRetryLost(ctx, n, c, err)}
 	}
 	defer res.Body.Close()
 	answer, err := readAnswer(res)
 	if err != nil {
 		tooLarge := serving.AsError(err).Kind == serving.KindTooLarge
-		return &callResult{sent: true, err: err, mayRetry: tooLarge || e.mayRetryLost(ctx, n, c)}
+		return &callResult{sent: true, err: err, mayRetry: tooLarge || e.mayRetryLost(ctx, n, c, err)}
 	}
 	result := &callResult{answer: answer, sent: true, mayRetry: true, refused: reportsNotRun(answer)}
 	if !result.refused {
@@ -99,10 +99,10 @@
 	return result
 }
 
-// mayRetryLost records that a call got no answer and reports whether it may be sent to
-// another engine.
-func (e *Entry) mayRetryLost(ctx context.Context, n *Engine, c *serviceCall) bool {
-	return ctx.Err() != nil || e.recordLost(ctx, c.id, n, c.parts(), e.prompts.clock.Now())
+// mayRetryLost records that a call got no answer, because of cause, and reports whether it may be sent
+// to another engine.
+func (e *Entry) mayRetryLost(ctx context.Context, n *Engine, c *serviceCall, cause error) bool {
+	return ctx.Err() != nil || e.recordLost(ctx, c.id, n, c.parts(), e.prompts.clock.Now(), cause)
 }
 
 func readAnswer(res *http.Response) (*schema.Answer, error) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -122,7 +122,7 @@
 		j.endAttempt(outcome, rollout.Times{})
 		j.g.endTicket(t, outcome, 0)
 		if outcome == placement.Broken && ctx.Err() == nil {
-			j.recordLost(t)
+			j.recordLost(t, err)
 		}
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
@@ -132,7 +132,7 @@
 	j.g.endTicket(t, res.engineOutcome(j.ctx), j.g.Clock.Now()-start)
 	switch {
 	case res.brokenOff && ctx.Err() == nil:
-		j.recordLost(t)
+		j.recordLost(t, res.err)
 	case res.err == nil && !res.notRun:
 		j.g.board.mu.Lock()
 		j.recordSound()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
@@ -42,12 +43,16 @@
 	j.g.board.outcomes.Sound(j.g.Clock.Now(), j.parts)
 }
 
-// recordLost records that the engine ended the connection before the answer had begun.
-func (j *job) recordLost(t *placement.Ticket) {
+// recordLost records that the engine ended the connection before the answer had begun. cause is the
+// error with which it ended. An engine that lives and answered malformed bytes has not lost the call.
+func (j *job) recordLost(t *placement.Ticket, cause error) {
 	lostAt := j.g.Clock.Now()
 	ctx, cancel := context.WithTimeout(j.ctx, lossCheckTimeout)
 	defer cancel()
 	process := j.g.upstream.CheckProcess(ctx, t.Address, t.MaxIdleConns)
+	if answer.IsMalformed(cause) && process != completion.Ended {
+		return
+	}
 	if process == completion.Ended {
 		j.crashes++
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -145,7 +145,7 @@
 		r.endAttempt(outcome, rollout.Times{})
 		r.g.endTicket(t, outcome, 0)
 		if r.ctx.Err() == nil && outcome == placement.Broken {
-			r.recordLost(t)
+			r.recordLost(t, err)
 		}
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
@@ -242,7 +242,7 @@
 		r.outcome = placement.Broken
 		if !r.resumeAfterMove(err) {
 			if r.moveCount == 0 && !hasBegun(r.events) {
-				r.recordLost(r.ticket)
+				r.recordLost(r.ticket, err)
 			}
 			r.abort(err)
 			return
