Don't believe what a malformed answer says of its engine

What callers saw: a refusal whose trailer broke the rule and that said Server-Leaving and Retry-After: 60 kept the entry from its engine, and calls to a service with this engine alone got 503.

Cause: the header of an answer was evaluated although its body had ended as malformed.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -127,7 +127,7 @@
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
 	res := j.readAnswer(x, t)
-	j.g.recordAnswer(t.Engine, &x.Answer)
+	j.recordStatements(t, &res)
 	j.endAttempt(res.engineOutcome(j.ctx), rollout.Times{Whole: j.g.Clock.Now() - start})
 	j.g.endTicket(t, res.engineOutcome(j.ctx), j.g.Clock.Now()-start)
 	switch {
@@ -141,6 +141,13 @@
 	return res
 }
 
+// recordStatements records what an engine said of itself in an answer that has been read.
+func (j *job) recordStatements(t *placement.Ticket, res *attemptResult) {
+	if !answer.IsMalformed(res.err) {
+		j.g.recordAnswer(t.Engine, &res.exchange.Answer)
+	}
+}
+
 // sendFailureOutcome returns the outcome to record in the engine's health for a failed
 // send.
 func sendFailureOutcome(ctx context.Context, e *serving.Error) placement.Outcome {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -150,7 +150,7 @@
 		return attemptResult{err: err, notRun: e.Ran == serving.NotRun, reached: e.Ran != serving.NotRun}
 	}
 	res := r.readAnswer(x, t)
-	r.g.recordAnswer(t.Engine, &x.Answer)
+	r.recordStatements(t, &res)
 	r.endAttempt(res.engineOutcome(r.ctx), rollout.Times{})
 	r.g.endTicket(t, res.engineOutcome(r.ctx), 0)
 	return res
