Read answers of engines to their end in hub and control

What callers saw: nothing at once. A hub took the load in a health answer with a malformed trailer for the engine's, and a control replica its orders in force, and places work and sends orders by that.

Cause: the hub ignored errors of the body, and the control replica decoded the first JSON value of a read-back and read nothing of the answer to an order, so that neither came to the trailer.

Both read the body within their bounds; a malformed one is an answer that did not come. Malformed answers are logged at the default level, with the engine and what was wrong.

Evidence on the commit before: TestLoadCheckAnsweredMalformed, third answer: 2 (int64) != 3: the load was taken. It passes now, with the tests of internal/hub for load checks and all of internal/control. There is no failing test for the read-back.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/engine"
@@ -150,7 +151,11 @@
 			continue
 		}
 		if err := o.readBackEngine(ctx, b, e); err != nil {
-			klog.V(1).InfoS("Failed to read back an engine", "engine", e.ID, "err", err)
+			level := klog.Level(1)
+			if answer.IsMalformed(err) {
+				level = 0
+			}
+			klog.V(level).InfoS("Failed to read back an engine", "engine", e.ID, "err", err)
 		}
 	}
 }
@@ -170,8 +175,12 @@
 		return err
 	}
 	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReadBack))
+	if err != nil {
+		return err
+	}
 	var in ordersInForce
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxReadBack)).Decode(&in); err != nil || res.StatusCode != http.StatusOK {
+	if err := json.Unmarshal(body, &in); err != nil || res.StatusCode != http.StatusOK {
 		return serving.NewError(serving.KindEngineFailed, fmt.Sprintf("the engine answered the read-back with status %d or an invalid body", res.StatusCode))
 	}
 	e.Models = nil
@@ -225,6 +234,9 @@
 		return err
 	}
 	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxReadBack)); answer.IsMalformed(err) {
+		return err
+	}
 	if res.StatusCode/100 != 2 {
 		return serving.NewError(serving.KindEngineFailed, fmt.Sprintf("the engine answered the order with status %d", res.StatusCode))
 	}
--- a/internal/hub/machines.go
+++ b/internal/hub/machines.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
 
@@ -78,24 +79,41 @@
 		machineChecks.Add("invalid", 1)
 		return
 	}
-	res, err := h.client.Do(req)
+	res, body, err := h.ask(req)
 	if err != nil {
 		machineChecks.Add("unanswered", 1)
-		klog.V(1).InfoS("Load check not answered", "engine", c.engine, "address", c.address, "err", err)
+		level := klog.Level(1)
+		if answer.IsMalformed(err) {
+			level = 0
+		}
+		klog.V(level).InfoS("Load check not answered", "engine", c.engine, "address", c.address, "err", err)
 		return
 	}
-	defer res.Body.Close()
-	body, _ := io.ReadAll(io.LimitReader(res.Body, maxLoadAnswer))
-	answer := h.Dialect.DecodeAnswer(res.StatusCode, res.Header)
+	got := h.Dialect.DecodeAnswer(res.StatusCode, res.Header)
 	switch id := h.Dialect.DecodeIdentity(res.StatusCode, res.Header, body); {
 	case id.Other || id.Engine != "" && id.Engine != c.engine:
 		machineChecks.Add("other_engine", 1)
-	case !answer.HasLoad || answer.Load.Factor == 0:
+	case !got.HasLoad || got.Load.Factor == 0:
 		machineChecks.Add("unknown", 1)
 	default:
 		machineChecks.Add("answered", 1)
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.placer.pool.SetFactor(h.Clock.Now(), c.engine, answer.Load.Factor)
+		h.placer.pool.SetFactor(h.Clock.Now(), c.engine, got.Load.Factor)
+	}
+}
+
+// ask sends a request to an engine and reads the answer. A body that is cut short counts as far as it
+// goes.
+func (h *Hub) ask(req *http.Request) (*http.Response, []byte, error) {
+	res, err := h.client.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxLoadAnswer))
+	if !answer.IsMalformed(err) {
+		err = nil
 	}
+	return res, body, err
 }
--- a/internal/hub/malformed_answer_test.go
+++ b/internal/hub/malformed_answer_test.go
@@ -30,14 +30,19 @@
 
 // Guards against a load check that takes the load in a malformed answer for that of the engine.
 func TestLoadCheckAnsweredMalformed(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 \r\n", "HTTP/1.1 200 OK\r\nX Bad: v\r\n"} {
-		s := answertest.Serve(t, head+"Engine: e\r\nFactor: 250\r\nContent-Length: 0\r\n\r\n", func(*http.Request) bool { return true })
+	const load = "Engine: e\r\nFactor: 250\r\n"
+	for _, raw := range []string{
+		"HTTP/1.1 000 \r\n" + load + "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Bad: v\r\n" + load + "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + load + "Transfer-Encoding: chunked\r\n\r\n0\r\nX Bad: v\r\n\r\n",
+	} {
+		s := answertest.Serve(t, raw, func(*http.Request) bool { return true })
 		h := &Hub{Host: "127.0.0.1", Address: "http://127.0.0.1:1"}
 		h.setup()
 		h.Dialect = loadDialect{}
 		h.placer.pool = placement.Pool{Random: rand.New(rand.NewPCG(1, 1))}
 		before := machineChecksOf("unanswered")
 		h.checkLoad(t.Context(), loadCheck{engine: serving.EngineID("e"), address: s.Address, healthPath: "/healthz"})
-		assert.Equal(t, machineChecksOf("unanswered"), before+1, head)
+		assert.Equal(t, machineChecksOf("unanswered"), before+1, raw)
 	}
 }
