Log malformed answers with engine, request and reason

What operators saw: a refusal with "read the engine's answer" or "no engine answered", and in some lines net/http's error with the bytes of the answer. Which engine had answered what call malformed could only be pieced together, for a stream not at all.

Each malformed answer now has a line "Malformed answer" with request, engine and what was wrong, at the platform's door and at the own interface (for a lookup of an order its key), and counts in the metric answers_malformed. The reasons come from internal/answer and have no bytes of the answer.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -137,6 +137,7 @@
 			}
 		}
 		err := e.relayStream(a, stream, out)
+		logMalformed(a.request.ID, a.engine, err)
 		stream.close()
 		stream = nil
 		if err == nil || ctx.Err() != nil || isCallerError(err) {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -8,6 +8,9 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -216,11 +219,14 @@
 		if err != nil || tried[n.Engine] {
 			return nil
 		}
-		status, answer, _ := e.lookUpAt(ctx, n, s.LookupPath, serviceKey(serving.ClientAccountID(key.ClientAccount), key.Key))
+		status, found, err := e.lookUpAt(ctx, n, s.LookupPath, serviceKey(serving.ClientAccountID(key.ClientAccount), key.Key))
+		if answer.IsMalformed(err) {
+			klog.InfoS("Malformed answer", "service", key.Service, "key", key.Key, "engine", n.Engine, "err", err)
+		}
 		switch status {
 		case lookupRan:
-			e.settleByLookup(key, answer)
-			return answer
+			e.settleByLookup(key, found)
+			return found
 		case lookupInProgress:
 			select {
 			case <-ctx.Done():
--- a/internal/entry/servicecall.go
+++ b/internal/entry/servicecall.go
@@ -12,6 +12,9 @@
 	"strings"
 	"sync/atomic"
 
+	"k8s.io/klog/v2"
+
+	"turmericdrum.org/turmericdrum/internal/answer"
 	"turmericdrum.org/turmericdrum/pkg/schema"
 	"turmericdrum.org/turmericdrum/pkg/serving"
 )
@@ -84,15 +87,17 @@
 	}
 	res, err := client.Do(r)
 	if err != nil {
+		logMalformed(c.id, n, err)
 		return &callResult{err: err, sent: sent.Load(), mayRetry: !sent.Load() || e.mayRetryLost(ctx, n, c, err)}
 	}
 	defer res.Body.Close()
-	answer, err := readAnswer(res)
+	got, err := readAnswer(res)
 	if err != nil {
+		logMalformed(c.id, n, err)
 		tooLarge := serving.AsError(err).Kind == serving.KindTooLarge
 		return &callResult{sent: true, err: err, mayRetry: tooLarge || e.mayRetryLost(ctx, n, c, err)}
 	}
-	result := &callResult{answer: answer, sent: true, mayRetry: true, refused: reportsNotRun(answer)}
+	result := &callResult{answer: got, sent: true, mayRetry: true, refused: reportsNotRun(got)}
 	if !result.refused {
 		e.prompts.recordSound(c.parts())
 	}
@@ -125,6 +130,13 @@
 	return json.Unmarshal(a.Body, &body) == nil && body.Error.Ran == serving.NotRun
 }
 
+// logMalformed logs a malformed answer of an engine to a request. Other errors are ignored.
+func logMalformed(id serving.RequestID, n *Engine, err error) {
+	if answer.IsMalformed(err) {
+		klog.InfoS("Malformed answer", "request", id, "engine", n.Engine, "err", err)
+	}
+}
+
 // lookupResult is the answer of a service to the lookup of a key.
 type lookupResult struct {
 	Status string `json:"status"`
@@ -148,15 +160,15 @@
 		return "", nil, err
 	}
 	defer res.Body.Close()
-	answer, err := readAnswer(res)
-	if err != nil || answer.Status != http.StatusOK {
+	got, err := readAnswer(res)
+	if err != nil || got.Status != http.StatusOK {
 		return "", nil, err
 	}
 	var l lookupResult
-	if err := json.Unmarshal(answer.Body, &l); err != nil {
+	if err := json.Unmarshal(got.Body, &l); err != nil {
 		return "", nil, err
 	}
-	return l.Status, answer, nil
+	return l.Status, got, nil
 }
 
 // lookupPath inserts a key at {key}, or appends it to a path without {key}.
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -86,12 +86,14 @@
 	res, err := e.upstream.Do(r) //nolint:bodyclose // The stream closes it.
 	s.timer.Stop()
 	if err != nil {
+		logMalformed(a.request.ID, a.engine, err)
 		s.close()
 		return nil, s.stallError(err)
 	}
 	s.body = res.Body
 	if res.StatusCode != http.StatusOK {
 		err := refusal(res)
+		logMalformed(a.request.ID, a.engine, err)
 		s.close()
 		return nil, err
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	streamsLost      = expvar.NewInt("streams_lost")
 	answersTruncated = expvar.NewMap("answers_truncated")
 	answersUnsigned  = expvar.NewInt("answers_unsigned")
+	answersMalformed = expvar.NewInt("answers_malformed")
 	takenInShutdown  = expvar.NewInt("calls_taken_in_shutdown")
 	processChecks    = expvar.NewMap("engine_process_checks")
 	lostBeforeAnswer = expvar.NewInt("calls_lost_before_answer")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -117,6 +117,7 @@
 	start := j.g.Clock.Now()
 	x, err := j.g.upstream.Send(ctx, j.engineRequest(t, nil, maxIdleTime))
 	if err != nil {
+		j.logMalformed(err)
 		e := serving.AsError(err)
 		outcome := sendFailureOutcome(j.ctx, e)
 		j.endAttempt(outcome, rollout.Times{})
@@ -141,6 +142,14 @@
 	return res
 }
 
+// logMalformed logs a malformed answer of the engine that has the call. Other errors are ignored.
+func (j *job) logMalformed(err error) {
+	if answer.IsMalformed(err) {
+		answersMalformed.Add(1)
+		j.log("Malformed answer", "err", err)
+	}
+}
+
 // recordStatements records what an engine said of itself in an answer that has been read.
 func (j *job) recordStatements(t *placement.Ticket, res *attemptResult) {
 	if !answer.IsMalformed(res.err) {
@@ -193,6 +202,7 @@
 	case !errors.Is(err, io.EOF):
 		// A malformed answer says nothing about the call, whatever its header states.
 		res.brokenOff, res.notRun = true, res.notRun && !answer.IsMalformed(err)
+		j.logMalformed(err)
 		res.err = serving.WrapError(err, serving.KindEngineFailed, "the engine broke off its answer").WithRan(serving.DidRun)
 		x.Close(false)
 	default:
@@ -339,6 +349,7 @@
 	_, err := j.w.Write(res.body)
 	if err == nil && res.remainder != nil {
 		_, err = io.Copy(j.w, res.remainder)
+		j.logMalformed(err)
 		res.exchange.Close(err == nil)
 	}
 	answered.Add(strconv.Itoa(res.exchange.Status), 1)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -140,6 +140,7 @@
 // ticket. x is the engine's answer if err, the error of the send, is nil.
 func (r *relay) readFailedStart(t *placement.Ticket, x *upstream.Exchange, err error) attemptResult {
 	if err != nil {
+		r.logMalformed(err)
 		e := serving.AsError(err)
 		outcome := sendFailureOutcome(r.ctx, e)
 		r.endAttempt(outcome, rollout.Times{})
@@ -234,6 +235,7 @@
 			r.outcome = placement.OK
 			return
 		}
+		r.logMalformed(err)
 		if r.ctx.Err() != nil {
 			r.outcome = placement.Abandoned
 			r.abort(err)
