--- a/internal/hub/machines.go
+++ b/internal/hub/machines.go
@@ -79,7 +79,7 @@
 		machineChecks.Add("invalid", 1)
 		return
 	}
-	res, body, err := h.ask(req)
+	status, header, body, err := h.ask(req)
 	if err != nil {
 		machineChecks.Add("unanswered", 1)
 		level := klog.Level(1)
@@ -89,8 +89,8 @@
 		klog.V(level).InfoS("Load check not answered", "engine", c.engine, "address", c.address, "err", err)
 		return
 	}
-	got := h.Dialect.DecodeAnswer(res.StatusCode, res.Header)
-	switch id := h.Dialect.DecodeIdentity(res.StatusCode, res.Header, body); {
+	got := h.Dialect.DecodeAnswer(status, header)
+	switch id := h.Dialect.DecodeIdentity(status, header, body); {
 	case id.Other || id.Engine != "" && id.Engine != c.engine:
 		machineChecks.Add("other_engine", 1)
 	case !got.HasLoad || got.Load.Factor == 0:
@@ -105,15 +105,15 @@
 
 // ask sends a request to an engine and reads the answer. A body that is cut short counts as far as it
 // goes.
-func (h *Hub) ask(req *http.Request) (*http.Response, []byte, error) {
+func (h *Hub) ask(req *http.Request) (status int, header http.Header, body []byte, err error) {
 	res, err := h.client.Do(req)
 	if err != nil {
-		return nil, nil, err
+		return 0, nil, nil, err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxLoadAnswer))
+	body, err = io.ReadAll(io.LimitReader(res.Body, maxLoadAnswer))
 	if !answer.IsMalformed(err) {
 		err = nil
 	}
-	return res, body, err
+	return res.StatusCode, res.Header, body, err
 }
