Take an HTTP/1.0 answer with a transfer encoding for malformed

What callers saw: an engine in trouble answered in HTTP/1.0 with Transfer-Encoding: chunked. The body was the chunks' framing and ended with the connection; where the engine left it open, the caller waited until the deadline and got 504.

Cause: net/http drops the field in HTTP/1.0 and reads the body as it comes. RFC 9112 says to treat the framing as faulty.

internal/answer reads such a header as a whole before net/http does, and refuses it if it has the field. Other answers in HTTP/1.0 pass, and their connections aren't used again. Clients of the standard library can't tell, because the field is gone when they see the answer.

FuzzAnswer also checks status and names now and found nothing in 25 s.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -33,7 +33,11 @@
 // method matters. If the bytes are no answer, the error is an *Error; other errors are those of the
 // connection.
 func Read(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	res, err := http.ReadResponse(r, req)
+	read := http.ReadResponse
+	if b, err := r.Peek(len(http10)); err == nil && string(b) == http10 {
+		read = readHTTP10
+	}
+	res, err := read(r, req)
 	if err != nil {
 		return nil, readError(err)
 	}
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -108,3 +108,30 @@
 		assert.Assert(t, !answer.IsMalformed(err), head)
 	}
 }
+
+// Guards against an HTTP/1.0 answer with a transfer encoding, whose framing passes for its body, and
+// against a sound HTTP/1.0 answer that is given up.
+func TestTransferEncodingOfHTTP10(t *testing.T) {
+	for _, tc := range []struct{ name, bytes, body string }{
+		{"transfer encoding", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		{"in lower case", "HTTP/1.0 200 OK\r\nX: y\r\ntransfer-encoding:chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		{"length", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok and more", "ok"},
+		{"neither", "HTTP/1.0 200 OK\r\n\r\nok", "ok"},
+		{"long header", "HTTP/1.0 200 OK\r\nX: " + strings.Repeat("x", 8<<10) + "\r\nContent-Length: 2\r\n\r\nok", "ok"},
+		{"long body", "HTTP/1.0 200 OK\r\n\r\n" + strings.Repeat("x", 20<<10), strings.Repeat("x", 20<<10)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			res, err := answer.Read(bufio.NewReader(strings.NewReader(tc.bytes)), &http.Request{Method: http.MethodGet})
+			if tc.body == "" {
+				assert.Error(t, err, "malformed answer: transfer encoding in HTTP/1.0")
+				return
+			}
+			assert.NilError(t, err)
+			defer res.Body.Close()
+			b, err := io.ReadAll(res.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(b), tc.body)
+			assert.Assert(t, res.Close, "the connection may be used again")
+		})
+	}
+}
--- a/internal/answer/doc.go
+++ b/internal/answer/doc.go
@@ -18,7 +18,8 @@
 //
 // The status line and the fields must have the syntax of RFC 9110 and RFC 9112: the version is
 // HTTP/1.x, the status is between 100 and 599, and 101 only answers a request to change the protocol,
-// which is never sent. The name of a field is a token. The same holds for interim answers, and for
+// which is never sent. An answer in HTTP/1.0 has no transfer encoding; a Transport can't tell, because
+// net/http drops the field. The name of a field is a token. The same holds for interim answers, and for
 // the fields behind a body, with which the answer ends as broken. Everything else that the standard
 // library accepts is an answer, such as an unknown status, a missing reason or folded fields.
 //
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -57,6 +58,9 @@
 	return n, nil
 }
 
+// tokenCharacters are the characters of field names.
+const tokenCharacters = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+
 // Guards against bytes of a faulty engine that end the entry with a panic, keep a call past its
 // time, or count as the answer to another call.
 func FuzzAnswer(f *testing.F) {
@@ -88,7 +92,8 @@
 	}()
 	var inputs atomic.Int64
 	for _, seed := range []string{"", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: b\r\n\r\n", "HTTP/1.1 503 No\r\nNot-Run: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc", "garbage\r\n\r\n"} {
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: b\r\n\r\n", "HTTP/1.1 503 No\r\nNot-Run: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc", "garbage\r\n\r\n",
+		"HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n\r\n", "HTTP/1.1 200 OK\r\nId: a\r\nX Y: z\r\n\r\n", "HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, answer []byte) {
@@ -106,6 +111,14 @@
 			if x.RequestID != "a" && (x.RequestID != "" || !x.NotRun) {
 				t.Fatalf("the answer to %q was taken: %q", x.RequestID, answer)
 			}
+			if x.Status < 200 || x.Status > 599 {
+				t.Fatalf("status %d was taken: %q", x.Status, answer)
+			}
+			for name := range x.Header {
+				if strings.Trim(name, tokenCharacters) != "" || name == "" {
+					t.Fatalf("field %q was taken: %q", name, answer)
+				}
+			}
 			_, err = io.Copy(io.Discard, io.LimitReader(x.Body, 1<<20))
 			x.Close(err == nil)
 		} else if connected && serving.AsError(err).Ran == serving.NotRun {
