Don't keep a connection with the rest of a long answer on it

What happened: the answer to an engine request (a copy, a report, a health check) is read up to 16 KiB. The connection of a longer one was kept, and its rest, when it came late, was taken for the answer to the next request: the handle of another copy, or another engine's identity.

Cause: the end of the bounded reader counted as the end of the body.

One byte more is read than is allowed, and the connection is kept only if it didn't come.

Evidence: TestRestOfLongAnswerIsNotTheNextOne before the change: forged (string) != sound (string). It passes now, with the tests of moves and of engine requests without an end in platform.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -396,8 +396,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Body, maxEngineAnswer))
-	x.Close(err == nil)
+	body, err := io.ReadAll(io.LimitReader(x.Body, maxEngineAnswer+1))
+	// The rest of a longer body would come before the next answer.
+	x.Close(err == nil && len(body) <= maxEngineAnswer)
 	if err != nil {
 		return nil, nil, serving.WrapError(err, serving.KindEngineFailed, "read the answer to an engine request").WithRan(serving.RanUnknown)
 	}
