--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
-
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/internal/answer"
