Wait for no more bytes of an answer than its version needs

What callers saw: bytes that are no answer and fewer than nine, on a connection that stays open, were waited on until the deadline: 504. It came with the check for HTTP/1.0, which peeked at nine bytes.

The bytes are compared one by one, up to the first that differs.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -34,7 +34,7 @@
 // connection.
 func Read(r *bufio.Reader, req *http.Request) (*http.Response, error) {
 	read := http.ReadResponse
-	if b, err := r.Peek(len(http10)); err == nil && string(b) == http10 {
+	if beginsHTTP10(r) {
 		read = readHTTP10
 	}
 	res, err := read(r, req)
--- a/internal/answer/http10.go
+++ b/internal/answer/http10.go
@@ -12,6 +12,17 @@
 // http10 is how an answer in HTTP/1.0 begins.
 const http10 = "HTTP/1.0 "
 
+// beginsHTTP10 reports whether an answer in HTTP/1.0 comes next. It waits for no more bytes than it
+// needs to tell, because bytes that are no answer may be fewer.
+func beginsHTTP10(r *bufio.Reader) bool {
+	for n := range len(http10) {
+		if b, err := r.Peek(n + 1); err != nil || b[n] != http10[n] {
+			return false
+		}
+	}
+	return true
+}
+
 // readHTTP10 is http.ReadResponse for HTTP/1.0, which has no transfer encodings. The package net/http
 // drops such a field and passes on the framing as the body. The connection of the answer can't be used
 // again.
