--- a/review/standin3/closing_sockets.go
+++ b/review/standin3/closing_sockets.go
@@ -69,18 +69,29 @@
 	_ = c.cmd.Wait()
 }
 
-// otherCaller uses connections to an engine as the other machines do: each is opened, serves a
-// status check, is kept for a while and is closed.
+// otherCaller uses a connection to an engine as the other machines do: it is opened, serves a
+// status check, and is kept for some time.
 func otherCaller(engine string, end time.Time) {
+	buffer := make([]byte, 1<<10)
 	for time.Now().Before(end) {
 		c, err := net.DialTimeout("tcp", engine, time.Second)
 		if err != nil {
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
 			continue
 		}
 		_, _ = io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: "+engine+"\r\n\r\n")
-		_ = c.SetReadDeadline(time.Now().Add(time.Second + time.Duration(rand.IntN(3000))*time.Millisecond))
-		_, _ = io.Copy(io.Discard, c)
+		keptUntil := time.Now().Add(time.Duration(5000+rand.IntN(10000)) * time.Millisecond)
+		if keptUntil.After(end) {
+			keptUntil = end
+		}
+		_ = c.SetReadDeadline(keptUntil)
+		// The answer is short enough for one read. The second one waits for the end of the
+		// connection.
+		for range 2 {
+			if _, err := c.Read(buffer); err != nil {
+				break
+			}
+		}
 		_ = c.Close()
 	}
 }
@@ -88,6 +99,10 @@
 // closingSockets plays model engines that crash one after another. The rules MIXED and ORDER are
 // broken if a caller gets a part of a stream as a complete one.
 func closingSockets(rec *record, trouble bool) (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 9000 {
+		return notRun, fmt.Errorf("the connections need 9000 descriptors, the limit is %d", limit.Cur)
+	}
 	d, err := startDeployment(rec, 1)
 	if d != nil {
 		defer d.close()
@@ -95,7 +110,7 @@
 	if err != nil {
 		return notRun, err
 	}
-	const engines, otherConnections, longEvents, shortEvents = 6, 230, 120, 4
+	const engines, otherConnections, longEvents, shortEvents = 6, 1250, 120, 4
 	children := make([]*child, engines)
 	starts := 0
 	engineAddress := func(i int) string { return address(d.ip(10+i), d.ports.frontend) }
@@ -113,7 +128,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	var wrong, whole, failed, next atomic.Int64
-	end := time.Now().Add(85 * time.Second)
+	end := time.Now().Add(45 * time.Second)
 	var callers sync.WaitGroup
 	caller := func(path string, events int, pause time.Duration) {
 		for time.Now().Before(end) {
--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -57,6 +57,9 @@
 
 const hubCount = 3
 
+// entryMemoryMB is the memory of an entry host in MiB.
+const entryMemoryMB = 284
+
 // startDeployment starts the hubs and the entries, and sends the manifest. It returns once all
 // entries are ready.
 func startDeployment(rec *record, entries int) (*deployment, error) {
@@ -150,7 +153,7 @@
 	}
 	s["machine_class"], s["serves"], s["counts_as_loss"] = "edge", []string{"edge"}, false
 	s["listen"] = map[string]string{"frontend": address(ip, d.ports.frontend), "readiness": address(ip, d.ports.readiness)}
-	s["limits"] = map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}
+	s["limits"] = map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": entryMemoryMB, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}
 	s["data_dir"] = nil
 	return s
 }
@@ -225,7 +228,7 @@
 			route("r-a", "/pule252/", "non_idempotent", plainService, 1000, 300, 1),
 			route("r-b", "/puxa403/", "idempotent", plainService, 1000, 300, 2)},
 		"services": []any{
-			map[string]any{"name": modelService, "health_path": "/healthz", "max_connections": 272, "protocol": "h1", "tls": false, "cold_start_s": 1.0, "cold_per_s": 40.0,
+			map[string]any{"name": modelService, "health_path": "/healthz", "max_connections": 1372, "protocol": "h1", "tls": false, "cold_start_s": 1.0, "cold_per_s": 40.0,
 				"engine": map[string]any{"slots": 24, "kv_capacity_tokens": 34393, "kv_bytes": 327680, "link_mbps": 47000.0, "moves": true, "backups": true, "stride": 4,
 					"most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0, "models": []any{map[string]string{"name": "m"}}}},
 			map[string]any{"name": plainService, "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0}},
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -28,6 +28,8 @@
 	// unframed reports whether the answer to a request has no length and ends with its
 	// connection.
 	unframed func(path string) bool
+	// onRun, if set, is called with the id of each plain request that runs.
+	onRun func(id string)
 	// refuseConn, if set, is asked for the first request of each connection. The engine resets
 	// the connection if it returns true, and does not carry out the request.
 	refuseConn func(path string, body []byte) bool
@@ -258,6 +260,9 @@
 func (e *engine) servePlain(c net.Conn, r *http.Request) bool {
 	id := r.Header.Get("X-Turmericdrum-Attempt-Id")
 	e.note("engine %s: runs %s", e.id, id)
+	if e.onRun != nil {
+		e.onRun(id)
+	}
 	body := plainBody(id)
 	h := http.Header{"X-Turmericdrum-Attempt-Id": {id}, "X-Turmericdrum-Response-Seal": {seal(id)}, "Content-Type": {"text/plain"}}
 	unframed := e.unframed != nil && e.unframed(r.URL.Path)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"unstopped-source": unstoppedSource,
 	"closing-sockets":  closingSockets,
+	"half-headers":     halfHeaders,
+	"short-fields":     shortFields,
 }
 
 func main() {
