--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -182,7 +182,11 @@
 	cmd := exec.Command("target/turmericdrum", role, "--metrics-port", strconv.Itoa(d.ports.metrics))
 	cmd.Env = append(os.Environ(), "TURMERICDRUM_BOOT="+path)
 	cmd.Stdout, cmd.Stderr = log, log
-	return &process{cmd: cmd, ip: d.ip(machine), log: log}, cmd.Start()
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	started.add(cmd.Process)
+	return &process{cmd: cmd, ip: d.ip(machine), log: log}, nil
 }
 
 func (p *process) stop() {
