Resume a stream only with evidence that its engine has ended it

An engine leaves; the order to stop a stream there is reset and not carried out. When the stream's connection is reset a second later, the call goes on at another engine while the first one works on it for 4 s and more.

Cause: stopSource set move.stopping before it sent the order, and kept it after any failure. stopInterrupted read it as a stop that had happened and sent no order; where it sent one, a single failed order counted as an engine that can't be reached.

Why the fix works: relocation.Stay keeps what is known of a generation at an engine, apart from what was asked of it. Only the engine's own word (it stopped the generation, or has no such one) or the end of its process allows another engine to go on. An order that failed is repeated, while the stream goes on as well as after its end, until there is evidence; without it the stream ends. A process counts as gone if its host refuses the connection and all other connections to it have ended, or if it says that it is another one, or has been started again. A sound move has one order, as before. An order whose answer didn't come may be carried out later, so that the end of an unframed stream isn't taken for complete after it, also if the stream is resumed at the same engine.

TestUnframedStreamStoppedWithoutAnswer is unchanged.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,13 +10,16 @@
 )
 
 var (
-	inProgress       = expvar.NewInt("calls_in_progress")
-	answered         = expvar.NewMap("calls_answered")
-	refused          = expvar.NewMap("calls_refused")
-	callsRetried     = expvar.NewInt("calls_repeated")
-	callsWaited      = expvar.NewInt("calls_waited")
-	hubPolls         = expvar.NewInt("hub_polls")
-	moves            = expvar.NewMap("streams_moved")
+	inProgress   = expvar.NewInt("calls_in_progress")
+	answered     = expvar.NewMap("calls_answered")
+	refused      = expvar.NewMap("calls_refused")
+	callsRetried = expvar.NewInt("calls_repeated")
+	callsWaited  = expvar.NewInt("calls_waited")
+	hubPolls     = expvar.NewInt("hub_polls")
+	moves        = expvar.NewMap("streams_moved")
+	// stopEvidence counts the orders to stop a generation by what then showed that the engine no
+	// longer works on it.
+	stopEvidence     = expvar.NewMap("stop_evidence")
 	streamsLost      = expvar.NewInt("streams_lost")
 	answersTruncated = expvar.NewMap("answers_truncated")
 	answersUnsigned  = expvar.NewInt("answers_unsigned")
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -9,12 +9,14 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
+	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
@@ -34,9 +36,13 @@
 	maxCopyAttempts = 30
 	// maxEngineAnswer bounds the answer to an engine request in bytes.
 	maxEngineAnswer = 16 << 10
-	// moveWaitTimeout bounds how long an interrupted stream waits for its move to
-	// complete.
+	// maxStopOrders bounds the orders to stop one generation whose stream goes on.
+	maxStopOrders = maxCopyAttempts
+	// moveWaitTimeout bounds how long an interrupted stream waits for the first copy of its
+	// memory. resumeTimeout bounds how long it waits if there is a copy: for the answer to an
+	// order in progress and for evidence that its engine no longer works on it.
 	moveWaitTimeout = 2 * time.Second
+	resumeTimeout   = 5 * time.Second
 	// movePlanTTL is how long the plan for an engine that is leaving is kept. Engines
 	// shut down within about two seconds after they have announced it.
 	movePlanTTL = 5 * time.Second
@@ -62,14 +68,13 @@
 	sameDC   bool
 	// dest is the claim at the destination; nil until there is a copy there.
 	dest *placement.Ticket
-	// latestCopy is the copy from which the generation can be resumed.
+	// latestCopy is the copy from which the generation can be resumed, and copiedFrom the engine
+	// that made it.
 	latestCopy serving.MemoryCopy
-	// stopping is set before the source is requested to stop the generation, and
-	// stopped once the source has confirmed it. If the answer to the request was lost,
-	// stopping stays set and stopped does not become set.
-	stopping bool
-	stopped  bool
-	cancel   context.CancelFunc
+	copiedFrom placement.Target
+	// orders counts the orders to stop the generation that are in progress.
+	orders sync.WaitGroup
+	cancel context.CancelFunc
 	// done is closed when runMove has returned.
 	done chan struct{}
 }
@@ -176,49 +181,132 @@
 	}
 }
 
-// stopInterrupted makes sure that the source doesn't go on with a generation whose stream
-// was interrupted before the source was requested to stop it. Most engines drop a generation
-// with its connection, but not all. It returns false if the source may go on, so that the
-// generation must not be resumed elsewhere. An engine that can't be reached, or doesn't answer,
-// can't be stopped; it is as good as lost.
-func (g *Gateway) stopInterrupted(ctx context.Context, r *relay, m *move) bool {
-	for begin := g.Clock.Now(); ; {
-		if m.stopping || g.stopSource(ctx, r, m) {
+// stopSource orders the source to stop the generation and to copy the rest, until the source
+// no longer works on it. It returns false if the generation continues because the destination
+// has no room.
+func (g *Gateway) stopSource(ctx context.Context, r *relay, m *move) bool {
+	for range maxStopOrders {
+		// An order that was sent is awaited, also if its stream has ended because of it.
+		res, _ := g.orderStop(context.WithoutCancel(ctx), r, m, m.source, m.dest.Target)
+		switch {
+		case r.evidence(m.source.Engine) != relocation.NoEvidence:
 			return true
-		}
-		if g.Clock.Now()-begin >= moveWaitTimeout || !sleep(ctx, moveRetryDelay) {
+		case res.Outcome == serving.MoveNoRoom:
 			return false
 		}
+		if !sleep(ctx, moveRetryDelay) {
+			return true
+		}
 	}
+	klog.InfoS("Stream not moved, its engine did not say that it stopped it", "request", r.ID, "source", m.source.Engine, "orders", maxStopOrders,
+		"after", g.Clock.Now()-m.startedAt)
+	return true
 }
 
-// stopSource requests the source to stop the generation and to copy the rest. It
-// returns false if the generation continues because the destination has no room, or another
-// request to copy it is in progress.
-func (g *Gateway) stopSource(ctx context.Context, r *relay, m *move) bool {
+// orderStop orders an engine to stop the generation and to copy the rest of its memory to
+// another one. What the answer shows is recorded in the stay at the engine, also if it comes
+// after ctx was canceled, when orderStop doesn't wait for it any longer.
+func (g *Gateway) orderStop(ctx context.Context, r *relay, m *move, at, to placement.Target) (serving.MoveResult, error) {
 	r.mu.Lock()
-	m.stopping = true
+	r.stay(at.Engine).Order()
 	r.mu.Unlock()
+	var res serving.MoveResult
+	answered := make(chan error, 1)
+	m.orders.Go(func() {
+		answered <- recovered("stop the generation", func() (err error) {
+			res, err = g.sendStop(r, m, at, to)
+			return err
+		})
+	})
+	select {
+	case err := <-answered:
+		return res, err
+	case <-ctx.Done():
+		return serving.MoveResult{Outcome: serving.MoveFailed}, context.Cause(ctx)
+	}
+}
+
+// sendStop sends the order of orderStop and records its answer.
+func (g *Gateway) sendStop(r *relay, m *move, at, to placement.Target) (serving.MoveResult, error) {
 	begin := g.Clock.Now()
-	res, err := g.sendEngineRequest(ctx, m.source, g.Dialect.MoveRequest(r.ID, m.dest.Address, true))
+	res, err := g.sendEngineRequest(g.baseCtx, at, g.Dialect.MoveRequest(r.ID, to.Address, true))
 	moves.Add(string(res.Outcome), 1)
-	destUse := g.totalUse(m.dest.Engine)
+	ended := err != nil && g.processEnded(at, err)
+	use := g.totalUse(to.Engine)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	klog.InfoS("Generation stop requested for move", "request", r.ID, "source", m.source.Engine, "destination", m.dest.Engine, "outcome", res.Outcome,
-		"after", begin-m.startedAt, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", destUse.Running, "held", destUse.Held,
-		"expected", destUse.Expected, "err", err)
+	stay := r.stay(at.Engine)
 	switch {
-	case err != nil || res.Outcome == serving.MoveFailed && res.Handle == "":
-		// The source may have stopped the generation. If it has, the stream ends.
-	case res.Handle != "":
-		m.latestCopy, m.stopped = serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle}, true
-	case res.Outcome == serving.MoveNoRoom, res.Outcome == serving.MoveBusy:
-		m.stopping = false
-		return false
-	default:
-		// The generation completed before the request arrived.
-		m.stopping = false
+	case ended:
+		stay.End(relocation.ProcessEnded)
+	case err == nil:
+		stay.Answer(res)
+	}
+	if stay.Evidence() == relocation.Stopped && res.Handle != "" {
+		m.latestCopy, m.copiedFrom = serving.MemoryCopy{Address: at.Address, Handle: res.Handle}, at
+	}
+	stopEvidence.Add(cmp.Or(string(stay.Evidence()), "none"), 1)
+	klog.InfoS("Generation stop requested for move", "request", r.ID, "source", at.Engine, "destination", to.Engine, "outcome", res.Outcome, "evidence", stay.Evidence(),
+		"after", begin-m.startedAt, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", use.Running, "held", use.Held,
+		"expected", use.Expected, "err", err)
+	return res, err
+}
+
+// processEnded reports whether the process of an engine is gone, given the error of a request to
+// it: no process runs at its address, or the engine has been started again since.
+func (g *Gateway) processEnded(t placement.Target, err error) bool {
+	if g.upstream.ProcessEnded(t.Address, err) {
+		return true
+	}
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	now, ok := g.board.pool.Lookup(t.Engine)
+	return ok && t.Started != 0 && now.Started > t.Started
+}
+
+// stay returns what is known of the generation at an engine. The caller holds mu.
+func (r *relay) stay(id serving.EngineID) *relocation.Stay {
+	if r.stays == nil {
+		r.stays = map[serving.EngineID]*relocation.Stay{}
+	}
+	if r.stays[id] == nil {
+		r.stays[id] = &relocation.Stay{}
+	}
+	return r.stays[id]
+}
+
+// evidence returns what shows that an engine no longer works on the generation.
+func (r *relay) evidence(id serving.EngineID) relocation.Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stay(id).Evidence()
+}
+
+// mayHaveStopped reports whether an engine stopped the generation for an order, or may have.
+func (r *relay) mayHaveStopped(id serving.EngineID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stay(id).MayHaveStopped()
+}
+
+// confirmEnded makes sure that an engine doesn't go on with a generation whose stream there has
+// ended. Most engines drop a generation with its connection, but not all. It orders the engine to
+// stop the generation, and returns true once there is evidence that the engine no longer works on
+// it. Without evidence, for example from an engine that can't be reached or doesn't answer, it
+// returns false at the given time, and the generation must not be resumed elsewhere.
+func (r *relay) confirmEnded(m *move, at, to placement.Target, until time.Duration) bool {
+	ctx, cancel := context.WithTimeout(r.ctx, until-r.g.Clock.Now())
+	defer cancel()
+	for r.evidence(at.Engine) == relocation.NoEvidence {
+		res, err := r.g.orderStop(ctx, r, m, at, to)
+		if err == nil && res.Outcome == serving.MoveFailed && r.identifyProcess(&placement.Ticket{Target: at}) == completion.Ended {
+			r.mu.Lock()
+			r.stay(at.Engine).End(relocation.ProcessEnded)
+			r.mu.Unlock()
+		}
+		if r.evidence(at.Engine) == relocation.NoEvidence && !sleep(ctx, moveRetryDelay) {
+			return false
+		}
 	}
 	return true
 }
@@ -319,7 +407,7 @@
 	g.releaseDestination(r, m)
 	r.mu.Lock()
 	old := m.latestCopy
-	m.dest, m.latestCopy = dest, latestCopy
+	m.dest, m.latestCopy, m.copiedFrom = dest, latestCopy, m.source
 	r.mu.Unlock()
 	if old.Handle != "" && old.Handle != latestCopy.Handle {
 		go g.freeCopy(r.ID, m.source, old)
@@ -427,8 +515,11 @@
 		// Stops further copies. A request that was already sent is awaited.
 		m.cancel()
 	}
-	begin := r.g.Clock.Now()
-	t := time.NewTimer(moveWaitTimeout)
+	begin, wait := r.g.Clock.Now(), moveWaitTimeout
+	if hasDest {
+		wait = resumeTimeout
+	}
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-m.done:
@@ -443,17 +534,23 @@
 		return false
 	}
 	dest := m.dest.Engine
-	if !r.g.stopInterrupted(r.ctx, r, m) {
-		r.log("Stream not resumed, its engine could not be stopped", "source", m.source.Engine, "destination", dest, "cause", cause)
+	r.mu.Lock()
+	r.stay(m.source.Engine).Interrupt()
+	r.mu.Unlock()
+	until := begin + resumeTimeout
+	if !r.confirmEnded(m, m.source, m.dest.Target, until) {
+		r.log("Stream not resumed, its engine could not be stopped", "source", m.source.Engine, "destination", dest, "waited", r.g.Clock.Now()-begin, "cause", cause)
 		return false
 	}
+	evidence := r.evidence(m.source.Engine)
+	stopped := evidence == relocation.Stopped
 	x, err := r.resumeAtDestination(m, m.dest)
-	if err != nil && m.stopping {
+	if err != nil && r.mayHaveStopped(m.source.Engine) {
 		// The source still has the memory of a generation that it stopped.
 		x, err = r.resumeAtSource(m)
 	}
 	if err != nil {
-		r.log("Move failed", "source", m.source.Engine, "destination", dest, "stopped", m.stopped, "cause", cause, "err", err)
+		r.log("Move failed", "source", m.source.Engine, "destination", dest, "stopped", stopped, "evidence", evidence, "cause", cause, "err", err)
 		return false
 	}
 	r.exchange = x
@@ -468,7 +565,7 @@
 	}
 	r.g.board.mu.Unlock()
 	movePauses.observe(r.g.Clock.Now() - r.lastEventAt)
-	r.log("Stream moved", "source", m.source.Engine, "pause", r.g.Clock.Now()-r.lastEventAt, "waited", r.g.Clock.Now()-begin, "events", r.events, "stopped", m.stopped)
+	r.log("Stream moved", "source", m.source.Engine, "pause", r.g.Clock.Now()-r.lastEventAt, "waited", r.g.Clock.Now()-begin, "events", r.events, "stopped", stopped, "evidence", evidence)
 	return true
 }
 
@@ -501,6 +598,9 @@
 	r.g.endTicket(m.dest, placement.Abandoned, 0)
 	m.dest = nil
 	source := &placement.Ticket{Target: m.source}
+	r.mu.Lock()
+	r.stay(m.source.Engine).Begin()
+	r.mu.Unlock()
 	r.g.countRequest(m.source.Engine)
 	x, err := r.g.upstream.Send(r.ctx, r.engineRequest(source, &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}, upstream.SafeIdleTime))
 	if err != nil {
@@ -526,13 +626,14 @@
 	g := r.g
 	go func() {
 		<-m.done
+		m.orders.Wait()
 		if m.dest != nil {
 			g.endTicket(m.dest, placement.Abandoned, 0)
 		}
 		if m.latestCopy.Handle == "" {
 			return
 		}
-		g.freeCopy(r.ID, m.source, m.latestCopy)
+		g.freeCopy(r.ID, m.copiedFrom, m.latestCopy)
 	}()
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,6 +16,7 @@
 	"turmericdrum.org/turmericdrum/pkg/serving/machine"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/quarantine"
+	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
 	"turmericdrum.org/turmericdrum/pkg/serving/rollout"
 	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
@@ -58,8 +59,10 @@
 	firstEventAt time.Duration
 	lastEventAt  time.Duration
 	move         *move
-	ended        bool
-	moveCount    int
+	// stays holds what is known of the generation at the engines that had it.
+	stays     map[serving.EngineID]*relocation.Stay
+	ended     bool
+	moveCount int
 	// pacedEvents and pacedAt are the number of events and the time up to which the pace of
 	// the engine was recorded; 0 before the first event at this engine.
 	pacedEvents int64
@@ -368,19 +371,23 @@
 }
 
 // stoppedForMove reports whether the engine stopped the generation for its move, or may
-// have. It waits for the result of a request to stop it.
+// have. It waits for the answer to an order to stop it.
 func (r *relay) stoppedForMove() bool {
 	r.mu.Lock()
-	m := r.move
-	stopRequested := m != nil && m.stopping
+	m, may := r.move, r.stay(r.ticket.Engine).MayHaveStopped()
 	r.mu.Unlock()
-	if !stopRequested {
-		return false
+	if m == nil || !may {
+		return may
+	}
+	// Further orders would say nothing of a stream that has ended.
+	m.cancel()
+	select {
+	case <-m.done:
+	case <-r.ctx.Done():
 	}
-	<-m.done
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return m.stopping
+	return r.stay(r.ticket.Engine).MayHaveStopped()
 }
 
 // recordEvent updates the relay and the ticket for an event. It returns false if the
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -75,6 +75,45 @@
 
 	mu   sync.Mutex
 	idle map[poolKey][]*conn
+	open openConns
+}
+
+// openConns holds the connections that this process has not closed, idle or not, by address.
+type openConns struct {
+	mu        sync.Mutex
+	byAddress map[string]map[*conn]bool
+}
+
+func (o *openConns) add(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.byAddress == nil {
+		o.byAddress = map[string]map[*conn]bool{}
+	}
+	if o.byAddress[c.address] == nil {
+		o.byAddress[c.address] = map[*conn]bool{}
+	}
+	o.byAddress[c.address][c] = true
+}
+
+func (o *openConns) remove(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if delete(o.byAddress[c.address], c); len(o.byAddress[c.address]) == 0 {
+		delete(o.byAddress, c.address)
+	}
+}
+
+// allEnded reports whether the engine at an address has ended all of its connections.
+func (o *openConns) allEnded(address string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.byAddress[address] {
+		if !hasEnded(c.Conn) {
+			return false
+		}
+	}
+	return true
 }
 
 // poolKey identifies connections that may be used for the same calls. A late answer to a
@@ -87,8 +126,10 @@
 // conn is one connection to an engine.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	limit  *limitedReader
+	pool    *Pool
+	address string
+	reader  *bufio.Reader
+	limit   *limitedReader
 	// expiresAt is the time up to which the idle connection may be used.
 	expiresAt time.Duration
 	idleSince time.Duration
@@ -98,6 +139,12 @@
 	refused []serving.RequestID
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.pool.open.remove(c)
+	return c.Conn.Close()
+}
+
 // maxRefused bounds the refused calls that a connection remembers. A call is sent to an
 // engine that refused it only shortly afterwards.
 const maxRefused = 8
@@ -118,7 +165,7 @@
 		// A late copy of that refusal could not be told from an answer to this call.
 		_ = c.Close()
 	}
-	c, err := dial(ctx, r.Address)
+	c, err := p.dial(ctx, r.Address)
 	if err != nil {
 		return nil, serving.WrapError(err, serving.KindEngineFailed, "connect to the engine")
 	}
@@ -126,14 +173,16 @@
 }
 
 // dial opens a connection.
-func dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	connectionsOpened.Add(1)
 	limit := &limitedReader{r: nc}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(limit, readBuffer), limit: limit}, nil
+	c := &conn{Conn: nc, pool: p, address: address, reader: bufio.NewReaderSize(limit, readBuffer), limit: limit}
+	p.open.add(c)
+	return c, nil
 }
 
 // limitedReader fails once the header of an answer is longer than maxHeader.
--- a/internal/upstream/process.go
+++ b/internal/upstream/process.go
@@ -32,7 +32,7 @@
 
 func (p *Pool) checkProcess(ctx context.Context, key poolKey, maxIdleConns int) completion.Process {
 	for range processCheckAttempts {
-		c, err := dial(ctx, key.address)
+		c, err := p.dial(ctx, key.address)
 		switch {
 		case err == nil && p.keepIfOpen(ctx, c, key, maxIdleConns):
 			return completion.Running
@@ -82,3 +82,10 @@
 	}
 	return false
 }
+
+// ProcessEnded reports whether no process runs at an engine's address any more, given the error
+// of a request to it: its host refused the connection, and all other connections to it have
+// ended. A process that has only closed its listener still has those of its calls.
+func (p *Pool) ProcessEnded(address string, err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) && p.open.allEnded(address)
+}
--- a/internal/upstream/process_test.go
+++ b/internal/upstream/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"expvar"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericdrum.org/turmericdrum/internal/upstream"
+	"turmericdrum.org/turmericdrum/pkg/serving"
 	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 )
 
@@ -90,6 +92,69 @@
 	}
 }
 
+// Guards against an engine that counts as gone although its process works on calls: it has closed
+// its listener, resets connections or doesn't answer. And against one that crashed and counts as
+// running, so that its streams are lost.
+func TestProcessEnded(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// closes is set if the engine's listener is closed, and ends if its connections are.
+		// resets makes it reset further connections, and hangs leave them without an answer.
+		closes, ends, resets, hangs bool
+		want                        bool
+	}{
+		{"crashed", true, true, false, false, true},
+		{"listener closed, a call in progress", true, false, false, false, false},
+		{"resets further connections", false, true, true, false, false},
+		{"does not answer", false, true, false, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			address, first := l.Addr().String(), make(chan net.Conn, 1)
+			go func() {
+				for n := 0; ; n++ {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					r := bufio.NewReader(c)
+					_, _ = http.ReadRequest(r)
+					switch {
+					case n == 0:
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+						first <- c
+					case tc.resets:
+						_ = c.(*net.TCPConn).SetLinger(0)
+						_ = c.Close()
+					}
+				}
+			}()
+			p := newPool()
+			request := func(id string) upstream.Request {
+				return upstream.Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}, ID: serving.RequestID(id)}
+			}
+			inProgress, err := p.Send(t.Context(), request("a"))
+			assert.NilError(t, err)
+			defer inProgress.Close(false)
+			conn := <-first
+			defer conn.Close()
+			if tc.closes {
+				assert.NilError(t, l.Close())
+			}
+			if tc.ends {
+				assert.NilError(t, conn.Close())
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, err = p.Send(ctx, request("b"))
+			assert.Assert(t, err != nil)
+			assert.Equal(t, p.ProcessEnded(address, err), tc.want, "%v", err)
+		})
+	}
+}
+
 // Guards against a check that leaves a connection unused, so that each unframed answer
 // costs one more.
 func TestCheckKeepsConnection(t *testing.T) {
