Ask the destination of a move too whether it began

What callers saw: a stream ended in the middle if the call that resumes it at the destination of its move was reset, although the destination had begun and could be told to stop.

Only the rule that a memory copy can be used once kept both engines from working on it.

Why the fix works: after a failed call, the entry goes on elsewhere only if the engine says that it did not begin, or confirms that it no longer works on the generation; a destination that says that it stopped it has its memory and resumes it. A source that leaves is asked only while it is certain to take calls. Each engine is asked three times at most, within the same 5 s.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 	// order in progress and for evidence that its engine no longer works on it.
 	moveWaitTimeout = 2 * time.Second
 	resumeTimeout   = 5 * time.Second
+	// maxResumeAttempts bounds how often each engine of a move is asked to resume the
+	// generation.
+	maxResumeAttempts = 3
 	// movePlanTTL is how long the plan for an engine that is leaving is kept. Engines
 	// shut down within about two seconds after they have announced it.
 	movePlanTTL = 5 * time.Second
@@ -282,13 +286,6 @@
 	return r.stay(id).Evidence()
 }
 
-// mayHaveStopped reports whether an engine stopped the generation for an order, or may have.
-func (r *relay) mayHaveStopped(id serving.EngineID) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.stay(id).MayHaveStopped()
-}
-
 // confirmEnded makes sure that an engine doesn't go on with a generation whose stream there has
 // ended. Most engines drop a generation with its connection, but not all. It orders the engine to
 // stop the generation, and returns true once there is evidence that the engine no longer works on
@@ -544,13 +541,10 @@
 	}
 	evidence := r.evidence(m.source.Engine)
 	stopped := evidence == relocation.Stopped
-	x, err := r.resumeAtDestination(m, m.dest)
-	if err != nil && r.mayHaveStopped(m.source.Engine) {
-		// The source still has the memory of a generation that it stopped.
-		x, err = r.resumeAtSource(m)
-	}
+	x, err := r.resume(m, until)
 	if err != nil {
-		r.log("Move failed", "source", m.source.Engine, "destination", dest, "stopped", stopped, "evidence", evidence, "cause", cause, "err", err)
+		r.log("Move failed", "source", m.source.Engine, "destination", dest, "stopped", stopped, "evidence", evidence,
+			"at_source", r.evidence(m.source.Engine), "at_destination", r.evidence(dest), "cause", cause, "err", err)
 		return false
 	}
 	r.exchange = x
@@ -569,16 +563,79 @@
 	return true
 }
 
+// resume resumes the generation at the destination of its move, or at the source if that stopped
+// it and still has its memory. Neither is asked while the other one may work on it.
+func (r *relay) resume(m *move, until time.Duration) (x *upstream.Exchange, err error) {
+	for range maxResumeAttempts {
+		if x, err = r.resumeAtDestination(m, m.dest); err == nil {
+			return x, nil
+		}
+		if !r.confirmEnded(m, m.dest.Target, m.source, until) {
+			return nil, err
+		}
+		if r.sourceCanResume(m) {
+			if x, err = r.resumeAtSource(m); err == nil {
+				return x, nil
+			}
+			if !r.confirmEnded(m, m.source, m.dest.Target, until) {
+				return nil, err
+			}
+		}
+		if r.g.Clock.Now() >= until || !sleep(r.ctx, moveRetryDelay) {
+			break
+		}
+	}
+	return nil, err
+}
+
+// sourceCanResume reports whether the source of a move may have the memory of the generation, and
+// still takes calls.
+func (r *relay) sourceCanResume(m *move) bool {
+	r.g.board.mu.Lock()
+	defer r.g.board.mu.Unlock()
+	target, ok := r.g.board.pool.Lookup(m.source.Engine)
+	if !ok || target.Leaving && !m.plan.SourceRuns(r.g.Clock.Now()) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stay := r.stay(m.source.Engine)
+	return stay.MayHaveStopped() && stay.Evidence() != relocation.ProcessEnded
+}
+
+// sendResumed sends the call to an engine that is to resume the generation from the newest copy.
+// After an error, the stay at the engine shows whether it may have begun.
+func (r *relay) sendResumed(m *move, t *placement.Ticket) (*upstream.Exchange, error) {
+	r.mu.Lock()
+	r.stay(t.Engine).Begin()
+	attempt := &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}
+	r.mu.Unlock()
+	x, err := r.g.upstream.Send(r.ctx, r.engineRequest(t, attempt, upstream.SafeIdleTime))
+	if err == nil && x.Status == http.StatusOK && !x.NotRun && !x.Encoded {
+		return x, nil
+	}
+	notBegun := err != nil && serving.AsError(err).Ran == serving.NotRun
+	if err == nil {
+		// A malformed answer says nothing, whatever its header states.
+		_, readErr := io.CopyN(io.Discard, x.Body, maxEngineAnswer)
+		notBegun = x.NotRun && errors.Is(readErr, io.EOF)
+		x.Close(false)
+		err = serving.NewError(serving.KindEngineFailed, "engine "+string(t.Engine)+" answered "+strconv.Itoa(x.Status)+" and did not resume the generation").WithRan(serving.RanUnknown)
+	}
+	if notBegun {
+		r.mu.Lock()
+		r.stay(t.Engine).End(relocation.NotBegun)
+		r.mu.Unlock()
+	}
+	return nil, err
+}
+
 // resumeAtDestination sends the call to the engine that holds the copy.
 func (r *relay) resumeAtDestination(m *move, target *placement.Ticket) (*upstream.Exchange, error) {
-	x, err := r.g.upstream.Send(r.ctx, r.engineRequest(target, &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}, upstream.SafeIdleTime))
+	x, err := r.sendResumed(m, target)
 	if err != nil {
 		return nil, err
 	}
-	if x.Status != http.StatusOK || x.NotRun || x.Encoded {
-		x.Close(false)
-		return nil, serving.NewError(serving.KindEngineFailed, "the engine did not resume the generation").WithRan(serving.RanUnknown)
-	}
 	old := r.ticket
 	r.leaveAttempt()
 	r.detach()
@@ -595,21 +652,13 @@
 
 // resumeAtSource resumes the generation at the engine that stopped it.
 func (r *relay) resumeAtSource(m *move) (*upstream.Exchange, error) {
-	r.g.endTicket(m.dest, placement.Abandoned, 0)
-	m.dest = nil
-	source := &placement.Ticket{Target: m.source}
-	r.mu.Lock()
-	r.stay(m.source.Engine).Begin()
-	r.mu.Unlock()
 	r.g.countRequest(m.source.Engine)
-	x, err := r.g.upstream.Send(r.ctx, r.engineRequest(source, &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}, upstream.SafeIdleTime))
+	x, err := r.sendResumed(m, &placement.Ticket{Target: m.source})
 	if err != nil {
 		return nil, err
 	}
-	if x.Status != http.StatusOK || x.NotRun {
-		x.Close(false)
-		return nil, serving.NewError(serving.KindEngineFailed, "the source engine did not resume the generation").WithRan(serving.RanUnknown)
-	}
+	r.g.endTicket(m.dest, placement.Abandoned, 0)
+	m.dest = nil
 	return x, nil
 }
 
--- a/pkg/serving/relocation/relocation.go
+++ b/pkg/serving/relocation/relocation.go
@@ -111,6 +111,9 @@
 // NoticeAt returns when the notice arrived.
 func (p *Plan) NoticeAt() time.Duration { return p.noticeAt }
 
+// SourceRuns reports whether the engine still takes the calls that it had before its notice.
+func (p *Plan) SourceRuns(now time.Duration) bool { return now-p.noticeAt < minNotice-noticeDelay }
+
 // copyTime returns the link time of a copy.
 func (p *Plan) copyTime(memory serving.Tokens, sameDC bool) time.Duration {
 	if p.tokensPerSecond <= 0 {
