Ask again for a copy whose request failed

What callers saw: a stream ended in the middle when its engine left, if one request to copy its memory had been reset or answered with an error.

Cause: the first request without an answer ended the move: the claim at the destination was kept until the copy expires, and no further copy was asked for. An error status excluded the destination, though it says nothing of it. A later copy without an answer ended the updates, so that the stream was never stopped.

Why the fix works: a request that failed tells neither whether the copy was made nor anything of the destination. It is repeated for the same destination, whose claim stays, and the answer names the copy in either case. It is not repeated once the stream has ended or the source's process is gone. An update that failed leaves the copy before it valid.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -76,6 +76,8 @@
 	// that made it.
 	latestCopy serving.MemoryCopy
 	copiedFrom placement.Target
+	// interrupted is set once the stream has ended without a copy; mu of the relay guards it.
+	interrupted bool
 	// orders counts the orders to stop the generation that are in progress.
 	orders sync.WaitGroup
 	cancel context.CancelFunc
@@ -159,9 +161,9 @@
 
 // updateCopy repeats incremental copies until the source's link is idle. The final
 // copy is then fast. If the source shuts down before the final copy, the destination
-// has few tokens to prefill. updateCopy returns false if a request failed, the move
-// was canceled or the source no longer runs the generation. The generation must then
-// not be stopped.
+// has few tokens to prefill. A copy that failed leaves the earlier one as it is. updateCopy
+// returns false if the move was canceled or the source no longer runs the generation. The
+// generation must then not be stopped.
 func (g *Gateway) updateCopy(ctx context.Context, r *relay, m *move) bool {
 	for copiedAt := g.Clock.Now(); ; {
 		begin := g.Clock.Now()
@@ -169,7 +171,7 @@
 		took := g.Clock.Now() - begin
 		klog.V(1).InfoS("Memory copy updated", "request", r.ID, "source", m.source.Engine, "outcome", res.Outcome, "took", took, "made", res.Events, "err", err)
 		switch {
-		case err != nil || ctx.Err() != nil || res.Outcome == serving.MoveNoSuchGeneration:
+		case ctx.Err() != nil || res.Outcome == serving.MoveNoSuchGeneration || err != nil && g.processEnded(m.source, err):
 			return false
 		case res.Outcome == serving.Moved:
 			r.mu.Lock()
@@ -322,29 +324,49 @@
 	if !r.waitWorthMoving(ctx) {
 		return false
 	}
+	// unanswered is the claim of a request that failed. The copy may have been made, and the
+	// next request for the same destination names it.
+	var unanswered *placement.Ticket
+	defer func() {
+		if unanswered != nil {
+			g.endAfterCopyExpiry(unanswered, r.Service.Model)
+		}
+	}()
 	for range maxCopyAttempts {
-		dest, err := g.claimDestination(r, m, exclude)
-		if err != nil {
-			klog.V(1).InfoS("Copy is waiting for a destination", "request", r.ID, "source", m.source.Engine, "err", err)
-			if !sleep(ctx, moveRetryDelay) {
-				klog.InfoS("Stream not moved", "request", r.ID, "source", m.source.Engine, "after", g.Clock.Now()-m.startedAt, "err", err)
-				return false
+		dest := unanswered
+		if dest == nil {
+			var err error
+			if dest, err = g.claimDestination(r, m, exclude); err != nil {
+				klog.V(1).InfoS("Copy is waiting for a destination", "request", r.ID, "source", m.source.Engine, "err", err)
+				if !sleep(ctx, moveRetryDelay) {
+					klog.InfoS("Stream not moved", "request", r.ID, "source", m.source.Engine, "after", g.Clock.Now()-m.startedAt, "err", err)
+					return false
+				}
+				continue
 			}
-			continue
 		}
 		begin := g.Clock.Now()
 		res, err := g.sendEngineRequest(ctx, m.source, g.Dialect.MoveRequest(r.ID, dest.Address, false))
 		klog.InfoS("First memory copy requested", "request", r.ID, "source", m.source.Engine, "destination", dest.Engine, "outcome", res.Outcome,
 			"took", g.Clock.Now()-begin, "made", res.Events, "running", dest.Before().Running, "held", dest.Before().Held, "near", dest.DataCentre == m.source.DataCentre, "err", err)
 		switch {
-		case err != nil:
-			g.endAfterCopyExpiry(dest, r.Service.Model)
-			return false
+		case res.Outcome == serving.MoveFailed, res.Outcome == serving.MoveBusy && unanswered != nil:
+			unanswered = dest
+			if r.isInterrupted(m) || g.processEnded(m.source, err) || !sleep(ctx, moveRetryDelay) {
+				return false
+			}
+			continue
 		case res.Outcome == serving.Moved:
+			unanswered = nil
 			g.setCopy(r, m, dest, serving.MemoryCopy{Address: m.source.Address, Handle: res.Handle})
 			return true
 		}
-		g.endTicket(dest, placement.Abandoned, 0)
+		if unanswered == nil {
+			g.endTicket(dest, placement.Abandoned, 0)
+		} else {
+			g.endAfterCopyExpiry(dest, r.Service.Model)
+			unanswered = nil
+		}
 		g.releaseLink(m)
 		// Either the destination is full, or the source's link is busy for the moment.
 		// The next attempt excludes only the source and this destination.
@@ -356,6 +378,13 @@
 	return false
 }
 
+// isInterrupted reports whether the stream of a move has ended without a copy.
+func (r *relay) isInterrupted(m *move) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return m.interrupted
+}
+
 // claimDestination claims an engine for a copy and reserves time on the source's
 // link. Engines in the source's data centre are preferred, because copies to other
 // data centres take longer.
@@ -504,6 +533,9 @@
 	r.mu.Lock()
 	m := r.move
 	hasDest := m != nil && m.dest != nil
+	if m != nil && !hasDest {
+		m.interrupted = true
+	}
 	r.mu.Unlock()
 	if m == nil {
 		return false
