Repeat a request to free a copy that failed

What callers saw: calls that were turned away or waited although the entry counted room for them, after a request to free a copy had failed: the copy held its memory at the engine until it expired.

Cause: the claim ended before the request to free the copy was sent, and a request that failed, also one that was answered with an error, counted as carried out.

Evidence: three of four rows of TestFailedFreeIsRepeated fail on the commit before (the copy is there until the test's time limit).

Why the fix works: the claim ends once the engine says that the copy is free, or that it has none of this name. The request is repeated up to five times; after that, or if the process is gone, the claim ends when the copy has expired.

Measured: the test passes, also with the race detector.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -44,6 +44,8 @@
 	// order in progress and for evidence that its engine no longer works on it.
 	moveWaitTimeout = 2 * time.Second
 	resumeTimeout   = 5 * time.Second
+	// maxFreeAttempts bounds the requests to free one copy.
+	maxFreeAttempts = 5
 	// maxResumeAttempts bounds how often each engine of a move is asked to resume the
 	// generation.
 	maxResumeAttempts = 3
@@ -427,27 +429,19 @@
 	time.AfterFunc(copyExpiryFactor*m.CopyTTL, func() { g.endTicket(t, placement.Abandoned, 0) })
 }
 
-// setCopy sets the destination and the copy of the move. It ends the claim at the
-// previous destination and frees the previous copy.
+// setCopy sets the destination and the copy of the move. It frees the previous copy and ends the
+// claim there.
 func (g *Gateway) setCopy(r *relay, m *move, dest *placement.Ticket, latestCopy serving.MemoryCopy) {
-	g.releaseDestination(r, m)
 	r.mu.Lock()
-	old := m.latestCopy
+	old, oldDest := m.latestCopy, m.dest
 	m.dest, m.latestCopy, m.copiedFrom = dest, latestCopy, m.source
 	r.mu.Unlock()
-	if old.Handle != "" && old.Handle != latestCopy.Handle {
-		go g.freeCopy(r.ID, m.source, old)
-	}
-}
-
-// releaseDestination ends the claim at a destination that is being replaced.
-func (g *Gateway) releaseDestination(r *relay, m *move) {
-	r.mu.Lock()
-	old := m.dest
-	m.dest = nil
-	r.mu.Unlock()
-	if old != nil {
-		g.endTicket(old, placement.Abandoned, 0)
+	switch {
+	case oldDest == nil:
+	case old.Handle == latestCopy.Handle:
+		g.endTicket(oldDest, placement.Abandoned, 0)
+	default:
+		go g.freeCopy(r, m.source, old, oldDest)
 	}
 }
 
@@ -708,20 +702,35 @@
 	go func() {
 		<-m.done
 		m.orders.Wait()
-		if m.dest != nil {
-			g.endTicket(m.dest, placement.Abandoned, 0)
-		}
-		if m.latestCopy.Handle == "" {
-			return
+		if m.latestCopy.Handle != "" {
+			g.freeCopy(r, m.copiedFrom, m.latestCopy, m.dest)
 		}
-		g.freeCopy(r.ID, m.copiedFrom, m.latestCopy)
 	}()
 }
 
-// freeCopy requests the source of a copy to free it at both engines.
-func (g *Gateway) freeCopy(id serving.RequestID, source placement.Target, c serving.MemoryCopy) {
-	if _, err := g.sendEngineRequest(g.baseCtx, source, g.Dialect.DropCopyRequest(c.Handle)); err != nil {
-		klog.InfoS("Copy not freed; it expires by itself", "request", id, "source", c.Address, "err", err)
+// freeCopy requests the source of a copy to free it at both engines, and ends the claim for it, if
+// any, once the memory is free. After a request that failed, the copy may still be there.
+func (g *Gateway) freeCopy(r *relay, source placement.Target, c serving.MemoryCopy, claim *placement.Ticket) {
+	for range maxFreeAttempts {
+		g.countRequest(source.Engine)
+		x, _, err := g.callEngine(context.WithoutCancel(g.baseCtx), source.Address, g.Dialect.DropCopyRequest(c.Handle), engineRequestTimeout)
+		if err == nil && (x.Status/100 == 2 || x.Status == http.StatusNotFound) {
+			if claim != nil {
+				g.endTicket(claim, placement.Abandoned, 0)
+			}
+			return
+		}
+		if err == nil {
+			err = serving.NewError(serving.KindEngineFailed, "the engine answered "+strconv.Itoa(x.Status))
+		}
+		klog.InfoS("Copy not freed", "request", r.ID, "source", source.Engine, "err", err)
+		if g.processEnded(source, err) || !sleep(g.baseCtx, moveRetryDelay) {
+			break
+		}
+	}
+	klog.InfoS("Copy not freed; it expires by itself", "request", r.ID, "source", c.Address, "after", copyExpiryFactor*r.Service.Model.CopyTTL)
+	if claim != nil {
+		g.endAfterCopyExpiry(claim, r.Service.Model)
 	}
 }
 
