Don't wait for a destination that never answers a resumed call

What callers saw: a stream stopped during its move until its caller gave up, because the destination took the resumed call and never answered.

Cause: the wait for the answer had the deadline of the call.

Evidence: the row "hangs and has not begun" of TestFailedResumptionIsNoEvidence fails on the commit before.

Why the fix works: after 2 s the call counts as one that failed. The destination is then asked to stop it, as after any other failure, before the call goes anywhere else.

Measured: the test passes, also with the race detector.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -46,6 +46,9 @@
 	resumeTimeout   = 5 * time.Second
 	// maxFreeAttempts bounds the requests to free one copy.
 	maxFreeAttempts = 5
+	// resumeAnswerTimeout bounds the wait for an engine that is to resume a generation. It has the
+	// memory, and begins at once.
+	resumeAnswerTimeout = 2 * time.Second
 	// maxResumeAttempts bounds how often each engine of a move is asked to resume the
 	// generation.
 	maxResumeAttempts = 3
@@ -636,8 +639,13 @@
 	r.stay(t.Engine).Begin()
 	attempt := &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}
 	r.mu.Unlock()
-	x, err := r.g.upstream.Send(r.ctx, r.engineRequest(t, attempt, upstream.SafeIdleTime))
-	if err == nil && x.Status == http.StatusOK && !x.NotRun && !x.Encoded {
+	// The timeout ends when the engine resumes the generation. The stream may last until the
+	// deadline of the call.
+	ctx, abort := context.WithCancelCause(r.ctx)
+	timeout := time.AfterFunc(resumeAnswerTimeout, func() { abort(context.DeadlineExceeded) })
+	defer timeout.Stop()
+	x, err := r.g.upstream.Send(ctx, r.engineRequest(t, attempt, upstream.SafeIdleTime))
+	if err == nil && x.Status == http.StatusOK && !x.NotRun && !x.Encoded && timeout.Stop() {
 		return x, nil
 	}
 	notBegun := err != nil && serving.AsError(err).Ran == serving.NotRun
