Let engines of the soak fail orders while they leave

The soak knew only engines that carry out each order to copy, stop, resume and free. Half of the model engines now fail 0.45 of them (reset, no answer, error statuses, malformed answers), with or without carrying them out, and reset streams whose runs go on once they leave. No engine may begin to work on a stream while another one does, 400 ms later at the latest.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -108,9 +108,19 @@
 	t.mu.Lock()
 	old := t.modelEngines[0]
 	t.modelEngines = t.modelEngines[1:]
+	var link *proxy
+	for _, l := range t.links {
+		if l.address() == old.Address() {
+			link = l
+		}
+	}
 	t.mu.Unlock()
 	old.Drain()
-	time.AfterFunc(2*time.Second, old.Close)
+	time.AfterFunc(2*time.Second, func() {
+		old.Close()
+		// Nothing listens at the address of a process that is gone.
+		link.close()
+	})
 	if err := t.addEngine(standin.ModelService); err != nil {
 		t.violation("no further engine: %v", err)
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -88,7 +90,8 @@
 
 // copy forwards bytes in one direction until either side closes its connection. The flag
 // answer is set for bytes that the target sends. The end of a connection does not pass a link
-// that drops bytes, and after dropped bytes it is a reset: TCP delivers no end behind a gap.
+// that drops bytes, and after dropped bytes it is a reset: TCP delivers no end behind a gap. A
+// reset stays one.
 func (p *proxy) copy(to, from net.Conn, answer bool) {
 	defer to.Close()
 	defer from.Close()
@@ -110,7 +113,7 @@
 			dropped = true
 			time.Sleep(linkPollInterval)
 		}
-		if dropped {
+		if dropped || errors.Is(err, syscall.ECONNRESET) {
 			closeWithReset(to)
 		}
 		return
--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -115,7 +115,12 @@
 	if t.planned {
 		t.inject(t.plannedSchedule(random))
 	} else {
+		reclaimCtx, stop := context.WithCancel(ctx)
+		if seed%reclaimEvery == 0 {
+			wg.Go(func() { t.reclaimInSeries(reclaimCtx) })
+		}
 		t.inject(t.schedule(random))
+		stop()
 	}
 	t.expectService(recoveryTimeout)
 	if crashes := t.fleet.Crashes(); len(crashes) >= knownCrashes {
@@ -183,13 +188,21 @@
 	if err != nil {
 		return err
 	}
-	e, err := t.fleet.Start(standin.EngineConfig{ID: id, Service: service, Zone: string(rune('a' + t.engineCount%3)), Listen: address,
+	cfg := standin.EngineConfig{ID: id, Service: service, Zone: string(rune('a' + t.engineCount%3)), Listen: address,
 		Advertise: link.address(), Hubs: t.site.ControlAddresses(), HeartbeatInterval: 400 * time.Millisecond, CopyTime: 100 * time.Millisecond,
-		CrashOnPart: crashingPart, CrashOnPath: crashingPath, RestartTime: engineRestart, Unframed: t.engineCount%unframedEvery == 0})
+		CrashOnPart: crashingPart, CrashOnPath: crashingPath, RestartTime: engineRestart, Unframed: t.engineCount%unframedEvery == 0}
+	var grey *greyEngine
+	if service == standin.ModelService && !t.planned && t.engineCount%greyEvery == 0 {
+		grey = newGreyEngine(&cfg, uint64(t.site.Subnet*1000+t.engineCount))
+	}
+	e, err := t.fleet.Start(cfg)
 	if err != nil {
 		link.close()
 		return err
 	}
+	if grey != nil {
+		grey.engine.Store(e)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.links = append(t.links, link)
@@ -385,8 +398,11 @@
 	answers := t.answers
 	t.mu.Unlock()
 	for id, a := range answers {
-		started := 0
-		for _, r := range t.fleet.Runs(id) {
+		started, runs := 0, t.fleet.Runs(id)
+		if !isLookup(id) {
+			t.checkOverlap(id, runs)
+		}
+		for _, r := range runs {
 			if !r.Resumed {
 				started++
 			}
