Don't resume a stream from an old copy at an engine that leaves

What callers saw: none so far. An engine that began to leave, or whose data centre was taken out of service, could get a call long after that, from a copy that had been made before.

Cause: the destination of a move was chosen with the first copy and not looked at again. While orders to stop the stream fail, and with the waits for evidence, the copy may be seconds old when it is used.

Why the fix works: a copy that was not known to be up to date within the last second is used only at an engine that gets new calls as well. Moves without failures have a copy of some milliseconds and are as before.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -44,6 +44,9 @@
 	// order in progress and for evidence that its engine no longer works on it.
 	moveWaitTimeout = 2 * time.Second
 	resumeTimeout   = 5 * time.Second
+	// maxUncheckedCopyAge is the age up to which a copy is used without a look at its engine.
+	// It is shorter than the time for which an engine takes calls after its notice.
+	maxUncheckedCopyAge = time.Second
 	// maxFreeAttempts bounds the requests to free one copy.
 	maxFreeAttempts = 5
 	// resumeAnswerTimeout bounds the wait for an engine that is to resume a generation. It has the
@@ -81,6 +84,8 @@
 	// that made it.
 	latestCopy serving.MemoryCopy
 	copiedFrom placement.Target
+	// copiedAt is when the copy was last known to be up to date.
+	copiedAt time.Duration
 	// interrupted is set once the stream has ended without a copy; mu of the relay guards it.
 	interrupted bool
 	// orders counts the orders to stop the generation that are in progress.
@@ -180,7 +185,7 @@
 			return false
 		case res.Outcome == serving.Moved:
 			r.mu.Lock()
-			m.latestCopy.Handle = res.Handle
+			m.latestCopy.Handle, m.copiedAt = res.Handle, g.Clock.Now()
 			r.mu.Unlock()
 		}
 		if m.plan.ShouldStop(took, g.Clock.Now()-copiedAt) {
@@ -254,7 +259,7 @@
 		stay.Answer(res)
 	}
 	if stay.Evidence() == relocation.Stopped && res.Handle != "" {
-		m.latestCopy, m.copiedFrom = serving.MemoryCopy{Address: at.Address, Handle: res.Handle}, at
+		m.latestCopy, m.copiedFrom, m.copiedAt = serving.MemoryCopy{Address: at.Address, Handle: res.Handle}, at, g.Clock.Now()
 	}
 	stopEvidence.Add(cmp.Or(string(stay.Evidence()), "none"), 1)
 	klog.InfoS("Generation stop requested for move", "request", r.ID, "source", at.Engine, "destination", to.Engine, "outcome", res.Outcome, "evidence", stay.Evidence(),
@@ -437,7 +442,7 @@
 func (g *Gateway) setCopy(r *relay, m *move, dest *placement.Ticket, latestCopy serving.MemoryCopy) {
 	r.mu.Lock()
 	old, oldDest := m.latestCopy, m.dest
-	m.dest, m.latestCopy, m.copiedFrom = dest, latestCopy, m.source
+	m.dest, m.latestCopy, m.copiedFrom, m.copiedAt = dest, latestCopy, m.source, g.Clock.Now()
 	r.mu.Unlock()
 	switch {
 	case oldDest == nil:
@@ -596,10 +601,11 @@
 // it and still has its memory. Neither is asked while the other one may work on it.
 func (r *relay) resume(m *move, until time.Duration) (x *upstream.Exchange, err error) {
 	for range maxResumeAttempts {
-		if x, err = r.resumeAtDestination(m, m.dest); err == nil {
+		if !r.destinationTakesCalls(m) {
+			err = serving.NewError(serving.KindNoEngine, "engine "+string(m.dest.Engine)+" has begun to leave, or its data centre was taken out of service, since the copy was made")
+		} else if x, err = r.resumeAtDestination(m, m.dest); err == nil {
 			return x, nil
-		}
-		if !r.confirmEnded(m, m.dest.Target, m.source, until) {
+		} else if !r.confirmEnded(m, m.dest.Target, m.source, until) {
 			return nil, err
 		}
 		if r.sourceCanResume(m) {
@@ -617,6 +623,20 @@
 	return nil, err
 }
 
+// destinationTakesCalls reports whether the destination of a move still takes calls. One that has
+// just begun to leave does.
+func (r *relay) destinationTakesCalls(m *move) bool {
+	r.mu.Lock()
+	age := r.g.Clock.Now() - m.copiedAt
+	r.mu.Unlock()
+	if age < maxUncheckedCopyAge {
+		return true
+	}
+	r.g.board.mu.Lock()
+	defer r.g.board.mu.Unlock()
+	return r.g.board.pool.InService(m.dest.Engine)
+}
+
 // sourceCanResume reports whether the source of a move may have the memory of the generation, and
 // still takes calls.
 func (r *relay) sourceCanResume(m *move) bool {
--- a/pkg/serving/placement/place.go
+++ b/pkg/serving/placement/place.go
@@ -309,7 +309,7 @@
 
 // eligible reports whether the engine may run the call, regardless of its load.
 func (p *Pool) eligible(e *engine, n *Need) bool {
-	return e.Service == n.Service.ID && e.Usable() && !e.saidLeaving && !p.outOfService[e.DataCentre] && (!n.SameDataCentre || e.DataCentre == n.CopyFrom) &&
+	return e.Service == n.Service.ID && p.inService(e) && (!n.SameDataCentre || e.DataCentre == n.CopyFrom) &&
 		(n.Allows == nil || n.Allows(e.region)) && !slices.Contains(n.Exclude, e.Engine) &&
 		n.Software.allows(e)
 }
--- a/pkg/serving/placement/pool.go
+++ b/pkg/serving/placement/pool.go
@@ -221,6 +221,17 @@
 	return e.target(), true
 }
 
+// InService reports whether an engine may get further calls, regardless of its load: it doesn't
+// leave, and its data centre is in service.
+func (p *Pool) InService(id serving.EngineID) bool {
+	e := p.engines[id]
+	return e != nil && p.inService(e)
+}
+
+func (p *Pool) inService(e *engine) bool {
+	return e.Usable() && !e.saidLeaving && !p.outOfService[e.DataCentre]
+}
+
 // total returns the load from all entries at an engine.
 func (e *engine) total() usage.Use {
 	sum := e.others
--- a/pkg/serving/placement/software.go
+++ b/pkg/serving/placement/software.go
@@ -25,7 +25,7 @@
 func (p *Pool) ByVersion(id serving.ServiceID, v rollout.Version) (of []serving.EngineID, others int) {
 	for _, e := range p.engines {
 		switch {
-		case e.Service != id || !e.Usable() || e.saidLeaving || p.outOfService[e.DataCentre]:
+		case e.Service != id || !p.inService(e):
 		case e.Version == v:
 			of = append(of, e.Engine)
 		default:
