Give orders to stop and resumptions files of their own

No change of behaviour: functions and constants are moved as they were.

Evidence: the tests of internal/gateway pass, the linter has no findings.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -17,11 +17,9 @@
 
 	"turmericdrum.org/turmericdrum/internal/upstream"
 	"turmericdrum.org/turmericdrum/pkg/serving"
-	"turmericdrum.org/turmericdrum/pkg/serving/completion"
 	"turmericdrum.org/turmericdrum/pkg/serving/placement"
 	"turmericdrum.org/turmericdrum/pkg/serving/relocation"
 	"turmericdrum.org/turmericdrum/pkg/serving/routing"
-	"turmericdrum.org/turmericdrum/pkg/serving/usage"
 )
 
 const (
@@ -29,7 +27,7 @@
 	// executes the requests of all entries one after another, so the timeout includes the
 	// wait for those of other entries.
 	engineRequestTimeout = 3 * time.Second
-	// moveRetryDelay is the pause before a request to copy memory is repeated.
+	// moveRetryDelay is the pause before a request to an engine is repeated.
 	moveRetryDelay = 50 * time.Millisecond
 	// maxCopyAttempts bounds the attempts to make the first copy of one generation.
 	// With the pauses between them they take as long as an engine usually runs after it
@@ -37,24 +35,8 @@
 	maxCopyAttempts = 30
 	// maxEngineAnswer bounds the answer to an engine request in bytes.
 	maxEngineAnswer = 16 << 10
-	// maxStopOrders bounds the orders to stop one generation whose stream goes on.
-	maxStopOrders = maxCopyAttempts
-	// moveWaitTimeout bounds how long an interrupted stream waits for the first copy of its
-	// memory. resumeTimeout bounds how long it waits if there is a copy: for the answer to an
-	// order in progress and for evidence that its engine no longer works on it.
-	moveWaitTimeout = 2 * time.Second
-	resumeTimeout   = 5 * time.Second
-	// maxUncheckedCopyAge is the age up to which a copy is used without a look at its engine.
-	// It is shorter than the time for which an engine takes calls after its notice.
-	maxUncheckedCopyAge = time.Second
 	// maxFreeAttempts bounds the requests to free one copy.
 	maxFreeAttempts = 5
-	// resumeAnswerTimeout bounds the wait for an engine that is to resume a generation. It has the
-	// memory, and begins at once.
-	resumeAnswerTimeout = 2 * time.Second
-	// maxResumeAttempts bounds how often each engine of a move is asked to resume the
-	// generation.
-	maxResumeAttempts = 3
 	// movePlanTTL is how long the plan for an engine that is leaving is kept. Engines
 	// shut down within about two seconds after they have announced it.
 	movePlanTTL = 5 * time.Second
@@ -197,135 +179,6 @@
 	}
 }
 
-// stopSource orders the source to stop the generation and to copy the rest, until the source
-// no longer works on it. It returns false if the generation continues because the destination
-// has no room.
-func (g *Gateway) stopSource(ctx context.Context, r *relay, m *move) bool {
-	for range maxStopOrders {
-		// An order that was sent is awaited, also if its stream has ended because of it.
-		res, _ := g.orderStop(context.WithoutCancel(ctx), r, m, m.source, m.dest.Target)
-		switch {
-		case r.evidence(m.source.Engine) != relocation.NoEvidence:
-			return true
-		case res.Outcome == serving.MoveNoRoom:
-			return false
-		}
-		if !sleep(ctx, moveRetryDelay) {
-			return true
-		}
-	}
-	klog.InfoS("Stream not moved, its engine did not say that it stopped it", "request", r.ID, "source", m.source.Engine, "orders", maxStopOrders,
-		"after", g.Clock.Now()-m.startedAt)
-	return true
-}
-
-// orderStop orders an engine to stop the generation and to copy the rest of its memory to
-// another one. What the answer shows is recorded in the stay at the engine, also if it comes
-// after ctx was canceled, when orderStop doesn't wait for it any longer.
-func (g *Gateway) orderStop(ctx context.Context, r *relay, m *move, at, to placement.Target) (serving.MoveResult, error) {
-	r.mu.Lock()
-	r.stay(at.Engine).Order()
-	r.mu.Unlock()
-	var res serving.MoveResult
-	answered := make(chan error, 1)
-	m.orders.Go(func() {
-		answered <- recovered("stop the generation", func() (err error) {
-			res, err = g.sendStop(r, m, at, to)
-			return err
-		})
-	})
-	select {
-	case err := <-answered:
-		return res, err
-	case <-ctx.Done():
-		return serving.MoveResult{Outcome: serving.MoveFailed}, context.Cause(ctx)
-	}
-}
-
-// sendStop sends the order of orderStop and records its answer.
-func (g *Gateway) sendStop(r *relay, m *move, at, to placement.Target) (serving.MoveResult, error) {
-	begin := g.Clock.Now()
-	res, err := g.sendEngineRequest(g.baseCtx, at, g.Dialect.MoveRequest(r.ID, to.Address, true))
-	moves.Add(string(res.Outcome), 1)
-	ended := err != nil && g.processEnded(at, err)
-	use := g.totalUse(to.Engine)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	stay := r.stay(at.Engine)
-	switch {
-	case ended:
-		stay.End(relocation.ProcessEnded)
-	case err == nil:
-		stay.Answer(res)
-	}
-	if stay.Evidence() == relocation.Stopped && res.Handle != "" {
-		m.latestCopy, m.copiedFrom, m.copiedAt = serving.MemoryCopy{Address: at.Address, Handle: res.Handle}, at, g.Clock.Now()
-	}
-	stopEvidence.Add(cmp.Or(string(stay.Evidence()), "none"), 1)
-	klog.InfoS("Generation stop requested for move", "request", r.ID, "source", at.Engine, "destination", to.Engine, "outcome", res.Outcome, "evidence", stay.Evidence(),
-		"after", begin-m.startedAt, "took", g.Clock.Now()-begin, "events", r.events, "made", res.Events, "running", use.Running, "held", use.Held,
-		"expected", use.Expected, "err", err)
-	return res, err
-}
-
-// processEnded reports whether the process of an engine is gone, given the error of a request to
-// it: no process runs at its address, or the engine has been started again since.
-func (g *Gateway) processEnded(t placement.Target, err error) bool {
-	if g.upstream.ProcessEnded(t.Address, err) {
-		return true
-	}
-	g.board.mu.Lock()
-	defer g.board.mu.Unlock()
-	now, ok := g.board.pool.Lookup(t.Engine)
-	return ok && t.Started != 0 && now.Started > t.Started
-}
-
-// stay returns what is known of the generation at an engine. The caller holds mu.
-func (r *relay) stay(id serving.EngineID) *relocation.Stay {
-	if r.stays == nil {
-		r.stays = map[serving.EngineID]*relocation.Stay{}
-	}
-	if r.stays[id] == nil {
-		r.stays[id] = &relocation.Stay{}
-	}
-	return r.stays[id]
-}
-
-// evidence returns what shows that an engine no longer works on the generation.
-func (r *relay) evidence(id serving.EngineID) relocation.Evidence {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.stay(id).Evidence()
-}
-
-// confirmEnded makes sure that an engine doesn't go on with a generation whose stream there has
-// ended. Most engines drop a generation with its connection, but not all. It orders the engine to
-// stop the generation, and returns true once there is evidence that the engine no longer works on
-// it. Without evidence, for example from an engine that can't be reached or doesn't answer, it
-// returns false at the given time, and the generation must not be resumed elsewhere.
-func (r *relay) confirmEnded(m *move, at, to placement.Target, until time.Duration) bool {
-	ctx, cancel := context.WithTimeout(r.ctx, until-r.g.Clock.Now())
-	defer cancel()
-	for r.evidence(at.Engine) == relocation.NoEvidence {
-		res, err := r.g.orderStop(ctx, r, m, at, to)
-		if err == nil && res.Outcome == serving.MoveFailed && r.identifyProcess(&placement.Ticket{Target: at}) == completion.Ended {
-			r.mu.Lock()
-			r.stay(at.Engine).End(relocation.ProcessEnded)
-			r.mu.Unlock()
-		}
-		if r.evidence(at.Engine) == relocation.NoEvidence && !sleep(ctx, moveRetryDelay) {
-			return false
-		}
-	}
-	return true
-}
-
-func (g *Gateway) totalUse(id serving.EngineID) usage.Use {
-	g.board.mu.Lock()
-	defer g.board.mu.Unlock()
-	return g.board.pool.Total(id)
-}
-
 // copyWhileRunning makes the first copy of the memory of a running generation, at a
 // destination with room. It returns false if there is no copy. The request to copy
 // isn't canceled when the generation ends, because its answer names the copy, which
@@ -529,193 +382,6 @@
 	g.board.pool.CountRequest(g.Clock.Now(), id)
 }
 
-// resumeAfterMove resumes a generation at the destination of its move after its stream
-// was interrupted. It returns false if that is not possible.
-func (r *relay) resumeAfterMove(cause error) bool {
-	r.mu.Lock()
-	m := r.move
-	hasDest := m != nil && m.dest != nil
-	if m != nil && !hasDest {
-		m.interrupted = true
-	}
-	r.mu.Unlock()
-	if m == nil {
-		return false
-	}
-	if hasDest {
-		// Stops further copies. A request that was already sent is awaited.
-		m.cancel()
-	}
-	begin, wait := r.g.Clock.Now(), moveWaitTimeout
-	if hasDest {
-		wait = resumeTimeout
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-m.done:
-	case <-t.C:
-		// runMove returns after the stream has ended. cancelMove then frees its copy.
-		return false
-	case <-r.ctx.Done():
-		return false
-	}
-	r.exchange.Close(false)
-	if m.dest == nil {
-		return false
-	}
-	dest := m.dest.Engine
-	r.mu.Lock()
-	r.stay(m.source.Engine).Interrupt()
-	r.mu.Unlock()
-	until := begin + resumeTimeout
-	if !r.confirmEnded(m, m.source, m.dest.Target, until) {
-		r.log("Stream not resumed, its engine could not be stopped", "source", m.source.Engine, "destination", dest, "waited", r.g.Clock.Now()-begin, "cause", cause)
-		return false
-	}
-	evidence := r.evidence(m.source.Engine)
-	stopped := evidence == relocation.Stopped
-	x, err := r.resume(m, until)
-	if err != nil {
-		r.log("Move failed", "source", m.source.Engine, "destination", dest, "stopped", stopped, "evidence", evidence,
-			"at_source", r.evidence(m.source.Engine), "at_destination", r.evidence(dest), "cause", cause, "err", err)
-		return false
-	}
-	r.exchange = x
-	r.moveCount++
-	r.g.board.mu.Lock()
-	r.mu.Lock()
-	r.move = nil
-	r.mu.Unlock()
-	if target, ok := r.g.board.pool.Lookup(r.engine); ok && target.Leaving {
-		// The generation was resumed at its source, or the destination is leaving too.
-		r.g.startMove(r)
-	}
-	r.g.board.mu.Unlock()
-	movePauses.observe(r.g.Clock.Now() - r.lastEventAt)
-	r.log("Stream moved", "source", m.source.Engine, "pause", r.g.Clock.Now()-r.lastEventAt, "waited", r.g.Clock.Now()-begin, "events", r.events, "stopped", stopped, "evidence", evidence)
-	return true
-}
-
-// resume resumes the generation at the destination of its move, or at the source if that stopped
-// it and still has its memory. Neither is asked while the other one may work on it.
-func (r *relay) resume(m *move, until time.Duration) (x *upstream.Exchange, err error) {
-	for range maxResumeAttempts {
-		if !r.destinationTakesCalls(m) {
-			err = serving.NewError(serving.KindNoEngine, "engine "+string(m.dest.Engine)+" has begun to leave, or its data centre was taken out of service, since the copy was made")
-		} else if x, err = r.resumeAtDestination(m, m.dest); err == nil {
-			return x, nil
-		} else if !r.confirmEnded(m, m.dest.Target, m.source, until) {
-			return nil, err
-		}
-		if r.sourceCanResume(m) {
-			if x, err = r.resumeAtSource(m); err == nil {
-				return x, nil
-			}
-			if !r.confirmEnded(m, m.source, m.dest.Target, until) {
-				return nil, err
-			}
-		}
-		if r.g.Clock.Now() >= until || !sleep(r.ctx, moveRetryDelay) {
-			break
-		}
-	}
-	return nil, err
-}
-
-// destinationTakesCalls reports whether the destination of a move still takes calls. One that has
-// just begun to leave does.
-func (r *relay) destinationTakesCalls(m *move) bool {
-	r.mu.Lock()
-	age := r.g.Clock.Now() - m.copiedAt
-	r.mu.Unlock()
-	if age < maxUncheckedCopyAge {
-		return true
-	}
-	r.g.board.mu.Lock()
-	defer r.g.board.mu.Unlock()
-	return r.g.board.pool.InService(m.dest.Engine)
-}
-
-// sourceCanResume reports whether the source of a move may have the memory of the generation, and
-// still takes calls.
-func (r *relay) sourceCanResume(m *move) bool {
-	r.g.board.mu.Lock()
-	defer r.g.board.mu.Unlock()
-	target, ok := r.g.board.pool.Lookup(m.source.Engine)
-	if !ok || target.Leaving && !m.plan.SourceRuns(r.g.Clock.Now()) {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	stay := r.stay(m.source.Engine)
-	return stay.MayHaveStopped() && stay.Evidence() != relocation.ProcessEnded
-}
-
-// sendResumed sends the call to an engine that is to resume the generation from the newest copy.
-// After an error, the stay at the engine shows whether it may have begun.
-func (r *relay) sendResumed(m *move, t *placement.Ticket) (*upstream.Exchange, error) {
-	r.mu.Lock()
-	r.stay(t.Engine).Begin()
-	attempt := &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}
-	r.mu.Unlock()
-	// The timeout ends when the engine resumes the generation. The stream may last until the
-	// deadline of the call.
-	ctx, abort := context.WithCancelCause(r.ctx)
-	timeout := time.AfterFunc(resumeAnswerTimeout, func() { abort(context.DeadlineExceeded) })
-	defer timeout.Stop()
-	x, err := r.g.upstream.Send(ctx, r.engineRequest(t, attempt, upstream.SafeIdleTime))
-	if err == nil && x.Status == http.StatusOK && !x.NotRun && !x.Encoded && timeout.Stop() {
-		return x, nil
-	}
-	notBegun := err != nil && serving.AsError(err).Ran == serving.NotRun
-	if err == nil {
-		// A malformed answer says nothing, whatever its header states.
-		_, readErr := io.CopyN(io.Discard, x.Body, maxEngineAnswer)
-		notBegun = x.NotRun && errors.Is(readErr, io.EOF)
-		x.Close(false)
-		err = serving.NewError(serving.KindEngineFailed, "engine "+string(t.Engine)+" answered "+strconv.Itoa(x.Status)+" and did not resume the generation").WithRan(serving.RanUnknown)
-	}
-	if notBegun {
-		r.mu.Lock()
-		r.stay(t.Engine).End(relocation.NotBegun)
-		r.mu.Unlock()
-	}
-	return nil, err
-}
-
-// resumeAtDestination sends the call to the engine that holds the copy.
-func (r *relay) resumeAtDestination(m *move, target *placement.Ticket) (*upstream.Exchange, error) {
-	x, err := r.sendResumed(m, target)
-	if err != nil {
-		return nil, err
-	}
-	old := r.ticket
-	r.leaveAttempt()
-	r.detach()
-	r.g.endTicket(old, placement.Abandoned, 0)
-	r.g.board.mu.Lock()
-	r.beginAttempt(target, true)
-	r.g.board.mu.Unlock()
-	r.engine = target.Engine
-	r.pacedAt, r.steppedAt = 0, 0
-	m.dest = nil
-	r.attach(target)
-	return x, nil
-}
-
-// resumeAtSource resumes the generation at the engine that stopped it.
-func (r *relay) resumeAtSource(m *move) (*upstream.Exchange, error) {
-	r.g.countRequest(m.source.Engine)
-	x, err := r.sendResumed(m, &placement.Ticket{Target: m.source})
-	if err != nil {
-		return nil, err
-	}
-	r.g.endTicket(m.dest, placement.Abandoned, 0)
-	m.dest = nil
-	return x, nil
-}
-
 // cancelMove cancels the stream's move, if any, and frees its copy.
 func (r *relay) cancelMove() {
 	r.mu.Lock()
