Log a move whose request is not answered, and end a failed call's context

What callers saw: nothing. A stream that ended because a request of its move was not answered in time had no line that says so, and the context of a call that was not resumed lived until the end of the caller's call.

Evidence: by reading. The tests of moves and of internal/gateway pass, the latter with the race detector.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -58,6 +58,7 @@
 	case <-m.done:
 	case <-t.C:
 		// runMove returns after the stream has ended. cancelMove then frees its copy.
+		r.log("Stream not resumed, a request of its move was not answered", "source", m.source.Engine, "copied", hasDest, "waited", wait, "cause", cause)
 		return false
 	case <-r.ctx.Done():
 		return false
@@ -126,7 +127,7 @@
 }
 
 // destinationTakesCalls reports whether the destination of a move still takes calls. One that has
-// just begun to leave does.
+// begun to leave since a recent copy does for a while.
 func (r *relay) destinationTakesCalls(m *move) bool {
 	r.mu.Lock()
 	age := r.g.Clock.Now() - m.copiedAt
@@ -161,8 +162,8 @@
 	r.stay(t.Engine).Begin()
 	attempt := &serving.Attempt{Copy: m.latestCopy, LastEventID: r.lastEventID}
 	r.mu.Unlock()
-	// The timeout ends when the engine resumes the generation. The stream may last until the
-	// deadline of the call.
+	// The timeout ends when the engine resumes the generation. Its stream, which uses ctx, may
+	// last until the deadline of the call.
 	ctx, abort := context.WithCancelCause(r.ctx)
 	timeout := time.AfterFunc(resumeAnswerTimeout, func() { abort(context.DeadlineExceeded) })
 	defer timeout.Stop()
@@ -170,6 +171,7 @@
 	if err == nil && x.Status == http.StatusOK && !x.NotRun && !x.Encoded && timeout.Stop() {
 		return x, nil
 	}
+	defer abort(nil)
 	notBegun := err != nil && serving.AsError(err).Ran == serving.NotRun
 	if err == nil {
 		// A malformed answer says nothing, whatever its header states.
